storage: the package of table, objects and roster gets a name of its own

Cause: a folder platform/ at the root will meet the users' platform; two things under one name would be read as one. Change: packages/platform is packages/storage, its header storage/storage.h. No behaviour changes; the tree builds, tests unchanged.

--- a/packages/control/billset.c
+++ b/packages/control/billset.c
@@ -2,7 +2,7 @@
 
 #include "base/map.h"
 #include "base/mem.h"
-#include "platform/json.h"
+#include "storage/json.h"
 
 #include <stdlib.h>
 
--- a/packages/control/claims.c
+++ b/packages/control/claims.c
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "base/map.h"
 #include "base/mem.h"
-#include "platform/json.h"
+#include "storage/json.h"
 
 #include <stdlib.h>
 
--- a/packages/control/confstore.c
+++ b/packages/control/confstore.c
@@ -3,7 +3,7 @@
 #include "base/log.h"
 #include "base/mem.h"
 #include "conf/snapshot.h"
-#include "platform/json.h"
+#include "storage/json.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/packages/control/qualitystore.c
+++ b/packages/control/qualitystore.c
@@ -1,7 +1,7 @@
 #include "control/qualitystore.h"
 
 #include "base/mem.h"
-#include "platform/json.h"
+#include "storage/json.h"
 
 #include <stdlib.h>
 
--- a/packages/control/store.h
+++ b/packages/control/store.h
@@ -13,7 +13,7 @@
 #ifndef CONTROL_STORE_H
 #define CONTROL_STORE_H
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 enum
 {
--- a/packages/daemon/processint.h
+++ b/packages/daemon/processint.h
@@ -11,7 +11,7 @@
 #include "control/roster.h"
 #include "daemon/process.h"
 #include "entry/entry.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "policy/drain.h"
 #include "sidecar/sidecar.h"
 #include "wire/httpd.h"
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -10,7 +10,7 @@
 #include "conf/settings.h"
 #include "conf/snapshot.h"
 #include "control/lease.h"
-#include "platform/platform.h"
+#include "storage/storage.h"
 #include "wire/rpc.h"
 
 typedef struct entry entry_t;
--- a/packages/platform/breaker.c
+++ b/packages/storage/breaker.c
@@ -1,4 +1,4 @@
-#include "platform/breaker.h"
+#include "storage/breaker.h"
 
 enum
 {
--- a/packages/platform/http.c
+++ b/packages/storage/http.c
@@ -1,8 +1,8 @@
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include "base/mem.h"
-#include "platform/breaker.h"
-#include "platform/json.h"
+#include "storage/breaker.h"
+#include "storage/json.h"
 #include "wire/httpc.h"
 
 #include <stdlib.h>
--- a/packages/platform/json.c
+++ b/packages/storage/json.c
@@ -1,4 +1,4 @@
-#include "platform/json.h"
+#include "storage/json.h"
 
 #include "base/mem.h"
 
--- a/packages/platform/json.h
+++ b/packages/storage/json.h
@@ -4,7 +4,7 @@
 #ifndef PLATFORM_JSON_H
 #define PLATFORM_JSON_H
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include <jansson.h>
 
--- a/packages/platform/memory.c
+++ b/packages/storage/memory.c
@@ -1,8 +1,8 @@
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 #include "base/map.h"
 #include "base/mem.h"
-#include "platform/table.h"
+#include "storage/table.h"
 
 #include <stdlib.h>
 
--- a/packages/platform/platform.h
+++ b/packages/storage/storage.h
@@ -13,8 +13,8 @@
    rate limit, nothing took effect; VH_E_CONFLICT a condition did not hold;
    VH_E_NOT_FOUND.  */
 
-#ifndef PLATFORM_PLATFORM_H
-#define PLATFORM_PLATFORM_H
+#ifndef STORAGE_STORAGE_H
+#define STORAGE_STORAGE_H
 
 #include "base/clock.h"
 #include "base/code.h"
--- a/packages/platform/table.c
+++ b/packages/storage/table.c
@@ -1,4 +1,4 @@
-#include "platform/table.h"
+#include "storage/table.h"
 
 #include "base/map.h"
 #include "base/mem.h"
--- a/packages/platform/table.h
+++ b/packages/storage/table.h
@@ -5,7 +5,7 @@
 #ifndef PLATFORM_TABLE_H
 #define PLATFORM_TABLE_H
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 typedef struct table table_t;
 
--- a/tests/faulty_platform.h
+++ b/tests/faulty_platform.h
@@ -4,7 +4,7 @@
 #ifndef TESTS_FAULTY_PLATFORM_H
 #define TESTS_FAULTY_PLATFORM_H
 
-#include "platform/platform.h"
+#include "storage/storage.h"
 
 /* Shares are of transactions unless said otherwise.  */
 typedef struct
--- a/tests/standins/standin_platform.c
+++ b/tests/standins/standin_platform.c
@@ -5,8 +5,8 @@
 #include "base/map.h"
 #include "base/mem.h"
 #include "base/rng.h"
-#include "platform/json.h"
-#include "platform/table.h"
+#include "storage/json.h"
+#include "storage/table.h"
 #include "wire/httpd.h"
 
 #include <getopt.h>
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,8 +3,8 @@
    HTTP client has to bear.  */
 
 #include "base/mem.h"
-#include "platform/breaker.h"
-#include "platform/platform.h"
+#include "storage/breaker.h"
+#include "storage/storage.h"
 #include "platform_child.h"
 #include "wire/httpc.h"
 
