--- a/packages/base/clock.c
+++ b/packages/base/clock.c
@@ -27,7 +27,15 @@
   return read_clock (CLOCK_REALTIME);
 }
 
-static const clock_ops_t system_ops = { system_monotonic, system_realtime };
+static struct timespec
+system_boottime (clock_iface_t *clock)
+{
+  (void)clock;
+  return read_clock (CLOCK_BOOTTIME);
+}
+
+static const clock_ops_t system_ops
+    = { system_monotonic, system_realtime, system_boottime };
 
 clock_iface_t *
 clock_system (void)
@@ -67,7 +75,8 @@
   return from_us (manual->realtime_s, manual->elapsed_us);
 }
 
-static const clock_ops_t manual_ops = { manual_monotonic, manual_realtime };
+static const clock_ops_t manual_ops
+    = { manual_monotonic, manual_realtime, manual_monotonic };
 
 clock_iface_t *
 clock_manual_create (int64_t realtime_s)
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -14,6 +14,8 @@
 {
   struct timespec (*monotonic) (clock_iface_t *clock);
   struct timespec (*realtime) (clock_iface_t *clock);
+  /* As monotonic, but counts while the machine is suspended.  */
+  struct timespec (*boottime) (clock_iface_t *clock);
 } clock_ops_t;
 
 struct clock_iface
@@ -50,6 +52,14 @@
   return clock_us (clock) / 1000u;
 }
 
+/* Milliseconds for the age of a belief: a suspended machine's monotonic clock
+   stands still, and what it knew would look fresh when it wakes.  */
+static inline uint64_t
+clock_boot_ms (clock_iface_t *clock)
+{
+  return timespec_us (clock->ops->boottime (clock)) / 1000u;
+}
+
 /* Milliseconds since the epoch.  */
 static inline uint64_t
 clock_realtime_ms (clock_iface_t *clock)
--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 
 static const char *const role_words[]
-    = { "entry", "sidecar", "standalone", NULL };
+    = { "entry", "sidecar", "standalone", "gateway", NULL };
 static const char *const platform_words[] = { "http", "memory", NULL };
 static const char *const kind_words[] = { "engine", "service", NULL };
 static const char *const no_yes[] = { "no", "yes", NULL };
@@ -71,6 +71,19 @@
   X ("retry-share", VALUE_DOUBLE, false, pub.retry_share, 0.001, 1, NULL)     \
   X ("retry-burst", VALUE_U32, false, pub.retry_burst, 1, 10000, NULL)
 
+#define GATEWAY_KEYS(X)                                                       \
+  X ("listen", VALUE_ADDRESS, true, pub.listen, 0, 0, NULL)                   \
+  X ("ready", VALUE_ADDRESS, true, pub.ready, 0, 0, NULL)                     \
+  X ("kill-after-s", VALUE_DOUBLE, false, pub.kill_after_s, 2, 3600, NULL)    \
+  X ("confirm-ms", VALUE_U64, false, pub.confirm_ms, 100, DAY_MS, NULL)       \
+  X ("lapse-ms", VALUE_U64, false, pub.lapse_ms, 0, DAY_MS, NULL)             \
+  X ("extra-ratio", VALUE_DOUBLE, false, pub.extra_ratio, 0, 10, NULL)        \
+  X ("extra-slack", VALUE_DOUBLE, false, pub.extra_slack, 0, 100000, NULL)    \
+  X ("extra-window-s", VALUE_DOUBLE, false, pub.extra_window_s, 1, 3600,      \
+     NULL)                                                                    \
+  X ("cold-factor", VALUE_DOUBLE, false, pub.cold_factor, 0.1, 100, NULL)     \
+  X ("cold-slack", VALUE_DOUBLE, false, pub.cold_slack, 0, 100000, NULL)
+
 /* Those of [sidecar] and [upstream NAME] alike.  */
 #define UPSTREAM_KEYS(X)                                                      \
   X ("listen", VALUE_ADDRESS, false, pub.listen, 0, 0, NULL)                  \
@@ -137,6 +150,7 @@
   peer_item_t **peers;
   size_t peers_count;
   int entry_line; /* Of each section, 0 when absent.  */
+  int gateway_line;
   int sidecar_line;
   int upstream_line;
   conf_errors_t *errors;
@@ -150,6 +164,7 @@
 
 static const schema_key_t process_keys[] = { PROCESS_KEYS (OF_PARSER) };
 static const schema_key_t entry_keys[] = { ENTRY_KEYS (OF_PARSER) };
+static const schema_key_t gateway_keys[] = { GATEWAY_KEYS (OF_PARSER) };
 static const schema_key_t sidecar_keys[] = { SIDECAR_KEYS (OF_UPSTREAM) };
 static const schema_key_t upstream_keys[] = { UPSTREAM_KEYS (OF_UPSTREAM) };
 static const schema_key_t platform_keys[] = { PLATFORM_KEYS (OF_PARSER) };
@@ -175,6 +190,16 @@
   return parser;
 }
 
+static void *
+open_gateway (void *arg, str_t name, int line)
+{
+  parser_t *parser = arg;
+
+  (void)name;
+  parser->gateway_line = line;
+  return parser;
+}
+
 /* Return a new upstream with its defaults.  */
 static upstream_item_t *
 parser_add_upstream (parser_t *parser, int line)
@@ -243,6 +268,7 @@
 static const schema_section_t settings_sections[] = {
   SECTION ("process", SECTION_BARE, process_keys, open_self),
   SECTION ("entry", SECTION_BARE, entry_keys, open_entry),
+  SECTION ("gateway", SECTION_BARE, gateway_keys, open_gateway),
   SECTION ("sidecar", SECTION_BARE, sidecar_keys, open_sidecar),
   SECTION ("upstream", SECTION_NAMED, upstream_keys, open_upstream),
   SECTION ("platform", SECTION_BARE, platform_keys, open_self),
@@ -272,6 +298,14 @@
   pub->connections_max = 10000;
   pub->platform_timeout_ms = 2000;
   pub->poll_ms = 1000;
+  pub->kill_after_s = 10;
+  /* Revoked keys are to be unusable 5 s after the change.  */
+  pub->confirm_ms = 4500;
+  pub->lapse_ms = 2000;
+  pub->extra_ratio = 0.1;
+  pub->extra_slack = 10;
+  pub->extra_window_s = 10;
+  pub->cold_factor = 1;
 }
 
 /* Complain that SECTION, in LINE unless 0, has no use in this role.  */
@@ -343,6 +377,16 @@
       parser_forbid (parser, parser->upstream_line, "upstream",
                      "write `[sidecar]'");
       break;
+    case ROLE_GATEWAY:
+      if (parser->gateway_line == 0)
+        parser_need (parser, false, "gateway", "listen");
+      parser_forbid (parser, parser->entry_line, "entry",
+                     "a gateway's section is [gateway]");
+      parser_forbid (parser, parser->sidecar_line, "sidecar",
+                     "a gateway dials upstreams itself");
+      parser_forbid (parser, parser->upstream_line, "upstream",
+                     "a gateway finds upstreams in the platform's store");
+      break;
     case ROLE_STANDALONE:
       parser_check_entry (parser);
       parser_forbid (parser, parser->sidecar_line, "sidecar",
--- /dev/null
+++ b/packages/daemon/gateway_main.c
@@ -0,0 +1,133 @@
+#include "daemon/gateway_main.h"
+
+#include "base/log.h"
+#include "gateway/gateway.h"
+#include "platform/platform.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/random.h>
+
+enum
+{
+  /* What is left between our last act and the kill: a turn of the loop, the
+     kernel's last packets, a slow machine.  */
+  KILL_MARGIN_MS = 800,
+  /* New requests are taken on for as long as the balancer may still send
+     them.  */
+  GRACE_MS = 3000,
+  MS_PER_S = 1000
+};
+
+typedef struct
+{
+  gateway_t *gateway;
+  const char *path;
+} running_t;
+
+static void
+on_stop_signal (uv_signal_t *handle, int number)
+{
+  running_t *running = handle->data;
+
+  (void)number;
+  gateway_stop (running->gateway);
+}
+
+/* Settings are read at start only; a changed file is checked and told.  */
+static void
+on_reload_signal (uv_signal_t *handle, int number)
+{
+  running_t *running = handle->data;
+  settings_t *settings = NULL;
+  conf_errors_t errors = { 0 };
+
+  (void)number;
+  vh_code_t code = settings_load (running->path, &settings, &errors);
+  if (code == VH_OK)
+    log_notice ("gateway", "The settings file was read again; its changes "
+                           "hold from the next start. file=%s",
+                running->path);
+  else
+    log_err ("gateway", "The settings file is not valid and is left out. "
+                        "file=%s code=%d",
+             running->path, (int)code);
+  conf_errors_free (&errors);
+  settings_destroy (settings);
+}
+
+static uint64_t
+make_seed (const settings_t *settings)
+{
+  uint64_t seed = settings->seed;
+
+  if (seed == 0 && getrandom (&seed, sizeof seed, 0) != sizeof seed)
+    seed = (uint64_t)time (NULL);
+  return seed;
+}
+
+static gateway_options_t
+make_options (const settings_t *settings)
+{
+  uint64_t kill_ms = (uint64_t)(settings->kill_after_s * MS_PER_S);
+  gateway_options_t options = {
+    .name = settings->name,
+    .zone = settings->zone,
+    .listen = settings->listen,
+    .ready = settings->ready,
+    .admin = settings->admin,
+    .seed = make_seed (settings),
+    .drain_bound_ms = kill_ms - KILL_MARGIN_MS,
+    .confirm_ms = settings->confirm_ms,
+    .lapse_ms = settings->lapse_ms,
+    .retry_ratio = settings->extra_ratio,
+    .retry_slack = settings->extra_slack,
+    .retry_window_ms = (uint64_t)(settings->extra_window_s * MS_PER_S),
+    .cold_factor = settings->cold_factor,
+    .cold_slack = settings->cold_slack,
+  };
+
+  options.drain_grace_ms = options.drain_bound_ms / 2 < GRACE_MS
+                               ? options.drain_bound_ms / 2
+                               : GRACE_MS;
+  return options;
+}
+
+int
+gateway_main (const settings_t *settings, const char *path)
+{
+  uv_loop_t *loop = uv_default_loop ();
+  gateway_options_t options = make_options (settings);
+  rows_t *rows = platform_rows_create (loop, settings->platform_address);
+  running_t running = { .path = path };
+  static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+  uv_signal_t signals[3];
+  int status = EXIT_FAILURE;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (gateway_create (loop, clock_system (), rows, platform_dialect (),
+                      &options, &running.gateway)
+      != VH_OK)
+    goto no_gateway;
+  for (size_t i = 0; i < 3; i++)
+    {
+      uv_signal_init (loop, &signals[i]);
+      signals[i].data = &running;
+      uv_signal_start (&signals[i],
+                       numbers[i] == SIGHUP ? on_reload_signal
+                                            : on_stop_signal,
+                       numbers[i]);
+    }
+  while (!gateway_over (running.gateway))
+    uv_run (loop, UV_RUN_DEFAULT);
+  if (gateway_destroy (running.gateway))
+    status = EXIT_SUCCESS;
+  for (size_t i = 0; i < 3; i++)
+    uv_close ((uv_handle_t *)&signals[i], NULL);
+no_gateway:
+  rows->ops->destroy (rows);
+  uv_run (loop, UV_RUN_NOWAIT);
+  uv_run (loop, UV_RUN_NOWAIT);
+  uv_loop_close (loop);
+  return status;
+}
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -3,6 +3,7 @@
    cut something, 2 for bad usage or settings.  */
 
 #include "base/log.h"
+#include "daemon/gateway_main.h"
 #include "daemon/process.h"
 
 #include <argtable2.h>
@@ -77,7 +78,8 @@
       char *named = str_dup (settings->log_level);
       log_set_level_name (level != NULL ? level : named);
       free (named);
-      status = run (settings);
+      status = settings->role == ROLE_GATEWAY ? gateway_main (settings, path)
+                                              : run (settings);
     }
   conf_errors_free (&errors);
   settings_destroy (settings);
--- /dev/null
+++ b/packages/gateway/duties.c
@@ -0,0 +1,583 @@
+/* What a gateway learns from the platform's store and does there: the
+   configuration, the instances, the operators' orders, the other entries, and
+   the roll-outs that all entries carry out together.
+
+   No entry is appointed to anything.  Each row that entries share is written
+   under the condition that it is as the writer saw it, so of several that
+   decide the same thing one writes and the others read.  */
+
+#include "gateway/gatewayint.h"
+
+#include "base/log.h"
+
+#include <stdlib.h>
+
+enum
+{
+  TICK_MS = 1000,
+  /* A key that was taken away must be unusable within seconds, and the age of
+     a confirmation is at most two waits and a timeout.  */
+  ORDERS_WAIT_MS = 1500,
+  ORDERS_SLACK_MS = 500,
+  /* A departure is told at once; the wait only bounds a silent connection.  */
+  INSTANCES_WAIT_MS = 2500,
+  INSTANCES_SLACK_MS = 600,
+  /* Entries and evidence: news may be a second old, and are read in one
+     call.  */
+  OWN_WAIT_MS = 8000,
+  OWN_SLACK_MS = 1000,
+  OWN_GAP_MS = 1000,
+  COMMIT_TIMEOUT_MS = 2000,
+  /* Writes of evidence while a roll-out runs.  */
+  EVIDENCE_TICKS = 2
+};
+
+struct duties
+{
+  belief_t *belief;
+  rows_t *rows;
+  follow_t *instances;
+  follow_t *own;
+  uv_timer_t tick;
+  uint64_t ticks;
+  bool own_read;       /* The shared rows were read once.  */
+  bool instances_read;
+  bool node_written;
+  bool node_pending;
+  map_t *nodes;          /* Names of listed entries.  */
+  uint64_t returned_ms;  /* When the store came back, monotonic.  */
+  bool commit_pending;   /* Of a roll-out's row.  */
+  map_t *rollout_rows;   /* Service to the version of its shared row.  */
+};
+
+static void drop_trial (belief_t *belief, str_t service);
+
+/* Orders.  */
+
+static void
+take_catalog (belief_t *belief, str_t value)
+{
+  catalog_t *catalog;
+  vh_code_t code = belief->dialect->read_catalog (value, &catalog);
+
+  if (code != VH_OK)
+    {
+      log_err ("config", "A configuration cannot be read. code=%d bytes=%zu",
+               (int)code, value.len);
+      return;
+    }
+  if (belief->catalog != NULL
+      && catalog_revision (catalog) <= catalog_revision (belief->catalog))
+    {
+      catalog_unref (catalog);
+      return;
+    }
+  log_notice ("config", "A configuration is in force. revision=%llu before=%llu",
+              (unsigned long long)catalog_revision (catalog),
+              (unsigned long long)(belief->catalog != NULL
+                                       ? catalog_revision (belief->catalog)
+                                       : 0));
+  catalog_unref (belief->catalog);
+  belief->catalog = catalog;
+}
+
+static void
+take_rollout (belief_t *belief, const rows_row_t *row)
+{
+  rollout_order_t order;
+  void *holder = NULL;
+  vh_code_t code = belief->dialect->read_rollout (row->value, &order, &holder);
+
+  if (code != VH_OK)
+    {
+      log_warning ("rollout", "An order cannot be read. key=%.*s code=%d",
+                   STR_ARG (row->key), (int)code);
+      return;
+    }
+  trial_t *trial = map_get (belief->trials, order.service);
+  if (trial == NULL || trial_order (trial) != row->version)
+    {
+      drop_trial (belief, order.service);
+      trial = trial_create (order.service, order.version, row->version,
+                            order.within_ms);
+      map_put (belief->trials, order.service, trial);
+      log_notice ("rollout",
+                  "A version is ordered. service=%.*s version=%.*s "
+                  "within_ms=%llu order=%llu",
+                  STR_ARG (order.service), STR_ARG (order.version),
+                  (unsigned long long)order.within_ms,
+                  (unsigned long long)row->version);
+    }
+  belief->dialect->free_holder (holder);
+}
+
+static void
+drop_trial (belief_t *belief, str_t service)
+{
+  trial_destroy (map_remove (belief->trials, service));
+}
+
+static void
+on_order_put (void *arg, const rows_row_t *row)
+{
+  duties_t *duties = arg;
+  belief_t *belief = duties->belief;
+  str_t name;
+
+  switch (belief->dialect->order_kind (row->key, &name))
+    {
+    case ORDER_CATALOG:
+      take_catalog (belief, row->value);
+      break;
+    case ORDER_ROLLOUT:
+      take_rollout (belief, row);
+      break;
+    case ORDER_ZONE_OUT:
+      log_notice ("zone", "A zone is taken out. zone=%.*s", STR_ARG (name));
+      pool_zone_out (belief->pool, name, true);
+      break;
+    case ORDER_NONE:
+      break;
+    }
+}
+
+static void
+on_order_removed (void *arg, str_t key)
+{
+  duties_t *duties = arg;
+  str_t name;
+
+  if (duties->belief->dialect->order_kind (key, &name) != ORDER_ZONE_OUT)
+    return;
+  log_notice ("zone", "A zone is taken back. zone=%.*s", STR_ARG (name));
+  pool_zone_out (duties->belief->pool, name, false);
+}
+
+/* Instances.  */
+
+static void
+on_instance_put (void *arg, const rows_row_t *row)
+{
+  duties_t *duties = arg;
+  belief_t *belief = duties->belief;
+  upstream_info_t info;
+  void *holder = NULL;
+  vh_code_t code
+      = belief->dialect->read_instance (row->key, row->value, &info, &holder);
+
+  if (code != VH_OK)
+    {
+      log_warning ("pool", "A registration is left out. id=%.*s code=%d",
+                   STR_ARG (row->key), (int)code);
+      return;
+    }
+  log_info ("pool",
+            "An instance is listed. id=%.*s service=%.*s version=%.*s "
+            "zone=%.*s draining=%d cold_ms=%llu",
+            STR_ARG (info.id), STR_ARG (info.service), STR_ARG (info.version),
+            STR_ARG (info.zone), info.draining,
+            (unsigned long long)info.cold_ms);
+  pool_put (belief->pool, &info);
+  belief->dialect->free_holder (holder);
+}
+
+static void
+on_instance_removed (void *arg, str_t key)
+{
+  duties_t *duties = arg;
+  belief_t *belief = duties->belief;
+  uint64_t now_ms = clock_ms (belief->clock);
+  uint64_t keep_ms = 0;
+
+  if (duties->returned_ms != 0
+      && now_ms - duties->returned_ms < belief->options.lapse_ms)
+    keep_ms = belief->options.lapse_ms - (now_ms - duties->returned_ms);
+  log_info ("pool", "An instance is no longer listed. id=%.*s keep_ms=%llu",
+            STR_ARG (key), (unsigned long long)keep_ms);
+  pool_remove (belief->pool, key, keep_ms);
+}
+
+static void
+on_instances_caught_up (void *arg, bool full)
+{
+  (void)full;
+  ((duties_t *)arg)->instances_read = true;
+}
+
+static void
+on_instances_reach (void *arg, bool down)
+{
+  duties_t *duties = arg;
+
+  if (!down)
+    duties->returned_ms = clock_ms (duties->belief->clock);
+}
+
+/* Shared rows.  */
+
+/* Split KEY at its first slash; *REST is empty without one.  */
+static str_t
+key_kind (str_t key, str_t *rest)
+{
+  str_t kind = str_cut (key, '/', rest);
+
+  if (rest->ptr == NULL)
+    *rest = STR ("");
+  return kind;
+}
+
+/* A roll-out's shared row: ORDER START PHASE.  */
+static void
+take_rollout_row (duties_t *duties, str_t service, const rows_row_t *row)
+{
+  trial_t *trial = map_get (duties->belief->trials, service);
+  str_t rest = row->value;
+  uint64_t order;
+  uint64_t start;
+
+  map_put (duties->rollout_rows, service, (void *)(uintptr_t)row->version);
+  if (trial == NULL || !str_to_u64 (str_cut (rest, ' ', &rest), &order)
+      || rest.ptr == NULL || !str_to_u64 (str_cut (rest, ' ', &rest), &start)
+      || rest.ptr == NULL || order != trial_order (trial))
+    return;
+  trial_set_start (trial, start);
+  /* A decision made here and not yet written stays over `running'.  */
+  for (trial_phase_t phase = TRIAL_DONE; phase <= TRIAL_ROLLED_BACK; phase++)
+    {
+      str_t name = str_from (trial_phase_name (phase));
+      if (!str_eq (rest, name) || trial_phase (trial) == phase)
+        continue;
+      log_notice ("rollout",
+                  "Another entry decided. service=%.*s version=%.*s "
+                  "phase=%.*s",
+                  STR_ARG (service), STR_ARG (trial_version (trial)),
+                  STR_ARG (name));
+      trial_set_phase (trial, phase);
+    }
+}
+
+static void
+on_own_put (void *arg, const rows_row_t *row)
+{
+  duties_t *duties = arg;
+  str_t rest;
+  str_t kind = key_kind (row->key, &rest);
+
+  if (str_eq (kind, STR ("rollout")))
+    take_rollout_row (duties, rest, row);
+  else if (str_eq (kind, STR ("evidence")))
+    {
+      str_t entry;
+      str_t service = str_cut (rest, '/', &entry);
+      trial_t *trial = map_get (duties->belief->trials, service);
+      if (trial != NULL && !str_eq (entry, duties->belief->options.name)
+          && trial_merge (trial, entry, row->value) != VH_OK)
+        log_warning ("rollout", "Evidence cannot be read. key=%.*s",
+                     STR_ARG (row->key));
+    }
+  else if (str_eq (kind, STR ("entry")) && rest.len > 0)
+    map_put (duties->nodes, rest, duties);
+}
+
+static void
+on_own_removed (void *arg, str_t key)
+{
+  duties_t *duties = arg;
+  str_t rest;
+
+  if (str_eq (key_kind (key, &rest), STR ("entry")))
+    map_remove (duties->nodes, rest);
+}
+
+static void
+set_entries (belief_t *belief, uint32_t entries)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  if (entries == 0)
+    entries = 1;
+  if (entries == belief->entries)
+    return;
+  log_info ("entries", "The entries known changed. count=%u", entries);
+  belief->entries = entries;
+  pool_set_entries (belief->pool, entries);
+  while (map_next (belief->allowances, &cursor, &key, &value))
+    allowance_set_entries (value, entries);
+}
+
+static void
+on_own_caught_up (void *arg, bool full)
+{
+  duties_t *duties = arg;
+
+  (void)full;
+  duties->own_read = true;
+  set_entries (duties->belief, (uint32_t)map_size (duties->nodes));
+}
+
+/* Writing.  */
+
+static void
+on_node_written (void *arg, vh_code_t code, const rows_result_t *result)
+{
+  duties_t *duties = arg;
+
+  (void)result;
+  duties->node_pending = false;
+  duties->node_written = code == VH_OK;
+  if (code != VH_OK)
+    log_warning ("entries", "This entry could not be listed. code=%d",
+                 (int)code);
+}
+
+/* Tell the others that there is one more to share with.  */
+static void
+write_node (duties_t *duties)
+{
+  buf_t key = BUF_NULL;
+
+  buf_append_str (&key, STR ("entry/"));
+  buf_append_str (&key, duties->belief->options.name);
+  rows_write_t write = { .table = ROWS_OWN,
+                         .key = buf_str (&key),
+                         .value = duties->belief->options.zone };
+  duties->node_pending = true;
+  duties->rows->ops->commit (duties->rows, &write, 1, COMMIT_TIMEOUT_MS,
+                             on_node_written, duties);
+  buf_free (&key);
+}
+
+static void
+on_rollout_written (void *arg, vh_code_t code, const rows_result_t *result)
+{
+  duties_t *duties = arg;
+
+  (void)result;
+  duties->commit_pending = false;
+  if (code != VH_OK && code != VH_E_CONFLICT)
+    log_warning ("rollout", "A step could not be written. code=%d", (int)code);
+}
+
+/* Write the state of TRIAL for the entries and for the operators, in one
+   transaction and only over the row as it was seen.  */
+static void
+write_rollout (duties_t *duties, str_t service, const trial_t *trial,
+               uint64_t start_ms)
+{
+  static const rollout_state_t states[]
+      = { ROLLOUT_RUNNING, ROLLOUT_DONE, ROLLOUT_TAKEN_BACK };
+  trial_phase_t phase = trial_phase (trial);
+  rows_write_t writes[2] = { 0 };
+  buf_t key = BUF_NULL;
+  buf_t value = BUF_NULL;
+  buf_t status_key = BUF_NULL;
+  buf_t status = BUF_NULL;
+
+  buf_append_str (&key, STR ("rollout/"));
+  buf_append_str (&key, service);
+  buf_printf (&value, "%llu %llu %s", (unsigned long long)trial_order (trial),
+              (unsigned long long)start_ms, trial_phase_name (phase));
+  duties->belief->dialect->write_rollout_status (
+      service, trial_version (trial), states[phase], &status_key, &status);
+  writes[0].table = ROWS_OWN;
+  writes[0].key = buf_str (&key);
+  writes[0].value = buf_str (&value);
+  writes[0].conditional = true;
+  writes[0].expected
+      = (uintptr_t)map_get (duties->rollout_rows, service);
+  writes[1].table = ROWS_STATUS;
+  writes[1].key = buf_str (&status_key);
+  writes[1].value = buf_str (&status);
+  duties->commit_pending = true;
+  duties->rows->ops->commit (duties->rows, writes, 2, COMMIT_TIMEOUT_MS,
+                             on_rollout_written, duties);
+  buf_free (&key);
+  buf_free (&value);
+  buf_free (&status_key);
+  buf_free (&status);
+}
+
+static void
+on_evidence_written (void *arg, vh_code_t code, const rows_result_t *result)
+{
+  (void)arg;
+  (void)result;
+  if (code != VH_OK)
+    log_info ("rollout", "Evidence could not be written. code=%d", (int)code);
+}
+
+static void
+write_evidence (duties_t *duties, str_t service, const trial_t *trial)
+{
+  buf_t key = BUF_NULL;
+  buf_t value = BUF_NULL;
+
+  buf_append_str (&key, STR ("evidence/"));
+  buf_append_str (&key, service);
+  buf_append_char (&key, '/');
+  buf_append_str (&key, duties->belief->options.name);
+  trial_write (trial, &value);
+  rows_write_t write = { .table = ROWS_OWN,
+                         .key = buf_str (&key),
+                         .value = buf_str (&value) };
+  duties->rows->ops->commit (duties->rows, &write, 1, COMMIT_TIMEOUT_MS,
+                             on_evidence_written, duties);
+  buf_free (&key);
+  buf_free (&value);
+}
+
+/* Requests of this entry on instances of SERVICE of another version.  */
+static uint32_t
+count_old (duties_t *duties, str_t service, str_t version)
+{
+  size_t cursor = 0;
+  uint32_t running = 0;
+  upstream_t *upstream;
+
+  while ((upstream = pool_next (duties->belief->pool, &cursor)) != NULL)
+    if (str_eq (upstream_service (upstream), service)
+        && !str_eq (upstream_version (upstream), version))
+      running += upstream_running (upstream);
+  return running;
+}
+
+static void
+step_trial (duties_t *duties, str_t service, trial_t *trial)
+{
+  belief_t *belief = duties->belief;
+  uint64_t now_ms = follow_store_ms (belief->orders);
+  buf_t why = BUF_NULL;
+
+  if (trial_phase (trial) == TRIAL_RUNNING && trial_start (trial) != 0)
+    {
+      trial_fade (trial);
+      trial_old_running (trial,
+                         count_old (duties, service, trial_version (trial)));
+      trial_phase_t phase = trial_judge (trial, now_ms, &why);
+      if (phase != TRIAL_RUNNING)
+        {
+          log_notice ("rollout",
+                      "A roll-out ends. service=%.*s version=%.*s phase=%s "
+                      "why=\"%.*s\"",
+                      STR_ARG (service), STR_ARG (trial_version (trial)),
+                      trial_phase_name (phase), STR_ARG (buf_str (&why)));
+          trial_set_phase (trial, phase);
+          if (!duties->commit_pending)
+            write_rollout (duties, service, trial, trial_start (trial));
+        }
+      else if (trial_dirty (trial) && duties->ticks % EVIDENCE_TICKS == 0)
+        write_evidence (duties, service, trial);
+    }
+  else if (trial_start (trial) == 0 && !duties->commit_pending)
+    write_rollout (duties, service, trial, now_ms);
+  buf_free (&why);
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  duties_t *duties = timer->data;
+  belief_t *belief = duties->belief;
+  size_t cursor = 0;
+  str_t service;
+  void *value;
+
+  duties->ticks++;
+  if (belief->stopping_ms != 0 || !duties->own_read)
+    return;
+  if (!duties->node_written && !duties->node_pending)
+    write_node (duties);
+  while (map_next (belief->trials, &cursor, &service, &value))
+    step_trial (duties, service, value);
+}
+
+/* Start and end.  */
+
+/* The first configuration and its orders are known: an instance of a version
+   under trial must not be taken for any other.  */
+static void
+on_orders_caught_up (void *arg, bool full)
+{
+  static const follow_options_t instances
+      = { .table = ROWS_INSTANCES,
+          .name = "instances",
+          .wait_ms = INSTANCES_WAIT_MS,
+          .slack_ms = INSTANCES_SLACK_MS };
+  static const follow_options_t own = { .table = ROWS_OWN,
+                                        .name = "own",
+                                        .wait_ms = OWN_WAIT_MS,
+                                        .slack_ms = OWN_SLACK_MS,
+                                        .gap_ms = OWN_GAP_MS };
+  static const follow_events_t instance_events
+      = { on_instance_put, on_instance_removed, on_instances_caught_up,
+          on_instances_reach };
+  static const follow_events_t own_events
+      = { on_own_put, on_own_removed, on_own_caught_up, NULL };
+  duties_t *duties = arg;
+  belief_t *belief = duties->belief;
+
+  (void)full;
+  if (duties->instances != NULL)
+    return;
+  duties->own
+      = follow_create (belief->loop, belief->clock, duties->rows,
+                       rng_u64 (&belief->rng), &own, &own_events, duties);
+  duties->instances = follow_create (belief->loop, belief->clock,
+                                     duties->rows, rng_u64 (&belief->rng),
+                                     &instances, &instance_events, duties);
+}
+
+duties_t *
+duties_create (belief_t *belief, rows_t *rows)
+{
+  static const follow_options_t orders = { .table = ROWS_ORDERS,
+                                           .name = "orders",
+                                           .wait_ms = ORDERS_WAIT_MS,
+                                           .slack_ms = ORDERS_SLACK_MS };
+  static const follow_events_t order_events
+      = { on_order_put, on_order_removed, on_orders_caught_up, NULL };
+  duties_t *duties = mem_zalloc (sizeof *duties);
+
+  duties->belief = belief;
+  duties->rows = rows;
+  duties->rollout_rows = map_create ();
+  duties->nodes = map_create ();
+  belief->orders
+      = follow_create (belief->loop, belief->clock, rows,
+                       rng_u64 (&belief->rng), &orders, &order_events, duties);
+  uv_timer_init (belief->loop, &duties->tick);
+  duties->tick.data = duties;
+  uv_timer_start (&duties->tick, on_tick,
+                  rng_below (&belief->rng, TICK_MS) + 1, TICK_MS);
+  return duties;
+}
+
+bool
+duties_ready (const duties_t *duties)
+{
+  return duties->own_read && duties->instances_read;
+}
+
+static void
+on_tick_closed (uv_handle_t *handle)
+{
+  duties_t *duties = handle->data;
+
+  map_destroy (duties->rollout_rows);
+  map_destroy (duties->nodes);
+  free (duties);
+}
+
+void
+duties_destroy (duties_t *duties)
+{
+  if (duties == NULL)
+    return;
+  follow_destroy (duties->belief->orders);
+  duties->belief->orders = NULL;
+  follow_destroy (duties->instances);
+  follow_destroy (duties->own);
+  uv_close ((uv_handle_t *)&duties->tick, on_tick_closed);
+}
--- /dev/null
+++ b/packages/gateway/follow.c
@@ -0,0 +1,295 @@
+#include "gateway/follow.h"
+
+#include "base/log.h"
+#include "base/map.h"
+#include "base/mem.h"
+
+#include <stdlib.h>
+
+enum
+{
+  /* A first retry soon enough for a lost reply, the last one slow enough that
+     a store that is down is not pressed: calls are priced, refused ones
+     too.  */
+  RETRY_FIRST_MS = 100,
+  RETRY_LAST_MS = 800,
+  READ_TIMEOUT_MS = 1500,
+  /* A watch without news that is answered at once must not become a loop.  */
+  WATCH_GAP_MS = 20
+};
+
+struct follow
+{
+  clock_iface_t *clock;
+  rows_t *rows;
+  follow_options_t options;
+  follow_events_t events;
+  void *arg;
+  rng_t rng;
+  uv_timer_t timer;
+  map_t *known; /* Key to a mark of the read that saw it last.  */
+  uintptr_t pass;
+  buf_t next; /* First key of the next page of a read.  */
+  bool reading;
+  bool down;
+  uint64_t version;      /* Newest of the store that was seen.  */
+  uint64_t read_version; /* Of the first page of a read.  */
+  uint64_t sent_ms;      /* Of the call that is out, by boot time.  */
+  uint64_t read_sent_ms; /* Of the first page.  */
+  bool confirmed;
+  uint64_t confirmed_ms; /* By boot time.  */
+  uint64_t store_ms;
+  uint64_t store_seen_ms; /* When STORE_MS was told, by boot time.  */
+  uint64_t retry_ms;
+};
+
+static void step (follow_t *follow);
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  step (timer->data);
+}
+
+static void
+step_after (follow_t *follow, uint64_t wait_ms)
+{
+  uv_timer_start (&follow->timer, on_timer, wait_ms, 0);
+}
+
+static void
+set_down (follow_t *follow, bool down, vh_code_t code)
+{
+  if (follow->down == down)
+    return;
+  follow->down = down;
+  if (down)
+    log_warning ("store", "The store does not answer. table=%s code=%d",
+                 follow->options.name, (int)code);
+  else
+    log_notice ("store", "The store answers again. table=%s",
+                follow->options.name);
+  if (follow->events.reach != NULL)
+    follow->events.reach (follow->arg, down);
+}
+
+static void
+fail (follow_t *follow, vh_code_t code)
+{
+  if (code == VH_E_NOT_FOUND)
+    {
+      log_notice ("store",
+                  "The history is gone; the table is read anew. table=%s",
+                  follow->options.name);
+      follow->reading = true;
+      follow->next.len = 0;
+      step_after (follow, WATCH_GAP_MS);
+      return;
+    }
+  set_down (follow, true, code);
+  if (follow->reading)
+    follow->next.len = 0;
+  step_after (follow, rng_jitter (&follow->rng, follow->retry_ms));
+  follow->retry_ms = follow->retry_ms * 2 < RETRY_LAST_MS
+                         ? follow->retry_ms * 2
+                         : RETRY_LAST_MS;
+}
+
+static void
+put (follow_t *follow, const rows_row_t *row)
+{
+  map_put (follow->known, row->key, (void *)follow->pass);
+  follow->events.put (follow->arg, row);
+}
+
+/* Tell of the rows that the read just over did not see.  */
+static void
+sweep (follow_t *follow)
+{
+  buf_t gone = BUF_NULL;
+  size_t cursor = 0;
+  str_t key;
+  void *mark;
+
+  while (map_next (follow->known, &cursor, &key, &mark))
+    if ((uintptr_t)mark != follow->pass)
+      {
+        buf_append_str (&gone, key);
+        buf_append_char (&gone, '\0');
+      }
+  for (size_t at = 0; at < gone.len;)
+    {
+      str_t lost = str_from (gone.ptr + at);
+      at += lost.len + 1;
+      map_remove (follow->known, lost);
+      follow->events.removed (follow->arg, lost);
+    }
+  buf_free (&gone);
+}
+
+static void
+confirm (follow_t *follow, const rows_result_t *result, uint64_t sent_ms)
+{
+  follow->confirmed = true;
+  follow->confirmed_ms = sent_ms;
+  follow->store_ms = result->now_ms;
+  follow->store_seen_ms = clock_boot_ms (follow->clock);
+  follow->retry_ms = RETRY_FIRST_MS;
+  set_down (follow, false, VH_OK);
+}
+
+static void
+take_read (follow_t *follow, const rows_result_t *result)
+{
+  if (follow->next.len == 0)
+    {
+      follow->pass++;
+      follow->read_version = result->version;
+      follow->read_sent_ms = follow->sent_ms;
+    }
+  for (size_t i = 0; i < result->count; i++)
+    put (follow, &result->rows[i]);
+  follow->next.len = 0;
+  if (result->more && result->count > 0)
+    {
+      /* The least key past the last one.  */
+      buf_append_str (&follow->next, result->rows[result->count - 1].key);
+      buf_append_char (&follow->next, '\x01');
+      step (follow);
+      return;
+    }
+  sweep (follow);
+  follow->reading = false;
+  follow->version = follow->read_version;
+  confirm (follow, result, follow->read_sent_ms);
+  follow->events.caught_up (follow->arg, true);
+  step_after (follow, 0);
+}
+
+static void
+take_watch (follow_t *follow, const rows_result_t *result)
+{
+  for (size_t i = 0; i < result->count; i++)
+    {
+      const rows_row_t *row = &result->rows[i];
+      if (!row->deleted)
+        put (follow, row);
+      else if (map_remove (follow->known, row->key) != NULL)
+        follow->events.removed (follow->arg, row->key);
+    }
+  follow->version = result->version;
+  confirm (follow, result, follow->sent_ms);
+  follow->events.caught_up (follow->arg, false);
+  step_after (follow, follow->options.gap_ms > WATCH_GAP_MS
+                          ? follow->options.gap_ms
+                          : WATCH_GAP_MS);
+}
+
+static void
+on_result (void *arg, vh_code_t code, const rows_result_t *result)
+{
+  follow_t *follow = arg;
+
+  if (code != VH_OK)
+    {
+      fail (follow, code);
+      return;
+    }
+  if (result->version < follow->version)
+    {
+      /* A read of the past would take back what is in force.  */
+      log_notice ("store",
+                  "A stale answer is left out. table=%s version=%llu "
+                  "seen=%llu",
+                  follow->options.name, (unsigned long long)result->version,
+                  (unsigned long long)follow->version);
+      follow->next.len = 0;
+      step_after (follow, rng_jitter (&follow->rng, RETRY_LAST_MS));
+      return;
+    }
+  if (follow->reading)
+    take_read (follow, result);
+  else
+    take_watch (follow, result);
+}
+
+static void
+step (follow_t *follow)
+{
+  follow->sent_ms = clock_boot_ms (follow->clock);
+  if (follow->reading)
+    follow->rows->ops->read (follow->rows, follow->options.table,
+                             buf_str (&follow->next), READ_TIMEOUT_MS,
+                             on_result, follow);
+  else
+    {
+      /* After a failure the wait is none, so that the state is confirmed at
+         once rather than after a whole wait.  */
+      uint64_t wait_ms = follow->down ? 0 : follow->options.wait_ms;
+      follow->rows->ops->watch (follow->rows, follow->options.table,
+                                follow->version, wait_ms,
+                                wait_ms + follow->options.slack_ms, on_result,
+                                follow);
+    }
+}
+
+follow_t *
+follow_create (uv_loop_t *loop, clock_iface_t *clock, rows_t *rows,
+               uint64_t seed, const follow_options_t *options,
+               const follow_events_t *events, void *arg)
+{
+  follow_t *follow = mem_zalloc (sizeof *follow);
+
+  follow->clock = clock;
+  follow->rows = rows;
+  follow->options = *options;
+  follow->events = *events;
+  follow->arg = arg;
+  follow->rng = rng_make (seed);
+  follow->known = map_create ();
+  follow->reading = true;
+  follow->retry_ms = RETRY_FIRST_MS;
+  uv_timer_init (loop, &follow->timer);
+  follow->timer.data = follow;
+  step_after (follow, 0);
+  return follow;
+}
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  follow_t *follow = handle->data;
+
+  map_destroy (follow->known);
+  buf_free (&follow->next);
+  free (follow);
+}
+
+void
+follow_destroy (follow_t *follow)
+{
+  if (follow == NULL)
+    return;
+  uv_close ((uv_handle_t *)&follow->timer, on_timer_closed);
+}
+
+uint64_t
+follow_age_ms (const follow_t *follow)
+{
+  return !follow->confirmed ? UINT64_MAX
+                                   : clock_boot_ms (follow->clock) - follow->confirmed_ms;
+}
+
+bool
+follow_down (const follow_t *follow)
+{
+  return follow->down;
+}
+
+uint64_t
+follow_store_ms (const follow_t *follow)
+{
+  return follow->store_ms == 0
+             ? 0
+             : follow->store_ms + (clock_boot_ms (follow->clock) - follow->store_seen_ms);
+}
--- /dev/null
+++ b/packages/gateway/follow.h
@@ -0,0 +1,60 @@
+/* Keeps a table of the platform's store up to date in this process: reads it
+   whole, then waits for changes, and begins anew where the history it needs
+   is gone.
+
+   Answers: a store that is down, slow, reset or silent, for all or for this
+   process alone.  Every call has a timeout and its own connection, so that a
+   connection that fell silent costs one timeout.  Failed calls are repeated
+   with a jittered wait that doubles, so that entries do not return in step.
+
+   A confirmation is the moment at which a call was sent whose answer shows
+   the table as of then or later.  An answer whose store version lies behind
+   one already seen is stale: it is neither applied nor a confirmation.  */
+
+#ifndef GATEWAY_FOLLOW_H
+#define GATEWAY_FOLLOW_H
+
+#include "base/clock.h"
+#include "base/rng.h"
+#include "gateway/rows.h"
+
+#include <uv.h>
+
+typedef struct follow follow_t;
+
+typedef struct
+{
+  rows_table_t table;
+  const char *name;  /* For log lines.  */
+  uint64_t wait_ms;  /* Longest wait of one call for changes.  */
+  uint64_t slack_ms; /* More than that, and the call is given up.  */
+  uint64_t gap_ms;   /* Between calls; news come together.  0: at once.  */
+} follow_options_t;
+
+typedef struct
+{
+  /* A row is there, is new or has changed.  */
+  void (*put) (void *arg, const rows_row_t *row);
+  void (*removed) (void *arg, str_t key);
+  /* All rows of an answer were told.  FULL after a whole read: what was not
+     put since the last call is gone, and was told by removed.  */
+  void (*caught_up) (void *arg, bool full);
+  /* The store was lost (DOWN) or is back.  */
+  void (*reach) (void *arg, bool down);
+} follow_events_t;
+
+follow_t *follow_create (uv_loop_t *loop, clock_iface_t *clock, rows_t *rows,
+                         uint64_t seed, const follow_options_t *options,
+                         const follow_events_t *events, void *arg);
+/* NULL is accepted.  */
+void follow_destroy (follow_t *follow);
+
+/* Milliseconds since the last confirmation, by a clock that counts while the
+   machine is suspended; UINT64_MAX before the first.  */
+uint64_t follow_age_ms (const follow_t *follow);
+/* Tell whether calls fail now.  */
+bool follow_down (const follow_t *follow);
+/* The store's steady clock, estimated; 0 before the first answer.  */
+uint64_t follow_store_ms (const follow_t *follow);
+
+#endif
--- /dev/null
+++ b/packages/gateway/gateway.c
@@ -0,0 +1,292 @@
+#include "gateway/gatewayint.h"
+
+#include "base/log.h"
+
+#include <stdlib.h>
+
+enum
+{
+  WATCH_MS = 100, /* Between looks at a planned stop.  */
+  /* Requests come with some KB of JSON and at most the configuration's bound,
+     which is checked once one is known.  */
+  BODY_BYTES_MAX = 8 << 20,
+  /* Longer than callers keep an idle connection.  */
+  IDLE_MS = 120000,
+  CONNECTIONS_MAX = 3500,
+  ADMIN_CONNECTIONS_MAX = 64,
+  /* The balancer asks once a second and wants two misses, and a caller may
+     have been sent here just before.  */
+  NOTICE_MS = 3200
+};
+
+struct gateway
+{
+  belief_t belief;
+  httpd_t *front;
+  httpd_t *ready;
+  httpd_t *admin;
+  duties_t *duties;
+  uv_timer_t watch;
+  bool over;
+  size_t cut;
+  char *texts[5]; /* Copies of the options' strings.  */
+};
+
+allowance_t *
+belief_allowance (belief_t *belief, str_t service)
+{
+  allowance_t *allowance = map_get (belief->allowances, service);
+  allowance_options_t options = { .ratio = belief->options.retry_ratio,
+                                  .slack = belief->options.retry_slack,
+                                  .window_ms
+                                  = belief->options.retry_window_ms };
+
+  if (allowance != NULL)
+    return allowance;
+  allowance = allowance_create (belief->clock, &options);
+  allowance_set_entries (allowance, belief->entries);
+  map_put (belief->allowances, service, allowance);
+  return allowance;
+}
+
+bool
+belief_confirmed (const belief_t *belief)
+{
+  return belief->catalog != NULL
+         && follow_age_ms (belief->orders) <= belief->options.confirm_ms;
+}
+
+static void
+on_front (void *arg, httpd_req_t *req)
+{
+  relay_start (&((gateway_t *)arg)->belief, req);
+}
+
+static bool
+gateway_ready (const gateway_t *gateway)
+{
+  const belief_t *belief = &gateway->belief;
+
+  return belief->stopping_ms == 0 && belief_confirmed (belief)
+         && duties_ready (gateway->duties);
+}
+
+static void
+reply_text (httpd_req_t *req, int status, str_t text)
+{
+  httpc_header_t plain = { STR ("content-type"), STR ("text/plain") };
+
+  httpd_reply (req, status, &plain, 1, text);
+}
+
+static void
+on_ready (void *arg, httpd_req_t *req)
+{
+  gateway_t *gateway = arg;
+
+  if (!str_eq (httpd_path (req), gateway->belief.dialect->ready_path))
+    reply_text (req, 404, STR ("no such page\n"));
+  else if (gateway_ready (gateway))
+    reply_text (req, 200, STR ("ready\n"));
+  else
+    reply_text (req, 503, STR ("not ready\n"));
+}
+
+static void
+on_admin (void *arg, httpd_req_t *req)
+{
+  gateway_t *gateway = arg;
+  str_t path = httpd_path (req);
+  buf_t text = BUF_NULL;
+
+  if (str_eq (path, STR ("/metrics")))
+    {
+      metrics_write (gateway->belief.metrics, &text);
+      reply_text (req, 200, buf_str (&text));
+    }
+  else if (str_eq (path, STR ("/healthz")))
+    reply_text (req, 200, STR ("alive\n"));
+  else if (str_eq (path, STR ("/readyz")))
+    reply_text (req, gateway_ready (gateway) ? 200 : 503, STR ("\n"));
+  else
+    reply_text (req, 404, STR ("no such page\n"));
+  buf_free (&text);
+}
+
+static void
+make_counters (belief_t *belief)
+{
+#define X(field, help)                                                        \
+  belief->counters.field = metrics_counter (                                  \
+      belief->metrics, "vanillahook_gateway_" #field "_total", "", help);
+  GATEWAY_COUNTERS (X)
+#undef X
+}
+
+static void
+copy_options (gateway_t *gateway, const gateway_options_t *options)
+{
+  gateway_options_t *own = &gateway->belief.options;
+  str_t *texts[] = { &own->name, &own->zone, &own->listen, &own->ready,
+                     &own->admin };
+
+  *own = *options;
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      gateway->texts[i] = str_dup (*texts[i]);
+      *texts[i] = str_from (gateway->texts[i]);
+    }
+}
+
+static vh_code_t
+listen_all (gateway_t *gateway)
+{
+  belief_t *belief = &gateway->belief;
+  const gateway_options_t *options = &belief->options;
+  httpd_options_t front = { .body_limit = BODY_BYTES_MAX,
+                            .read_timeout_ms = IDLE_MS,
+                            .connections_max = CONNECTIONS_MAX };
+  httpd_options_t other = { .body_limit = 4096,
+                            .read_timeout_ms = IDLE_MS,
+                            .connections_max = ADMIN_CONNECTIONS_MAX };
+  vh_code_t code = httpd_create (belief->loop, options->listen, &front,
+                                 on_front, gateway, &gateway->front);
+
+  if (code == VH_OK)
+    code = httpd_create (belief->loop, options->ready, &other, on_ready,
+                         gateway, &gateway->ready);
+  if (code == VH_OK && options->admin.len > 0)
+    code = httpd_create (belief->loop, options->admin, &other, on_admin,
+                         gateway, &gateway->admin);
+  return code;
+}
+
+static void
+on_watch_closed (uv_handle_t *handle)
+{
+  gateway_t *gateway = handle->data;
+
+  pool_destroy (gateway->belief.pool);
+  for (size_t i = 0; i < sizeof gateway->texts / sizeof gateway->texts[0]; i++)
+    free (gateway->texts[i]);
+  free (gateway);
+}
+
+/* Release what duties and requests believed.  */
+static void
+free_beliefs (belief_t *belief)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (belief->trials, &cursor, &key, &value))
+    trial_destroy (value);
+  map_destroy (belief->trials);
+  cursor = 0;
+  while (map_next (belief->allowances, &cursor, &key, &value))
+    allowance_destroy (value);
+  map_destroy (belief->allowances);
+  catalog_unref (belief->catalog);
+  metrics_destroy (belief->metrics);
+}
+
+bool
+gateway_destroy (gateway_t *gateway)
+{
+  if (gateway == NULL)
+    return true;
+  gateway->cut += relay_cut_all (&gateway->belief);
+  bool whole = gateway->cut == 0;
+  httpd_destroy (gateway->front);
+  httpd_destroy (gateway->ready);
+  httpd_destroy (gateway->admin);
+  duties_destroy (gateway->duties);
+  free_beliefs (&gateway->belief);
+  uv_close ((uv_handle_t *)&gateway->watch, on_watch_closed);
+  return whole;
+}
+
+/* Look whether a planned stop is over.  */
+static void
+on_watch (uv_timer_t *timer)
+{
+  gateway_t *gateway = timer->data;
+  belief_t *belief = &gateway->belief;
+  uint64_t ms = clock_ms (belief->clock) - belief->stopping_ms;
+
+  if (ms >= belief->options.drain_bound_ms)
+    {
+      gateway->cut = relay_cut_all (belief);
+      log_warning ("stop", "The stop ran into its bound. cut=%zu",
+                   gateway->cut);
+    }
+  else if (ms < NOTICE_MS || httpd_unwritten (gateway->front) > 0)
+    return;
+  log_notice ("stop", "The stop is over. ms=%llu", (unsigned long long)ms);
+  uv_timer_stop (timer);
+  gateway->over = true;
+  uv_stop (belief->loop);
+}
+
+void
+gateway_stop (gateway_t *gateway)
+{
+  belief_t *belief = &gateway->belief;
+
+  if (belief->stopping_ms != 0)
+    return;
+  belief->stopping_ms = clock_ms (belief->clock);
+  log_notice ("stop", "A planned stop begins. in_flight=%zu",
+              httpd_in_flight (gateway->front));
+  uv_timer_start (&gateway->watch, on_watch, WATCH_MS, WATCH_MS);
+}
+
+bool
+gateway_over (const gateway_t *gateway)
+{
+  return gateway->over;
+}
+
+vh_code_t
+gateway_create (uv_loop_t *loop, clock_iface_t *clock, rows_t *rows,
+                const gateway_dialect_t *dialect,
+                const gateway_options_t *options, gateway_t **out)
+{
+  gateway_t *gateway = mem_zalloc (sizeof *gateway);
+  belief_t *belief = &gateway->belief;
+  pool_options_t pool = { .zone = options->zone,
+                          .cold_factor = options->cold_factor,
+                          .cold_slack = options->cold_slack };
+
+  *out = NULL;
+  belief->loop = loop;
+  belief->clock = clock;
+  belief->dialect = dialect;
+  belief->names = dialect->names;
+  copy_options (gateway, options);
+  belief->rng = rng_make (options->seed);
+  belief->pool = pool_create (clock, rng_u64 (&belief->rng), &pool);
+  belief->trials = map_create ();
+  belief->allowances = map_create ();
+  belief->entries = 1;
+  belief->metrics = metrics_create ();
+  list_init (&belief->relays);
+  make_counters (belief);
+  uv_timer_init (loop, &gateway->watch);
+  gateway->watch.data = gateway;
+  gateway->duties = duties_create (belief, rows);
+  vh_code_t code = listen_all (gateway);
+  if (code != VH_OK)
+    {
+      log_err ("gateway", "An address cannot be listened on. listen=%.*s",
+               STR_ARG (options->listen));
+      gateway_destroy (gateway);
+      return code;
+    }
+  log_notice ("gateway", "Started. name=%.*s zone=%.*s listen=%.*s",
+              STR_ARG (options->name), STR_ARG (options->zone),
+              STR_ARG (options->listen));
+  *out = gateway;
+  return VH_OK;
+}
--- /dev/null
+++ b/packages/gateway/gatewayint.h
@@ -0,0 +1,78 @@
+/* What the parts of a gateway share.  A request (relay.c) reads the beliefs
+   that the duties (duties.c) keep, and neither calls the other.  */
+
+#ifndef GATEWAY_GATEWAYINT_H
+#define GATEWAY_GATEWAYINT_H
+
+#include "base/map.h"
+#include "base/mem.h"
+#include "base/rng.h"
+#include "gateway/allowance.h"
+#include "gateway/follow.h"
+#include "gateway/gateway.h"
+#include "gateway/trial.h"
+#include "wire/httpd.h"
+
+/* X (field, help): plain counters of a gateway.  */
+#define GATEWAY_COUNTERS(X)                                                   \
+  X (requests, "Requests read whole.")                                        \
+  X (answered, "Answers of upstreams passed on whole.")                       \
+  X (refused, "Requests refused as not run.")                                 \
+  X (failed, "Requests that failed or whose outcome is unknown.")             \
+  X (left, "Callers that left before their answer was whole.")                \
+  X (sends, "Requests sent to upstreams.")                                    \
+  X (resends, "Sends beyond the first of a request.")                         \
+  X (resumes, "Streams that went on at another upstream.")                    \
+  X (escalations, "Answers dropped for one of a larger model.")               \
+  X (events, "Events of streams passed on.")
+
+typedef struct
+{
+#define X(field, help) counter_t *field;
+  GATEWAY_COUNTERS (X)
+#undef X
+} gateway_counters_t;
+
+/* State and beliefs that requests read.  */
+typedef struct
+{
+  uv_loop_t *loop;
+  clock_iface_t *clock;
+  const gateway_dialect_t *dialect;
+  const header_names_t *names;
+  gateway_options_t options;
+  rng_t rng;
+  pool_t *pool;
+  catalog_t *catalog;  /* NULL until one is known.  */
+  map_t *trials;       /* Service to trial_t.  */
+  map_t *allowances;   /* Service to allowance_t.  */
+  uint32_t entries;    /* Entries that share what all may use.  */
+  follow_t *orders;    /* Tells how old the configuration is.  */
+  gateway_counters_t counters;
+  metrics_t *metrics;
+  list_t relays;
+  uint64_t stopping_ms; /* When the planned stop began; 0: it did not.  */
+} belief_t;
+
+/* Relay of requests.  */
+
+/* Take over REQ and answer it.  */
+void relay_start (belief_t *belief, httpd_req_t *req);
+/* Cut what is left at the end of a planned stop; return how many.  */
+size_t relay_cut_all (belief_t *belief);
+
+/* Duties: follows the store and does what entries do together.  */
+typedef struct duties duties_t;
+
+duties_t *duties_create (belief_t *belief, rows_t *rows);
+/* Tell whether what a request needs has been read once.  */
+bool duties_ready (const duties_t *duties);
+void duties_destroy (duties_t *duties);
+
+/* Extra sends of SERVICE; made on first use.  */
+allowance_t *belief_allowance (belief_t *belief, str_t service);
+/* Tell whether the configuration is known and confirmed recently enough to
+   trust its keys.  */
+bool belief_confirmed (const belief_t *belief);
+
+#endif
--- /dev/null
+++ b/packages/gateway/pool.c
@@ -0,0 +1,512 @@
+#include "gateway/pool.h"
+
+#include "base/map.h"
+#include "base/mem.h"
+#include "base/rng.h"
+
+#include <stdlib.h>
+
+/* Part of a bound over all entries that they use together: sends that cross
+   a second's border at the instance, and an entry not yet heard of.  */
+static const double rate_margin = 0.8;
+
+struct upstream
+{
+  list_t link;
+  unsigned refs;
+  char *id;
+  char *service;
+  char *address;
+  char *zone;
+  char *version;
+  uint64_t id_hash;
+  uint64_t born;
+  uint32_t slots;
+  bool draining;
+  bool gone;            /* No longer listed.  */
+  uint64_t usable_till; /* While gone, monotonic ms.  */
+  uint64_t cold_till;
+  uint64_t out_till;
+  uint64_t out_ms; /* Length of the last time out.  */
+  unsigned failures;
+  uint32_t running;     /* Of this entry.  */
+  uint64_t prompts;     /* Tokens of this entry not yet read.  */
+  double others;        /* Running or waiting there, not from here.  */
+  uint64_t reported_ms;
+  uint64_t sends[POOL_RATE_MAX]; /* Times of the last ones, a ring.  */
+  size_t send_at;
+};
+
+struct pool
+{
+  clock_iface_t *clock;
+  rng_t rng;
+  char *zone;
+  double cold_factor;
+  double cold_slack;
+  uint32_t entries;
+  list_t upstreams;
+  map_t *by_id;
+  map_t *zones_out;
+};
+
+pool_t *
+pool_create (clock_iface_t *clock, uint64_t seed,
+             const pool_options_t *options)
+{
+  pool_t *pool = mem_zalloc (sizeof *pool);
+
+  pool->clock = clock;
+  pool->rng = rng_make (seed);
+  pool->zone = str_dup (options->zone);
+  pool->cold_factor = options->cold_factor;
+  pool->cold_slack = options->cold_slack;
+  pool->entries = 1;
+  list_init (&pool->upstreams);
+  pool->by_id = map_create ();
+  pool->zones_out = map_create ();
+  return pool;
+}
+
+static void
+upstream_unref (upstream_t *upstream)
+{
+  if (--upstream->refs > 0)
+    return;
+  list_remove (&upstream->link);
+  free (upstream->id);
+  free (upstream->service);
+  free (upstream->address);
+  free (upstream->zone);
+  free (upstream->version);
+  free (upstream);
+}
+
+void
+pool_destroy (pool_t *pool)
+{
+  if (pool == NULL)
+    return;
+  LIST_EACH (at, &pool->upstreams)
+    {
+      upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
+      upstream->refs = 1;
+      upstream_unref (upstream);
+    }
+  map_destroy (pool->by_id);
+  map_destroy (pool->zones_out);
+  free (pool->zone);
+  free (pool);
+}
+
+static void
+set_text (char **text, str_t value)
+{
+  if (*text != NULL && str_eq (str_from (*text), value))
+    return;
+  free (*text);
+  *text = str_dup (value);
+}
+
+/* Take UPSTREAM out of the lists; requests that run there keep it.  */
+static void
+drop (pool_t *pool, upstream_t *upstream)
+{
+  upstream->gone = true;
+  upstream->usable_till = 0;
+  map_remove (pool->by_id, str_from (upstream->id));
+  upstream_unref (upstream);
+}
+
+/* Drop those whose time after their listing is over.  */
+static void
+expire (pool_t *pool, uint64_t now_ms)
+{
+  LIST_EACH (at, &pool->upstreams)
+    {
+      upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
+      if (upstream->gone && upstream->usable_till != 0
+          && now_ms >= upstream->usable_till)
+        drop (pool, upstream);
+    }
+}
+
+void
+pool_put (pool_t *pool, const upstream_info_t *info)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+  upstream_t *upstream = map_get (pool->by_id, info->id);
+
+  if (upstream != NULL
+      && (upstream->born != info->born
+          || !str_eq (str_from (upstream->service), info->service)
+          || !str_eq (str_from (upstream->address), info->address)))
+    {
+      /* A new start under the old id knows nothing of the one before.  */
+      drop (pool, upstream);
+      upstream = NULL;
+    }
+  if (upstream == NULL)
+    {
+      upstream = mem_zalloc (sizeof *upstream);
+      upstream->refs = 1;
+      upstream->id = str_dup (info->id);
+      upstream->id_hash = str_hash (info->id, 0);
+      upstream->born = info->born;
+      list_append (&pool->upstreams, &upstream->link);
+      map_put (pool->by_id, info->id, upstream);
+    }
+  set_text (&upstream->service, info->service);
+  set_text (&upstream->address, info->address);
+  set_text (&upstream->zone, info->zone);
+  set_text (&upstream->version, info->version);
+  upstream->slots = info->slots;
+  upstream->draining = info->draining;
+  upstream->gone = false;
+  if (info->cold_ms > 0)
+    upstream->cold_till = now_ms + info->cold_ms;
+}
+
+void
+pool_remove (pool_t *pool, str_t id, uint64_t keep_ms)
+{
+  upstream_t *upstream = map_get (pool->by_id, id);
+
+  if (upstream == NULL)
+    return;
+  if (keep_ms == 0)
+    {
+      drop (pool, upstream);
+      return;
+    }
+  upstream->gone = true;
+  upstream->usable_till = clock_ms (pool->clock) + keep_ms;
+}
+
+void
+pool_zone_out (pool_t *pool, str_t zone, bool out)
+{
+  if (out)
+    map_put (pool->zones_out, zone, pool);
+  else
+    map_remove (pool->zones_out, zone);
+}
+
+void
+pool_set_entries (pool_t *pool, uint32_t entries)
+{
+  pool->entries = entries > 0 ? entries : 1;
+}
+
+/* Requests of this entry that UPSTREAM may get in a window.  */
+static uint32_t
+rate_share (const pool_t *pool, const upstream_t *upstream, double cold_per_s,
+            uint64_t now_ms)
+{
+  double all = cold_per_s;
+
+  /* A warm one may turn cold at any moment; then the bound that counts is
+     the higher one that breaks it.  */
+  if (now_ms >= upstream->cold_till)
+    all = (cold_per_s * pool->cold_factor + pool->cold_slack) * rate_margin;
+  double share = all / pool->entries;
+  if (share > POOL_RATE_MAX - 1)
+    return POOL_RATE_MAX - 1;
+  return share < 1 ? 1 : (uint32_t)share;
+}
+
+/* Tell whether UPSTREAM had fewer sends in the last window than it may.  */
+static bool
+rate_allows (const pool_t *pool, const upstream_t *upstream,
+             double cold_per_s, uint64_t now_ms)
+{
+  if (cold_per_s <= 0)
+    return true;
+  uint32_t share = rate_share (pool, upstream, cold_per_s, now_ms);
+  uint64_t oldest
+      = upstream->sends[(upstream->send_at + POOL_RATE_MAX - share)
+                        % POOL_RATE_MAX];
+  return oldest == 0 || now_ms - oldest >= POOL_RATE_WINDOW_MS;
+}
+
+static double
+load_of (const upstream_t *upstream, uint64_t now_ms)
+{
+  double others = upstream->others;
+  uint64_t age_ms = now_ms - upstream->reported_ms;
+
+  others = age_ms >= POOL_REPORT_FADE_MS
+               ? 0
+               : others * (double)(POOL_REPORT_FADE_MS - age_ms)
+                     / POOL_REPORT_FADE_MS;
+  return upstream->running + others
+         + (double)upstream->prompts / POOL_PROMPT_UNIT;
+}
+
+static bool
+fits (const pool_t *pool, const upstream_t *upstream, const pool_want_t *want,
+      uint64_t now_ms)
+{
+  if (!str_eq (str_from (upstream->service), want->service)
+      || upstream->draining)
+    return false;
+  if (upstream->gone && now_ms >= upstream->usable_till)
+    return false;
+  if (map_get (pool->zones_out, str_from (upstream->zone)) != NULL)
+    return false;
+  if (want->arm != ARM_ANY)
+    {
+      bool same = str_eq (str_from (upstream->version), want->version);
+      if (same != (want->arm == ARM_NEW))
+        return false;
+    }
+  for (size_t i = 0; i < want->tried_count; i++)
+    if (want->tried[i] == upstream)
+      return false;
+  return true;
+}
+
+static bool
+has_room (const pool_t *pool, const upstream_t *upstream,
+          const pool_want_t *want, uint64_t now_ms)
+{
+  return rate_allows (pool, upstream, want->cold_per_s, now_ms)
+         && upstream->running + upstream->others < upstream->slots;
+}
+
+/* Mean load of those that fit.  */
+static double
+mean_load (const pool_t *pool, const pool_want_t *want, uint64_t now_ms)
+{
+  double sum = 0;
+  unsigned count = 0;
+
+  LIST_EACH (at, &pool->upstreams)
+    {
+      const upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
+      if (!fits (pool, upstream, want, now_ms))
+        continue;
+      sum += load_of (upstream, now_ms);
+      count++;
+    }
+  return count > 0 ? sum / count : 0;
+}
+
+/* Rank of UPSTREAM for KEY; the higher the closer.  */
+static uint64_t
+affinity (const upstream_t *upstream, uint64_t key)
+{
+  uint64_t hash = (upstream->id_hash ^ key) * 0x9e3779b97f4a7c15u;
+
+  hash ^= hash >> 32;
+  return hash * 0xd6e8feb86659fd93u;
+}
+
+/* Load with what another zone costs put in the same unit.  */
+static double
+badness (const pool_t *pool, const upstream_t *upstream, uint64_t now_ms)
+{
+  static const double zone_cost = 2;
+  double load = load_of (upstream, now_ms);
+
+  if (!str_eq (str_from (upstream->zone), str_from (pool->zone)))
+    load += zone_cost;
+  return load;
+}
+
+/* The best of those that fit; with OUT_TOO also those that are out.  */
+static upstream_t *
+best (pool_t *pool, const pool_want_t *want, bool out_too, uint64_t now_ms,
+      bool *any)
+{
+  double hot = mean_load (pool, want, now_ms) * POOL_HOT + POOL_HOT_FLOOR;
+  upstream_t *home = NULL;
+  uint64_t home_rank = 0;
+  upstream_t *idlest = NULL;
+  double idlest_badness = 0;
+  unsigned ties = 0;
+
+  LIST_EACH (at, &pool->upstreams)
+    {
+      upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
+      if (!fits (pool, upstream, want, now_ms)
+          || (!out_too && now_ms < upstream->out_till))
+        continue;
+      *any = true;
+      if (!has_room (pool, upstream, want, now_ms))
+        continue;
+      uint64_t rank = affinity (upstream, want->key);
+      if (want->key != 0 && load_of (upstream, now_ms) <= hot
+          && (home == NULL || rank > home_rank))
+        {
+          home = upstream;
+          home_rank = rank;
+        }
+      double bad = badness (pool, upstream, now_ms);
+      if (idlest != NULL && bad > idlest_badness)
+        continue;
+      ties = idlest != NULL && bad == idlest_badness ? ties + 1 : 1;
+      if (ties == 1 || rng_below (&pool->rng, ties) == 0)
+        idlest = upstream;
+      idlest_badness = bad;
+    }
+  return home != NULL ? home : idlest;
+}
+
+vh_code_t
+pool_choose (pool_t *pool, const pool_want_t *want, upstream_t **out)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+  bool any = false;
+
+  expire (pool, now_ms);
+  *out = best (pool, want, false, now_ms, &any);
+  if (*out == NULL && !any)
+    *out = best (pool, want, true, now_ms, &any);
+  if (*out != NULL)
+    return VH_OK;
+  return any ? VH_E_FULL : VH_E_NO_UPSTREAM;
+}
+
+bool
+pool_has (pool_t *pool, str_t service, version_arm_t arm, str_t version)
+{
+  pool_want_t want = { .service = service, .arm = arm, .version = version };
+  uint64_t now_ms = clock_ms (pool->clock);
+
+  LIST_EACH (at, &pool->upstreams)
+    if (fits (pool, CONTAINER_OF (at, upstream_t, link), &want, now_ms))
+      return true;
+  return false;
+}
+
+double
+pool_fill (pool_t *pool, const pool_want_t *want)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+  double taken = 0;
+  double slots = 0;
+
+  LIST_EACH (at, &pool->upstreams)
+    {
+      const upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
+      if (!fits (pool, upstream, want, now_ms))
+        continue;
+      taken += upstream->running + upstream->others;
+      slots += upstream->slots;
+    }
+  return slots > 0 ? taken / slots : 1;
+}
+
+void
+pool_started (pool_t *pool, upstream_t *upstream, uint32_t prompt)
+{
+  upstream->refs++;
+  upstream->running++;
+  upstream->prompts += prompt;
+  upstream->sends[upstream->send_at] = clock_ms (pool->clock);
+  upstream->send_at = (upstream->send_at + 1) % POOL_RATE_MAX;
+}
+
+void
+pool_first (pool_t *pool, upstream_t *upstream, uint32_t prompt,
+            uint64_t wait_ms)
+{
+  (void)pool;
+  (void)wait_ms;
+  upstream->prompts -= prompt;
+}
+
+void
+pool_finished (pool_t *pool, upstream_t *upstream, uint32_t prompt,
+               send_outcome_t outcome)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+
+  upstream->running--;
+  upstream->prompts -= prompt;
+  if (outcome == SEND_OK)
+    {
+      upstream->failures = 0;
+      upstream->out_ms = 0;
+    }
+  else if (outcome == SEND_FAILED && ++upstream->failures >= POOL_FAILURES)
+    {
+      upstream->out_ms = upstream->out_ms == 0 ? POOL_OUT_FIRST_MS
+                                               : upstream->out_ms * 2;
+      if (upstream->out_ms > POOL_OUT_LAST_MS)
+        upstream->out_ms = POOL_OUT_LAST_MS;
+      upstream->out_till = now_ms + upstream->out_ms;
+      /* On its return one failure is enough to take it out again.  */
+      upstream->failures = POOL_FAILURES - 1;
+    }
+  upstream_unref (upstream);
+}
+
+void
+pool_load (pool_t *pool, upstream_t *upstream, uint32_t running,
+           uint32_t waiting, uint32_t slots)
+{
+  double all = (double)running + waiting;
+
+  upstream->others = all > upstream->running ? all - upstream->running : 0;
+  upstream->reported_ms = clock_ms (pool->clock);
+  if (slots > 0)
+    upstream->slots = slots;
+}
+
+void
+pool_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms)
+{
+  upstream->cold_till = clock_ms (pool->clock) + cold_ms;
+}
+
+str_t
+upstream_id (const upstream_t *upstream)
+{
+  return str_from (upstream->id);
+}
+
+str_t
+upstream_address (const upstream_t *upstream)
+{
+  return str_from (upstream->address);
+}
+
+str_t
+upstream_version (const upstream_t *upstream)
+{
+  return str_from (upstream->version);
+}
+
+str_t
+upstream_zone (const upstream_t *upstream)
+{
+  return str_from (upstream->zone);
+}
+
+str_t
+upstream_service (const upstream_t *upstream)
+{
+  return str_from (upstream->service);
+}
+
+uint32_t
+upstream_running (const upstream_t *upstream)
+{
+  return upstream->running;
+}
+
+upstream_t *
+pool_next (pool_t *pool, size_t *cursor)
+{
+  size_t index = 0;
+
+  LIST_EACH (at, &pool->upstreams)
+    if (index++ == *cursor)
+      {
+        (*cursor)++;
+        return CONTAINER_OF (at, upstream_t, link);
+      }
+  return NULL;
+}
--- /dev/null
+++ b/packages/gateway/pool.h
@@ -0,0 +1,155 @@
+/* The upstream instances of all services, and which of them gets a request.
+
+   Answers: many entries that choose among the same instances without asking
+   each other.
+
+   - One subject asked for again and again: the instance that has read the
+     shared parts of its prompt is found by rendezvous hashing, the same at
+     every entry.  Without it each entry warms an instance of its own.
+   - A hot subject: its home is passed over once it carries POOL_HOT times the
+     mean load, and the next in rank becomes a second home.  Without it one
+     instance queues while its peers idle.
+   - A cold instance, which falls over at a rate that a warm one bears: each
+     entry may send it at most its own part of what all entries together may
+     send in a second.  Instances turn cold without warning, so the part holds
+     for warm ones too, at the bound that must hold even for a cold one.
+   - An instance that fails or went silent: POOL_FAILURES in a row take it out
+     for POOL_OUT_FIRST_MS, doubled up to POOL_OUT_LAST_MS.  When all are out,
+     all are in: then it is not the instances.  */
+
+#ifndef GATEWAY_POOL_H
+#define GATEWAY_POOL_H
+
+#include "base/clock.h"
+#include "base/code.h"
+#include "base/str.h"
+
+#define POOL_HOT 1.5
+
+enum
+{
+  /* Three in a row are no chance at an error rate of a tenth (1 in 1,000).  */
+  POOL_FAILURES = 3,
+  /* A crashed instance is back after seconds; a probe by a live request each
+     second costs one retry.  */
+  POOL_OUT_FIRST_MS = 1000,
+  POOL_OUT_LAST_MS = 8000,
+  /* Load under which a home is always taken: a batch this small costs its
+     members no more than alone.  */
+  POOL_HOT_FLOOR = 6,
+  /* The window of the rate that a cold instance bears.  */
+  POOL_RATE_WINDOW_MS = 1000,
+  POOL_RATE_MAX = 64,
+  /* What an instance said of its load says little after this.  */
+  POOL_REPORT_FADE_MS = 2000,
+  /* Prompt tokens not yet read that weigh as much as one running request: a
+     chunk of prefill delays all tokens of a batch by as much as tens of
+     further members.  */
+  POOL_PROMPT_UNIT = 1000
+};
+
+typedef struct pool pool_t;
+typedef struct upstream upstream_t;
+
+/* What an instance says of itself where it registers.  */
+typedef struct
+{
+  str_t id;
+  str_t service;
+  str_t address;
+  str_t zone;
+  str_t version;
+  uint32_t slots;
+  bool draining;
+  uint64_t cold_ms; /* For how much longer it stays cold.  */
+  uint64_t born;    /* Tells one start under an id from the next.  */
+} upstream_info_t;
+
+typedef struct
+{
+  str_t zone; /* Of this entry.  */
+  /* A cold instance gets at most rate * factor + slack requests a second from
+     all entries together.  */
+  double cold_factor;
+  double cold_slack;
+} pool_options_t;
+
+typedef enum
+{
+  ARM_ANY,
+  ARM_OLD, /* Any version but the given one.  */
+  ARM_NEW  /* The given version.  */
+} version_arm_t;
+
+enum
+{
+  POOL_TRIED_MAX = 8
+};
+
+typedef struct
+{
+  str_t service;
+  double cold_per_s; /* What a cold instance bears; 0: no bound.  */
+  version_arm_t arm;
+  str_t version; /* For the arm.  */
+  uint64_t key;  /* Hash of the shared prompt parts; 0: none.  */
+  const upstream_t *const *tried;
+  size_t tried_count;
+} pool_want_t;
+
+typedef enum
+{
+  SEND_OK,      /* Answered as it should.  */
+  SEND_REFUSED, /* Said that it did not run the request.  */
+  SEND_FAILED,  /* Broke off, was silent, or answered with a failure.  */
+  SEND_DROPPED  /* We ended it: says nothing of the instance.  */
+} send_outcome_t;
+
+pool_t *pool_create (clock_iface_t *clock, uint64_t seed,
+                     const pool_options_t *options);
+void pool_destroy (pool_t *pool);
+
+/* An instance registered or changed.  */
+void pool_put (pool_t *pool, const upstream_info_t *info);
+/* Its registration is gone.  KEEP_MS: it may still be used for so long, as
+   registrations lapse while the store is away.  */
+void pool_remove (pool_t *pool, str_t id, uint64_t keep_ms);
+void pool_zone_out (pool_t *pool, str_t zone, bool out);
+/* How many entries share what a cold instance bears; at least 1.  */
+void pool_set_entries (pool_t *pool, uint32_t entries);
+
+/* Choose an instance.  Return VH_OK and *OUT, VH_E_NO_UPSTREAM when none may
+   be used, or VH_E_FULL when those that may are full.  */
+vh_code_t pool_choose (pool_t *pool, const pool_want_t *want,
+                       upstream_t **out);
+/* Tell whether ARM of SERVICE has an instance in service.  */
+bool pool_has (pool_t *pool, str_t service, version_arm_t arm, str_t version);
+/* Part of the slots of WANT's instances that are taken; 1 when there are
+   none.  */
+double pool_fill (pool_t *pool, const pool_want_t *want);
+
+/* A request with PROMPT tokens left for UPSTREAM, which the sender holds
+   until pool_finished.  */
+void pool_started (pool_t *pool, upstream_t *upstream, uint32_t prompt);
+/* Its first event came after WAIT_MS: the prompt has been read.  */
+void pool_first (pool_t *pool, upstream_t *upstream, uint32_t prompt,
+                 uint64_t wait_ms);
+/* It is over; PROMPT unless pool_first was told.  */
+void pool_finished (pool_t *pool, upstream_t *upstream, uint32_t prompt,
+                    send_outcome_t outcome);
+/* What an answer said.  */
+void pool_load (pool_t *pool, upstream_t *upstream, uint32_t running,
+                uint32_t waiting, uint32_t slots);
+void pool_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms);
+
+str_t upstream_id (const upstream_t *upstream);
+str_t upstream_address (const upstream_t *upstream);
+str_t upstream_version (const upstream_t *upstream);
+str_t upstream_zone (const upstream_t *upstream);
+/* Requests of this entry that run there.  */
+uint32_t upstream_running (const upstream_t *upstream);
+/* Step through all instances: start with *CURSOR 0; NULL at the end.  */
+upstream_t *pool_next (pool_t *pool, size_t *cursor);
+str_t upstream_service (const upstream_t *upstream);
+
+#endif
--- /dev/null
+++ b/packages/gateway/relay.c
@@ -0,0 +1,1046 @@
+/* One request on its way: who sends it and what it may, which upstream gets
+   it, what comes back, and what the caller is told.
+
+   What a caller is told follows from what may have happened.  As long as no
+   byte of the request left, or each upstream that had it said that it did not
+   run it, the answer is 503 with Retry-After; after that only an upstream's
+   own answer, 502 or 504.  */
+
+#include "gateway/gatewayint.h"
+
+#include "base/log.h"
+#include "gateway/events.h"
+#include "wire/call.h"
+
+#include <stdlib.h>
+
+enum
+{
+  /* A SYN that was lost is sent again by the kernel after a second; another
+     upstream is asked long before.  Links have at most some milliseconds.  */
+  CONNECT_MS = 250,
+  /* An upstream that is busy with a long prompt is silent for hundreds of
+     milliseconds; sooner than this none is given up.  */
+  FIRST_EVENT_MS_MIN = 400,
+  PAUSE_MS_MIN = 400,
+  /* Bytes kept for a slow caller before its upstream is held back.  */
+  BUFFER_HIGH = 65536,
+  /* Callers may not ask for more than this with one request.  */
+  SENDS_MAX = POOL_TRIED_MAX,
+  WHOLE_BYTES_MAX = 8 << 20,
+  /* Time that an answer needs on its way back to the caller.  */
+  RETURN_MS = 5,
+  /* A refusal for want of room says to return after this, give or take half:
+     some slots are free again after it.  */
+  RETRY_FULL_MS = 400,
+  /* No configuration, or no instance: these come back within seconds.  */
+  RETRY_UNAVAILABLE_MS = 700,
+  /* The balancer has named other entries by then.  */
+  RETRY_DRAINING_MS = 50,
+  LINE_BYTES = 256
+};
+
+/* Part of the objective after which a silent upstream is given up for
+   another, if the request may run twice.  */
+static const double first_event_part = 0.7;
+/* Part of the longest pause on time.  */
+static const double pause_part = 0.8;
+
+/* Confidence below which the answer of a smaller model is dropped.  */
+enum
+{
+  CONFIDENCE_MIN = 50
+};
+
+typedef enum
+{
+  PHASE_SENT,     /* No head yet.  */
+  PHASE_ANSWERING /* The caller gets the answer of the present call.  */
+} phase_t;
+
+typedef struct
+{
+  list_t link;
+  belief_t *belief;
+  httpd_req_t *req;
+  catalog_t *catalog;
+  const route_t *route;
+  const service_t *service;
+  const team_t *team;
+  char *attempt_id;
+  uint64_t arrived_ms;
+  uint64_t due_ms; /* The last moment for an answer.  */
+  uint64_t key;    /* Hash of the shared prompt parts; 0: none.  */
+  uint64_t session;
+  uint32_t prompt; /* Tokens.  */
+  bool may_repeat;
+  size_t model;    /* Index into the route's models.  */
+  version_arm_t arm;
+  uv_timer_t timer;
+  /* The present send.  */
+  call_t *call;
+  upstream_t *upstream;
+  phase_t phase;
+  uint64_t sent_ms;
+  uint64_t head_ms; /* Of the answer's head.  */
+  uint64_t last_ms; /* Something came.  */
+  uint32_t prompt_left;
+  bool is_ok; /* The head said 2xx.  */
+  /* All sends.  */
+  const upstream_t *tried[POOL_TRIED_MAX];
+  size_t tried_count;
+  size_t sends;
+  size_t runs;  /* Sends that may have run.  */
+  bool started; /* The caller has the head of an answer.  */
+  events_t events;
+  uint64_t first_id; /* Asked for by the caller: the event to go on after.  */
+  bool has_first_id;
+  uint64_t event_count;
+  /* An answer with a length, until it is whole.  */
+  int status;
+  buf_t head; /* Pairs of NAME NUL VALUE NUL.  */
+  buf_t body;
+  bool paused;
+  const char *reason; /* Of the last failure, for the log.  */
+} relay_t;
+
+static void relay_send (relay_t *relay);
+
+/* Endings.  */
+
+static void
+on_timer_closed (uv_handle_t *handle)
+{
+  relay_t *relay = handle->data;
+
+  events_free (&relay->events);
+  buf_free (&relay->head);
+  buf_free (&relay->body);
+  catalog_unref (relay->catalog);
+  free (relay->attempt_id);
+  free (relay);
+}
+
+static void
+relay_destroy (relay_t *relay)
+{
+  list_remove (&relay->link);
+  uv_close ((uv_handle_t *)&relay->timer, on_timer_closed);
+}
+
+static trial_t *
+relay_trial (const relay_t *relay)
+{
+  return map_get (relay->belief->trials, relay->service->name);
+}
+
+/* Tell the trial of the service what became of the present send.  */
+static void
+tell_trial (relay_t *relay, send_outcome_t outcome)
+{
+  trial_t *trial = relay_trial (relay);
+
+  if (trial == NULL || trial_phase (trial) != TRIAL_RUNNING
+      || (outcome != SEND_OK && outcome != SEND_FAILED))
+    return;
+  bool is_new
+      = str_eq (upstream_version (relay->upstream), trial_version (trial));
+  uint64_t wait_ms
+      = relay->phase == PHASE_ANSWERING ? relay->head_ms - relay->sent_ms : 0;
+  trial_observe (trial, is_new ? TRIAL_NEW : TRIAL_OLD,
+                 str_hash (relay->route->name, 0), outcome == SEND_FAILED,
+                 wait_ms);
+}
+
+/* Let go of the present send.  */
+static void
+end_send (relay_t *relay, send_outcome_t outcome)
+{
+  if (relay->call != NULL)
+    call_cancel (relay->call);
+  relay->call = NULL;
+  if (relay->upstream == NULL)
+    return;
+  tell_trial (relay, outcome);
+  pool_finished (relay->belief->pool, relay->upstream, relay->prompt_left,
+                 outcome);
+  relay->upstream = NULL;
+}
+
+/* Write one line on how the request ended.  */
+static void
+log_end (const relay_t *relay, const char *outcome, int status,
+         const char *reason)
+{
+  log_info ("request",
+            "%s. id=%s route=%.*s status=%d reason=%s sends=%zu runs=%zu "
+            "events=%llu ms=%llu revision=%llu",
+            outcome, relay->attempt_id,
+            STR_ARG (relay->route != NULL ? relay->route->name : STR ("-")),
+            status, reason != NULL ? reason : "-", relay->sends, relay->runs,
+            (unsigned long long)relay->event_count,
+            (unsigned long long)(clock_ms (relay->belief->clock)
+                                 - relay->arrived_ms),
+            (unsigned long long)(relay->catalog != NULL
+                                     ? catalog_revision (relay->catalog)
+                                     : 0));
+}
+
+/* Answer with an error of our own and end.  RETRY_MS 0: no Retry-After.  */
+static void
+relay_reply (relay_t *relay, int status, vh_code_t code, const char *reason,
+             uint64_t retry_ms)
+{
+  belief_t *belief = relay->belief;
+  buf_t body = BUF_NULL;
+  buf_t retry = BUF_NULL;
+  httpc_header_t headers[3] = {
+    { STR ("content-type"), STR ("application/json") },
+    { STR ("vanillahook-attempt"), str_from (relay->attempt_id) },
+  };
+  size_t count = 2;
+  bool not_run = status != 502 && status != 504;
+
+  end_send (relay, SEND_DROPPED);
+  if (relay->started)
+    {
+      log_end (relay, "An answer was cut", status, reason);
+      counter_add (belief->counters.failed, 1);
+      httpd_abort (relay->req);
+      relay_destroy (relay);
+      return;
+    }
+  if (retry_ms > 0)
+    {
+      uint64_t wait_ms = retry_ms / 2 + rng_below (&belief->rng, retry_ms);
+      buf_printf (&retry, "%.3f", (double)wait_ms / 1000);
+      headers[count].name = STR ("retry-after");
+      headers[count++].value = buf_str (&retry);
+    }
+  code_write_error (code, not_run ? "not-run" : "unknown", &body);
+  counter_add (not_run ? belief->counters.refused : belief->counters.failed,
+               1);
+  log_end (relay, not_run ? "Refused" : "Failed", status, reason);
+  if (belief->stopping_ms != 0)
+    httpd_close_after (relay->req);
+  httpd_reply (relay->req, status, headers, count, buf_str (&body));
+  buf_free (&retry);
+  buf_free (&body);
+  relay_destroy (relay);
+}
+
+/* Give the request up: what the caller is told depends on whether it may have
+   run.  */
+static void
+relay_give_up (relay_t *relay, vh_code_t code, const char *reason,
+               uint64_t retry_ms)
+{
+  if (relay->runs > 0)
+    relay_reply (relay, code == VH_E_DEADLINE ? 504 : 502,
+                 code == VH_E_DEADLINE ? code : VH_E_UNKNOWN, reason, 0);
+  else
+    relay_reply (relay, 503, code, reason,
+                 retry_ms > 0 ? retry_ms : RETRY_FULL_MS);
+}
+
+/* Pass on the whole answer that was gathered.  */
+static void
+pass_whole (relay_t *relay)
+{
+  httpc_header_t headers[64];
+  size_t count = 0;
+  const char *at = relay->head.ptr;
+  const char *end = relay->head.ptr + relay->head.len;
+
+  while (at < end && count < sizeof headers / sizeof headers[0])
+    {
+      headers[count].name = str_from (at);
+      at += headers[count].name.len + 1;
+      headers[count].value = str_from (at);
+      at += headers[count].value.len + 1;
+      count++;
+    }
+  counter_add (relay->belief->counters.answered, 1);
+  if (relay->status >= 400)
+    log_end (relay, "An upstream's failure was passed on", relay->status,
+             relay->reason);
+  if (relay->belief->stopping_ms != 0)
+    httpd_close_after (relay->req);
+  httpd_reply (relay->req, relay->status, headers, count,
+               buf_str (&relay->body));
+  relay_destroy (relay);
+}
+
+/* What comes back.  */
+
+/* Tell whether NAME is of one connection only, or set anew by us.  */
+static bool
+is_hop_header (str_t name)
+{
+  static const char *const names[]
+      = { "connection",       "keep-alive",        "proxy-connection",
+          "proxy-authenticate", "proxy-authorization", "te",
+          "trailer",          "transfer-encoding", "upgrade",
+          "content-length",   "expect",            "date",
+          "server" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (str_eq_nocase (name, str_from (names[i])))
+      return true;
+  return false;
+}
+
+static bool
+may_send_again (const relay_t *relay)
+{
+  return relay->may_repeat && relay->runs < relay->route->attempts_max
+         && relay->sends < SENDS_MAX;
+}
+
+/* Take one of the extra sends, or tell why not.  */
+static bool
+take_extra (relay_t *relay)
+{
+  allowance_t *allowance
+      = belief_allowance (relay->belief, relay->service->name);
+
+  if (!allowance_take (allowance, 0))
+    return false;
+  counter_add (relay->belief->counters.resends, 1);
+  return true;
+}
+
+static void
+remember_tried (relay_t *relay)
+{
+  if (relay->tried_count < POOL_TRIED_MAX)
+    relay->tried[relay->tried_count++] = relay->upstream;
+}
+
+/* The present send failed for REASON; RAN unless the upstream said that it
+   did not run the request.  Send it again where that is allowed.  */
+static void
+send_failed (relay_t *relay, const char *reason, bool ran)
+{
+  log_info ("request",
+            "A send failed. id=%s upstream=%.*s reason=%s ran=%d events=%llu",
+            relay->attempt_id, STR_ARG (upstream_id (relay->upstream)), reason,
+            ran, (unsigned long long)relay->event_count);
+  relay->reason = reason;
+  if (ran)
+    relay->runs++;
+  remember_tried (relay);
+  end_send (relay, ran ? SEND_FAILED : SEND_REFUSED);
+  relay->head.len = 0;
+  relay->body.len = 0;
+  events_restart (&relay->events);
+  bool allowed = ran ? may_send_again (relay) : relay->sends < SENDS_MAX;
+  if (allowed && take_extra (relay))
+    {
+      if (relay->started)
+        counter_add (relay->belief->counters.resumes, 1);
+      relay_send (relay);
+    }
+  else
+    relay_give_up (relay, ran ? VH_E_UPSTREAM_CUT : VH_E_FULL, reason, 0);
+}
+
+/* Remember HEAD for the caller.  */
+static void
+keep_head (relay_t *relay, const call_head_t *head)
+{
+  relay->status = head->status;
+  relay->head.len = 0;
+  for (size_t i = 0; i < head->header_count; i++)
+    {
+      const httpc_header_t *header = &head->headers[i];
+      if (header->name.len == 0 || is_hop_header (header->name))
+        continue;
+      buf_append_str (&relay->head, header->name);
+      buf_append_char (&relay->head, '\0');
+      buf_append_str (&relay->head, header->value);
+      buf_append_char (&relay->head, '\0');
+    }
+}
+
+static void
+start_stream (relay_t *relay, const call_head_t *head)
+{
+  httpc_header_t headers[64];
+  size_t count = 0;
+
+  for (size_t i = 0;
+       i < head->header_count && count < sizeof headers / sizeof headers[0];
+       i++)
+    if (head->headers[i].name.len > 0
+        && !is_hop_header (head->headers[i].name))
+      headers[count++] = head->headers[i];
+  relay->started = true;
+  relay->status = head->status;
+  if (relay->belief->stopping_ms != 0)
+    httpd_close_after (relay->req);
+  httpd_start (relay->req, head->status, headers, count);
+}
+
+/* Take in what the head says of the upstream.  */
+static void
+learn_from_head (relay_t *relay, const call_head_t *head)
+{
+  const header_names_t *names = relay->belief->names;
+  str_t load = call_header (head, names->load);
+  str_t cold = call_header (head, names->cold_ms);
+  uint64_t numbers[3] = { 0, 0, 0 };
+  uint64_t cold_ms;
+  size_t count = 0;
+
+  while (load.ptr != NULL && count < 3
+         && str_to_u64 (str_trim (str_cut (load, ',', &load)),
+                        &numbers[count]))
+    count++;
+  if (count == 3)
+    pool_load (relay->belief->pool, relay->upstream, (uint32_t)numbers[0],
+               (uint32_t)numbers[1], (uint32_t)numbers[2]);
+  if (cold.ptr != NULL && str_to_u64 (cold, &cold_ms) && cold_ms > 0)
+    pool_cold (relay->belief->pool, relay->upstream, cold_ms);
+}
+
+/* Tell whether HEAD is an answer to this very request.  */
+static bool
+is_own_answer (const relay_t *relay, const call_head_t *head)
+{
+  const header_names_t *names = relay->belief->names;
+  str_t echoed = call_header (head, names->attempt_id);
+
+  if (echoed.ptr != NULL && !str_eq (echoed, str_from (relay->attempt_id)))
+    return false;
+  if (head->status < 200 || head->status > 599)
+    return false;
+  /* Callers ask for bodies without a coding, so a coded one was not made by
+     the upstream; and no success is without its mac.  */
+  if (call_header (head, STR ("content-encoding")).ptr != NULL)
+    return false;
+  return head->status >= 300
+         || call_header (head, names->answer_mac).ptr != NULL;
+}
+
+/* Drop the answer of a smaller model that doubts itself, while the caller has
+   none of it.  Return true when the request went on to a larger one.  */
+static bool
+escalate (relay_t *relay, const call_head_t *head)
+{
+  str_t text = call_header (head, relay->belief->names->confidence);
+  uint64_t confidence;
+
+  if (relay->started || relay->route->model_count == 0
+      || relay->model + 1 >= relay->route->model_count || text.ptr == NULL
+      || !str_to_u64 (text, &confidence) || confidence >= CONFIDENCE_MIN
+      || relay->runs + 1 >= relay->route->attempts_max
+      || !take_extra (relay))
+    return false;
+  counter_add (relay->belief->counters.escalations, 1);
+  relay->runs++;
+  relay->model = relay->route->model_count - 1;
+  end_send (relay, SEND_DROPPED);
+  relay_send (relay);
+  return true;
+}
+
+static void
+on_head (void *arg, const call_head_t *head)
+{
+  relay_t *relay = arg;
+  const header_names_t *names = relay->belief->names;
+
+  relay->last_ms = clock_ms (relay->belief->clock);
+  if (!is_own_answer (relay, head))
+    {
+      send_failed (relay, "foreign-answer", true);
+      return;
+    }
+  learn_from_head (relay, head);
+  if (head->status == 421 || call_header (head, names->not_run).ptr != NULL)
+    {
+      send_failed (relay, head->status == 421 ? "misdirected" : "shed", false);
+      return;
+    }
+  relay->is_ok = head->status < 300;
+  if (!relay->is_ok && head->status >= 500 && may_send_again (relay)
+      && allowance_left (belief_allowance (relay->belief,
+                                           relay->service->name))
+             >= 1)
+    {
+      send_failed (relay, "upstream-error", true);
+      return;
+    }
+  if (relay->started && !relay->is_ok)
+    {
+      /* A stream that goes on elsewhere was refused with a plain failure.  */
+      send_failed (relay, "resume-failed", true);
+      return;
+    }
+  if (relay->is_ok && escalate (relay, head))
+    return;
+  relay->phase = PHASE_ANSWERING;
+  relay->head_ms = relay->last_ms;
+  if (relay->route->kind == ROUTE_STREAM && relay->is_ok)
+    {
+      if (!relay->started)
+        start_stream (relay, head);
+    }
+  else
+    keep_head (relay, head);
+}
+
+static void
+take_events (relay_t *relay, str_t bytes)
+{
+  buf_t out = BUF_NULL;
+  size_t count = 0;
+  vh_code_t code = events_take (&relay->events, bytes, &out, &count);
+
+  if (out.len > 0)
+    {
+      if (relay->prompt_left > 0)
+        {
+          pool_first (relay->belief->pool, relay->upstream,
+                      relay->prompt_left,
+                      relay->last_ms - relay->sent_ms);
+          relay->prompt_left = 0;
+        }
+      relay->event_count += count;
+      counter_add (relay->belief->counters.events, count);
+      httpd_send (relay->req, buf_str (&out), false);
+      if (!relay->paused && httpd_buffered (relay->req) > BUFFER_HIGH)
+        {
+          relay->paused = true;
+          call_pause (relay->call);
+        }
+    }
+  buf_free (&out);
+  if (code != VH_OK)
+    send_failed (relay, "events-out-of-order", true);
+}
+
+static void
+on_body (void *arg, str_t bytes)
+{
+  relay_t *relay = arg;
+
+  relay->last_ms = clock_ms (relay->belief->clock);
+  if (relay->started)
+    take_events (relay, bytes);
+  else if (relay->body.len + bytes.len > WHOLE_BYTES_MAX)
+    send_failed (relay, "answer-too-large", true);
+  else
+    buf_append_str (&relay->body, bytes);
+}
+
+static void
+on_end (void *arg, vh_code_t code)
+{
+  relay_t *relay = arg;
+
+  relay->call = NULL;
+  if (code == VH_E_CONNECT)
+    {
+      /* Nothing left, so it costs no extra send.  */
+      relay->reason = "connect";
+      remember_tried (relay);
+      relay->sends--;
+      end_send (relay, SEND_FAILED);
+      if (relay->tried_count < POOL_TRIED_MAX)
+        relay_send (relay);
+      else
+        relay_give_up (relay, VH_E_NO_UPSTREAM, "connect",
+                       RETRY_UNAVAILABLE_MS);
+      return;
+    }
+  if (code == VH_OK && relay->started
+      && !events_at_border (&relay->events))
+    code = VH_E_UPSTREAM_CUT;
+  if (code != VH_OK)
+    {
+      send_failed (relay, code == VH_E_PROTOCOL ? "garbled" : "cut", true);
+      return;
+    }
+  end_send (relay, relay->is_ok || relay->status < 500 ? SEND_OK
+                                                       : SEND_FAILED);
+  if (!relay->started)
+    {
+      pass_whole (relay);
+      return;
+    }
+  counter_add (relay->belief->counters.answered, 1);
+  httpd_send (relay->req, STR (""), true);
+  relay_destroy (relay);
+}
+
+/* Sending.  */
+
+static void
+append_header (buf_t *out, str_t name, str_t value)
+{
+  buf_append_str (out, name);
+  buf_append (out, ": ", 2);
+  buf_append_str (out, value);
+  buf_append (out, "\r\n", 2);
+}
+
+static void
+append_number_header (buf_t *out, str_t name, uint64_t value)
+{
+  buf_append_str (out, name);
+  buf_printf (out, ": %llu\r\n", (unsigned long long)value);
+}
+
+/* Tell whether header NAME of a caller is ours to set, or stays here.  */
+static bool
+is_own_header (const header_names_t *names, str_t name)
+{
+  const str_t own[] = { names->deadline_ms, names->model,
+                        names->team,        names->expect_instance,
+                        names->expect_version, names->urgency,
+                        names->reservation, names->pin_ms,
+                        names->kv_backup,   names->kv_source,
+                        names->kv_fetch,    names->not_run,
+                        STR ("authorization"), STR ("host") };
+
+  for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
+    if (str_eq_nocase (name, own[i]))
+      return true;
+  return false;
+}
+
+/* Tell whether NAME is listed in the Connection header VALUE.  */
+static bool
+is_listed (str_t value, str_t name)
+{
+  while (value.ptr != NULL)
+    if (str_eq_nocase (str_trim (str_cut (value, ',', &value)), name))
+      return true;
+  return false;
+}
+
+/* Write the request as the present upstream gets it.  */
+static void
+write_request (const relay_t *relay, uint64_t now_ms, buf_t *out)
+{
+  const header_names_t *names = relay->belief->names;
+  const httpd_req_t *req = relay->req;
+  str_t connection = httpd_header (req, STR ("connection"));
+  str_t query = httpd_query (req);
+  str_t body = httpd_body (req);
+  httpc_header_t header;
+  bool resumes = relay->events.has_last;
+
+  buf_reserve (out, 1024 + body.len);
+  buf_append_str (out, httpd_method (req));
+  buf_append_char (out, ' ');
+  buf_append_str (out, httpd_path (req));
+  if (query.ptr != NULL)
+    {
+      buf_append_char (out, '?');
+      buf_append_str (out, query);
+    }
+  buf_append (out, " HTTP/1.1\r\n", 11);
+  append_header (out, STR ("Host"), httpd_authority (req));
+  for (size_t i = 0; httpd_header_at (req, i, &header); i++)
+    {
+      if (is_hop_header (header.name) || is_own_header (names, header.name)
+          || is_listed (connection, header.name)
+          || (resumes
+              && str_eq_nocase (header.name, STR ("last-event-id"))))
+        continue;
+      append_header (out, header.name, header.value);
+    }
+  if (resumes)
+    append_number_header (out, STR ("Last-Event-Id"), relay->events.last_id);
+  append_number_header (out, names->deadline_ms,
+                        relay->due_ms > now_ms ? relay->due_ms - now_ms : 1);
+  append_header (out, names->expect_instance, upstream_id (relay->upstream));
+  if (relay->team != NULL)
+    append_header (out, names->team, relay->team->name);
+  if (relay->route->model_count > 0)
+    append_header (out, names->model, relay->route->models[relay->model]);
+  else if (httpd_header (req, names->model).ptr != NULL)
+    append_header (out, names->model, httpd_header (req, names->model));
+  if (body.len > 0 || !str_eq (httpd_method (req), STR ("GET")))
+    append_number_header (out, STR ("Content-Length"), body.len);
+  buf_append (out, "Connection: close\r\n\r\n", 21);
+  buf_append_str (out, body);
+}
+
+/* Arm the timer for the next moment at which something is due.  */
+static void
+arm_timer (relay_t *relay, uint64_t now_ms);
+
+static void
+choose_arm (relay_t *relay, pool_want_t *want)
+{
+  belief_t *belief = relay->belief;
+  trial_t *trial = relay_trial (relay);
+
+  want->arm = ARM_ANY;
+  if (trial == NULL)
+    return;
+  want->version = trial_version (trial);
+  switch (trial_phase (trial))
+    {
+    case TRIAL_ROLLED_BACK:
+      want->arm = ARM_OLD;
+      break;
+    case TRIAL_DONE:
+      want->arm
+          = pool_has (belief->pool, want->service, ARM_NEW, want->version)
+                ? ARM_NEW
+                : ARM_ANY;
+      break;
+    case TRIAL_RUNNING:
+      want->arm = trial_assign (trial, relay->session,
+                                follow_store_ms (belief->orders),
+                                follow_down (belief->orders))
+                      ? ARM_NEW
+                      : ARM_OLD;
+      if (want->arm == ARM_NEW
+          && !pool_has (belief->pool, want->service, ARM_NEW, want->version))
+        want->arm = ARM_OLD;
+      break;
+    }
+}
+
+/* Send the request to the best upstream, or give it up.  */
+static void
+relay_send (relay_t *relay)
+{
+  static const call_events_t events = { on_head, on_body, on_end };
+  belief_t *belief = relay->belief;
+  uint64_t now_ms = clock_ms (belief->clock);
+  pool_want_t want = { .service = relay->service->name,
+                       .cold_per_s = relay->service->cold_per_s,
+                       .key = relay->key != 0
+                                  ? relay->key ^ (relay->model + 1)
+                                  : 0,
+                       .tried = relay->tried,
+                       .tried_count = relay->tried_count };
+  buf_t request = BUF_NULL;
+
+  if (now_ms + RETURN_MS >= relay->due_ms)
+    {
+      relay_give_up (relay, VH_E_DEADLINE, "deadline", 0);
+      return;
+    }
+  choose_arm (relay, &want);
+  vh_code_t code = pool_choose (belief->pool, &want, &relay->upstream);
+  if (code == VH_E_NO_UPSTREAM && relay->tried_count > 0)
+    {
+      /* All were tried: once more to any of them.  */
+      want.tried_count = 0;
+      code = pool_choose (belief->pool, &want, &relay->upstream);
+    }
+  if (code != VH_OK)
+    {
+      relay->upstream = NULL;
+      relay_give_up (relay, code,
+                     code == VH_E_FULL ? "full" : "no-upstream",
+                     code == VH_E_FULL ? RETRY_FULL_MS
+                                       : RETRY_UNAVAILABLE_MS);
+      return;
+    }
+  relay->prompt_left = relay->prompt;
+  pool_started (belief->pool, relay->upstream, relay->prompt);
+  relay->phase = PHASE_SENT;
+  relay->sent_ms = now_ms;
+  relay->last_ms = now_ms;
+  relay->is_ok = false;
+  relay->sends++;
+  counter_add (belief->counters.sends, 1);
+  write_request (relay, now_ms, &request);
+  relay->call = call_start (
+      belief->loop, upstream_address (relay->upstream), &request, CONNECT_MS,
+      str_eq (httpd_method (relay->req), STR ("HEAD")), &events, relay);
+  if (relay->call == NULL)
+    {
+      log_err ("request", "An upstream's address is not valid. upstream=%.*s",
+               STR_ARG (upstream_id (relay->upstream)));
+      send_failed (relay, "address", false);
+      return;
+    }
+  arm_timer (relay, now_ms);
+}
+
+/* Time.  */
+
+/* When a silent upstream is given up for another; UINT64_MAX: never.  */
+static uint64_t
+silence_due (const relay_t *relay)
+{
+  const route_t *route = relay->route;
+
+  if (!may_send_again (relay) || relay->runs + 1 >= route->attempts_max)
+    return UINT64_MAX;
+  if (relay->phase == PHASE_SENT || relay->event_count == 0)
+    {
+      uint64_t wait_ms
+          = (uint64_t)((double)route->objective_ms * first_event_part);
+      if (route->kind == ROUTE_STREAM && wait_ms < FIRST_EVENT_MS_MIN)
+        wait_ms = FIRST_EVENT_MS_MIN;
+      return relay->sent_ms + wait_ms;
+    }
+  if (route->kind != ROUTE_STREAM || route->pause_ms == 0 || relay->paused)
+    return UINT64_MAX;
+  uint64_t pause_ms = (uint64_t)((double)route->pause_ms * pause_part);
+  return relay->last_ms + (pause_ms > PAUSE_MS_MIN ? pause_ms : PAUSE_MS_MIN);
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  relay_t *relay = timer->data;
+  uint64_t now_ms = clock_ms (relay->belief->clock);
+
+  if (now_ms >= relay->due_ms)
+    {
+      if (relay->call != NULL && call_sent (relay->call))
+        relay->runs++;
+      relay_give_up (relay, VH_E_DEADLINE, "deadline", 0);
+      return;
+    }
+  if (now_ms >= silence_due (relay))
+    {
+      bool allowed = allowance_left (belief_allowance (
+                         relay->belief, relay->service->name))
+                     >= 1;
+      if (allowed)
+        {
+          send_failed (relay, "silent", true);
+          return;
+        }
+      /* Nothing may be sent again now: wait on for this upstream.  */
+      relay->last_ms = now_ms;
+      relay->sent_ms = now_ms;
+    }
+  arm_timer (relay, now_ms);
+}
+
+static void
+arm_timer (relay_t *relay, uint64_t now_ms)
+{
+  uint64_t due_ms = silence_due (relay);
+
+  if (due_ms > relay->due_ms)
+    due_ms = relay->due_ms;
+  uv_timer_start (&relay->timer, on_timer,
+                  due_ms > now_ms ? due_ms - now_ms : 0, 0);
+}
+
+/* The caller.  */
+
+static void
+on_drained (void *arg)
+{
+  relay_t *relay = arg;
+
+  if (relay->paused && relay->call != NULL)
+    {
+      relay->paused = false;
+      call_resume (relay->call);
+    }
+}
+
+/* The caller left: the upstream is told in the same turn.  */
+static void
+on_left (void *arg)
+{
+  relay_t *relay = arg;
+
+  log_end (relay, "The caller left", 0, relay->reason);
+  counter_add (relay->belief->counters.left, 1);
+  end_send (relay, SEND_DROPPED);
+  relay_destroy (relay);
+}
+
+/* Arrival.  */
+
+/* Hash of the parts of the prompt but the last, which no other request
+   shares; 0 when there are none.  */
+static uint64_t
+shared_key (str_t parts)
+{
+  size_t end = parts.len;
+
+  if (parts.ptr == NULL)
+    return 0;
+  while (end > 0 && parts.ptr[end - 1] != ',')
+    end--;
+  return end == 0 ? 0 : str_hash (str_make (parts.ptr, end - 1), 1);
+}
+
+/* Find who asks for what.  Return VH_OK, or the reason why not.  */
+static vh_code_t
+identify (relay_t *relay)
+{
+  belief_t *belief = relay->belief;
+  const httpd_req_t *req = relay->req;
+  str_t bearer = httpd_header (req, STR ("authorization"));
+
+  if (belief->catalog == NULL)
+    return VH_E_STORE_DOWN;
+  relay->catalog = belief->catalog;
+  catalog_ref (relay->catalog);
+  relay->route = catalog_route (relay->catalog, httpd_authority (req),
+                                httpd_path (req));
+  if (relay->route == NULL)
+    return belief_confirmed (belief) ? VH_E_NO_ROUTE : VH_E_STORE_DOWN;
+  if (!relay->route->is_public && catalog_has_teams (relay->catalog))
+    {
+      /* A key that was taken away must not be used by an entry that cannot
+         see it: a confirmation that is too old lets no key in.  */
+      if (!belief_confirmed (belief))
+        return VH_E_STORE_DOWN;
+      if (!str_starts (bearer, STR ("Bearer ")))
+        return VH_E_NO_AUTH;
+      relay->team = catalog_team (
+          relay->catalog,
+          str_trim (str_make (bearer.ptr + 7, bearer.len - 7)));
+      if (relay->team == NULL)
+        return VH_E_BAD_KEY;
+    }
+  return VH_OK;
+}
+
+/* Choose the service by the route's weights.  */
+static void
+choose_service (relay_t *relay)
+{
+  const route_t *route = relay->route;
+  uint64_t total = 0;
+  size_t at = 0;
+
+  for (size_t i = 0; i < route->split_count; i++)
+    total += route->splits[i].weight;
+  if (total > 0)
+    {
+      uint64_t point = relay->session % total;
+      while (point >= route->splits[at].weight)
+        point -= route->splits[at++].weight;
+    }
+  relay->service = route->split_count > 0
+                       ? catalog_service (relay->catalog,
+                                          route->splits[at].service)
+                       : NULL;
+}
+
+/* Read the numbers of the request.  Return VH_OK or VH_E_BAD_HEADER.  */
+static vh_code_t
+read_terms (relay_t *relay)
+{
+  const header_names_t *names = relay->belief->names;
+  const httpd_req_t *req = relay->req;
+  str_t deadline = httpd_header (req, names->deadline_ms);
+  str_t tokens = httpd_header (req, names->token_counts);
+  str_t last_id = httpd_header (req, STR ("last-event-id"));
+  str_t session = httpd_header (req, names->session);
+  uint64_t wait_ms = relay->route->timeout_ms;
+  uint64_t prompt = 0;
+  uint64_t given;
+  str_t rest;
+
+  if (deadline.ptr != NULL)
+    {
+      if (!str_to_u64 (str_trim (deadline), &given))
+        return VH_E_BAD_HEADER;
+      if (given < wait_ms || wait_ms == 0)
+        wait_ms = given;
+    }
+  relay->due_ms = relay->arrived_ms + wait_ms;
+  if (tokens.ptr != NULL
+      && str_to_u64 (str_trim (str_cut (tokens, ',', &rest)), &prompt))
+    relay->prompt = prompt < UINT32_MAX ? (uint32_t)prompt : UINT32_MAX;
+  relay->key = shared_key (httpd_header (req, names->prompt_parts));
+  relay->session = session.ptr != NULL
+                       ? str_hash (session, 2)
+                       : str_hash (str_from (relay->attempt_id), 2);
+  if (relay->route->kind == ROUTE_STREAM && last_id.ptr != NULL
+      && str_to_u64 (str_trim (last_id), &given))
+    {
+      relay->events.has_last = true;
+      relay->events.last_id = given;
+    }
+  relay->may_repeat = relay->route->kind == ROUTE_IDEMPOTENT
+                      || (relay->route->kind == ROUTE_STREAM
+                          && relay->route->resumable);
+  return VH_OK;
+}
+
+static void
+refuse (relay_t *relay, vh_code_t code)
+{
+  const code_info_t *info = code_info (code);
+  uint64_t retry_ms
+      = info->http_status == 503 ? RETRY_UNAVAILABLE_MS : 0;
+
+  relay_reply (relay, info->http_status, code, info->type, retry_ms);
+}
+
+void
+relay_start (belief_t *belief, httpd_req_t *req)
+{
+  relay_t *relay = mem_zalloc (sizeof *relay);
+  str_t id = httpd_header (req, belief->names->attempt_id);
+
+  list_append (&belief->relays, &relay->link);
+  relay->belief = belief;
+  relay->req = req;
+  relay->arrived_ms = clock_ms (belief->clock);
+  relay->attempt_id = str_dup (id.ptr != NULL ? id : STR ("-"));
+  uv_timer_init (belief->loop, &relay->timer);
+  relay->timer.data = relay;
+  counter_add (belief->counters.requests, 1);
+  if (id.ptr == NULL || id.len == 0)
+    {
+      refuse (relay, VH_E_BAD_HEADER);
+      return;
+    }
+  vh_code_t code = identify (relay);
+  if (code == VH_OK)
+    code = read_terms (relay);
+  if (code == VH_OK && belief->stopping_ms != 0
+      && relay->arrived_ms - belief->stopping_ms
+             >= belief->options.drain_grace_ms)
+    {
+      relay_reply (relay, 503, VH_E_DRAINING, "draining", RETRY_DRAINING_MS);
+      return;
+    }
+  if (code != VH_OK)
+    {
+      refuse (relay, code);
+      return;
+    }
+  choose_service (relay);
+  if (relay->service == NULL)
+    {
+      refuse (relay, VH_E_NO_UPSTREAM);
+      return;
+    }
+  if (relay->route->model_count > 0)
+    relay->model = relay->route->model_count - 1;
+  httpd_watch (req, on_drained, on_left, relay);
+  allowance_request (belief_allowance (belief, relay->service->name));
+  relay_send (relay);
+}
+
+size_t
+relay_cut_all (belief_t *belief)
+{
+  size_t count = 0;
+
+  LIST_EACH (at, &belief->relays)
+    {
+      relay_t *relay = CONTAINER_OF (at, relay_t, link);
+      if (relay->call != NULL && call_sent (relay->call))
+        relay->runs++;
+      relay_give_up (relay, VH_E_DRAINING, "stopping", RETRY_DRAINING_MS);
+      count++;
+    }
+  return count;
+}
--- /dev/null
+++ b/packages/gateway/trial.c
@@ -0,0 +1,376 @@
+#include "gateway/trial.h"
+
+#include "base/map.h"
+#include "base/mem.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* A version that is good is declared once nothing runs on the old one, not
+   before this part of the time, and at the second part in any case.  */
+static const double done_from = 0.66;
+static const double done_at_last = 0.92;
+/* New instances start slow; their waits count from this part on.  */
+static const double waits_from = 0.2;
+
+typedef struct
+{
+  trial_sums_t sums[TRIAL_ARMS][TRIAL_CELLS];
+  uint32_t old_running;
+} evidence_t;
+
+struct trial
+{
+  char *service;
+  char *version;
+  uint64_t order;
+  uint64_t within_ms;
+  uint64_t start_ms;
+  trial_phase_t phase;
+  double held_share;
+  evidence_t own;
+  map_t *peers; /* Entry to evidence_t.  */
+  bool dirty;
+};
+
+trial_t *
+trial_create (str_t service, str_t version, uint64_t order,
+              uint64_t within_ms)
+{
+  trial_t *trial = mem_zalloc (sizeof *trial);
+
+  trial->service = str_dup (service);
+  trial->version = str_dup (version);
+  trial->order = order;
+  trial->within_ms = within_ms;
+  trial->peers = map_create ();
+  return trial;
+}
+
+void
+trial_destroy (trial_t *trial)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  if (trial == NULL)
+    return;
+  while (map_next (trial->peers, &cursor, &key, &value))
+    free (value);
+  map_destroy (trial->peers);
+  free (trial->service);
+  free (trial->version);
+  free (trial);
+}
+
+str_t
+trial_version (const trial_t *trial)
+{
+  return str_from (trial->version);
+}
+
+uint64_t
+trial_order (const trial_t *trial)
+{
+  return trial->order;
+}
+
+uint64_t
+trial_within_ms (const trial_t *trial)
+{
+  return trial->within_ms;
+}
+
+trial_phase_t
+trial_phase (const trial_t *trial)
+{
+  return trial->phase;
+}
+
+const char *
+trial_phase_name (trial_phase_t phase)
+{
+  static const char *const names[] = { "running", "done", "rolled-back" };
+
+  return names[phase];
+}
+
+void
+trial_set_phase (trial_t *trial, trial_phase_t phase)
+{
+  trial->phase = phase;
+}
+
+void
+trial_set_start (trial_t *trial, uint64_t start_ms)
+{
+  trial->start_ms = start_ms;
+}
+
+uint64_t
+trial_start (const trial_t *trial)
+{
+  return trial->start_ms;
+}
+
+/* Part of the order's time that has passed.  */
+static double
+part_of (const trial_t *trial, uint64_t now_ms)
+{
+  if (trial->start_ms == 0 || now_ms <= trial->start_ms
+      || trial->within_ms == 0)
+    return 0;
+  return (double)(now_ms - trial->start_ms) / (double)trial->within_ms;
+}
+
+double
+trial_share (trial_t *trial, uint64_t now_ms, bool held)
+{
+  static const struct
+  {
+    double from;
+    double share;
+  } steps[] = {
+#define X(from, share) { from, share },
+    TRIAL_STEPS (X)
+#undef X
+  };
+  double part = part_of (trial, now_ms);
+  double share = 0;
+
+  if (trial->phase != TRIAL_RUNNING)
+    return trial->phase == TRIAL_DONE ? 1 : 0;
+  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
+    if (part >= steps[i].from)
+      share = steps[i].share;
+  if (held && share > trial->held_share)
+    return trial->held_share;
+  trial->held_share = share;
+  return share;
+}
+
+bool
+trial_assign (trial_t *trial, uint64_t key, uint64_t now_ms, bool held)
+{
+  return (double)(key >> 11) * 0x1.0p-53 < trial_share (trial, now_ms, held);
+}
+
+void
+trial_observe (trial_t *trial, trial_arm_t arm, uint64_t route, bool failed,
+               uint64_t wait_ms)
+{
+  trial_sums_t *sums = &trial->own.sums[arm][route % TRIAL_CELLS];
+
+  sums->count += 1;
+  if (failed)
+    sums->failed += 1;
+  if (wait_ms > 0)
+    {
+      double log_wait = log ((double)wait_ms);
+      sums->waits += 1;
+      sums->log_wait += log_wait;
+      sums->log_wait_squared += log_wait * log_wait;
+    }
+  trial->dirty = true;
+}
+
+static void
+sums_scale (trial_sums_t *sums, double factor)
+{
+  sums->count *= factor;
+  sums->failed *= factor;
+  sums->waits *= factor;
+  sums->log_wait *= factor;
+  sums->log_wait_squared *= factor;
+}
+
+static void
+sums_add (trial_sums_t *to, const trial_sums_t *from)
+{
+  to->count += from->count;
+  to->failed += from->failed;
+  to->waits += from->waits;
+  to->log_wait += from->log_wait;
+  to->log_wait_squared += from->log_wait_squared;
+}
+
+static void
+evidence_fade (evidence_t *evidence)
+{
+  for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
+    for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+      sums_scale (&evidence->sums[arm][cell], TRIAL_KEEP_S);
+}
+
+void
+trial_fade (trial_t *trial)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  evidence_fade (&trial->own);
+  while (map_next (trial->peers, &cursor, &key, &value))
+    evidence_fade (value);
+}
+
+void
+trial_old_running (trial_t *trial, uint32_t running)
+{
+  if ((running == 0) != (trial->own.old_running == 0))
+    trial->dirty = true;
+  trial->own.old_running = running;
+}
+
+bool
+trial_dirty (const trial_t *trial)
+{
+  return trial->dirty;
+}
+
+/* One line: the order, what runs on the old version, then the sums.  */
+void
+trial_write (const trial_t *trial, buf_t *out)
+{
+  buf_printf (out, "%llu %u", (unsigned long long)trial->order,
+              trial->own.old_running);
+  for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
+    for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+      {
+        const trial_sums_t *sums = &trial->own.sums[arm][cell];
+        buf_printf (out, " %.2f %.2f %.2f %.3f %.3f", sums->count,
+                    sums->failed, sums->waits, sums->log_wait,
+                    sums->log_wait_squared);
+      }
+  ((trial_t *)trial)->dirty = false;
+}
+
+/* Read the next number of *REST.  */
+static bool
+next_number (str_t *rest, double *value)
+{
+  if (rest->ptr == NULL)
+    return false;
+  str_t word = str_cut (*rest, ' ', rest);
+  return str_to_double (word, value) && isfinite (*value) && *value >= 0;
+}
+
+vh_code_t
+trial_merge (trial_t *trial, str_t entry, str_t text)
+{
+  evidence_t got = { 0 };
+  double order;
+  double running;
+
+  if (!next_number (&text, &order) || !next_number (&text, &running))
+    return VH_E_PROTOCOL;
+  if ((uint64_t)order != trial->order)
+    return VH_OK;
+  got.old_running = (uint32_t)running;
+  for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
+    for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+      {
+        trial_sums_t *sums = &got.sums[arm][cell];
+        if (!next_number (&text, &sums->count)
+            || !next_number (&text, &sums->failed)
+            || !next_number (&text, &sums->waits)
+            || !next_number (&text, &sums->log_wait)
+            || !next_number (&text, &sums->log_wait_squared))
+          return VH_E_PROTOCOL;
+      }
+  evidence_t *peer = map_get (trial->peers, entry);
+  if (peer == NULL)
+    {
+      peer = mem_alloc (sizeof *peer);
+      map_put (trial->peers, entry, peer);
+    }
+  *peer = got;
+  return VH_OK;
+}
+
+/* Add up what is known of all entries.  */
+static evidence_t
+gather (const trial_t *trial)
+{
+  evidence_t all = trial->own;
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (trial->peers, &cursor, &key, &value))
+    {
+      const evidence_t *peer = value;
+      all.old_running += peer->old_running;
+      for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
+        for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+          sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
+    }
+  return all;
+}
+
+/* Tell whether the new version fails more than the old one.  */
+static bool
+fails_more (const trial_sums_t *old, const trial_sums_t *new)
+{
+  if (new->count < TRIAL_SAMPLES)
+    return false;
+  double p_new = new->failed / new->count;
+  /* One imagined failure in twenty keeps an arm without failures from
+     claiming certainty.  */
+  double p_old = (old->failed + 1) / (old->count + 20);
+  double pooled
+      = (new->failed + old->failed + 1) / (new->count + old->count + 2);
+  double error = sqrt (pooled * (1 - pooled)
+                       * (1 / new->count + 1 / (old->count + 1)));
+  return p_new - p_old > TRIAL_HARM && p_new - p_old > TRIAL_SIGMAS * error;
+}
+
+/* Tell whether the new version's first events come later.  */
+static bool
+is_slower (const trial_sums_t *old, const trial_sums_t *new)
+{
+  if (new->waits < TRIAL_SAMPLES || old->waits < TRIAL_SAMPLES)
+    return false;
+  double mean_new = new->log_wait / new->waits;
+  double mean_old = old->log_wait / old->waits;
+  double var_new = new->log_wait_squared / new->waits - mean_new * mean_new;
+  double var_old = old->log_wait_squared / old->waits - mean_old * mean_old;
+  double error = sqrt (fmax (var_new, 0.05) / new->waits
+                       + fmax (var_old, 0.05) / old->waits);
+  return mean_new - mean_old > log (TRIAL_SLOW)
+         && mean_new - mean_old > log (TRIAL_SLOW) / 2 + TRIAL_SIGMAS * error;
+}
+
+trial_phase_t
+trial_judge (trial_t *trial, uint64_t now_ms, buf_t *why)
+{
+  evidence_t all = gather (trial);
+  double part = part_of (trial, now_ms);
+
+  if (trial->phase != TRIAL_RUNNING)
+    return trial->phase;
+  for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+    {
+      const trial_sums_t *old = &all.sums[TRIAL_OLD][cell];
+      const trial_sums_t *new = &all.sums[TRIAL_NEW][cell];
+      if (fails_more (old, new))
+        {
+          buf_printf (why, "failed %.0f of %.0f, the old version %.0f of %.0f",
+                      new->failed, new->count, old->failed, old->count);
+          return TRIAL_ROLLED_BACK;
+        }
+      if (part >= waits_from && is_slower (old, new))
+        {
+          buf_printf (why, "first events in %.0f ms, the old version's in "
+                           "%.0f ms",
+                      exp (new->log_wait / new->waits),
+                      exp (old->log_wait / old->waits));
+          return TRIAL_ROLLED_BACK;
+        }
+    }
+  if (part >= done_at_last || (part >= done_from && all.old_running == 0))
+    return TRIAL_DONE;
+  return TRIAL_RUNNING;
+}
--- a/packages/wire/httpd.c
+++ b/packages/wire/httpd.c
@@ -654,6 +654,12 @@
   return from_vec (req->h2o->input.method);
 }
 
+str_t
+httpd_authority (const httpd_req_t *req)
+{
+  return from_vec (req->h2o->input.authority);
+}
+
 str_t
 httpd_path (const httpd_req_t *req)
 {
@@ -792,6 +798,12 @@
   httpd_send (req, body, true);
 }
 
+void
+httpd_close_after (httpd_req_t *req)
+{
+  req->h2o->http1_is_persistent = 0;
+}
+
 void
 httpd_reply_json (httpd_req_t *req, int status, str_t body)
 {
--- a/packages/wire/httpd.h
+++ b/packages/wire/httpd.h
@@ -49,6 +49,8 @@
 size_t httpd_connections (const httpd_t *server);
 
 str_t httpd_method (const httpd_req_t *req);
+/* The Host header.  */
+str_t httpd_authority (const httpd_req_t *req);
 /* The path without the query.  */
 str_t httpd_path (const httpd_req_t *req);
 /* What follows '?', or STR_NULL.  */
@@ -69,6 +71,8 @@
 /* Answer whole: STATUS, HEADERS and BODY, all copied.  */
 void httpd_reply (httpd_req_t *req, int status, const httpc_header_t *headers,
                   size_t header_count, str_t body);
+/* End the connection of REQ with its answer.  */
+void httpd_close_after (httpd_req_t *req);
 /* Answer with BODY as application/json.  */
 void httpd_reply_json (httpd_req_t *req, int status, str_t body);
 
