gateway: the smallest model first; a cut answer ends without a mark of h2o's

Change: routes with several models start at the smallest; its answer is dropped for the largest's while the caller has none of it and its confidence is under 58. httpd_abort shuts the socket before h2o marks the answer. A warm instance may get 2.5 shares of the rate bound from one entry.

--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -6,9 +6,10 @@
 
 #include <stdlib.h>
 
-/* Part of a bound over all entries that they use together: sends that cross
-   a second's border at the instance, and an entry not yet heard of.  */
-static const double rate_margin = 0.8;
+/* Shares of the bound over all entries that one may use at a warm instance.
+   More than one, because callers' load is uneven (an entry gets up to a third
+   of it) and all entries do not press the same instance at once.  */
+static const double warm_shares = 2.5;
 
 struct upstream
 {
@@ -208,7 +209,7 @@
   /* A warm one may turn cold at any moment; then the bound that counts is
      the higher one that breaks it.  */
   if (now_ms >= upstream->cold_till)
-    all = (cold_per_s * pool->cold_factor + pool->cold_slack) * rate_margin;
+    all = (cold_per_s * pool->cold_factor + pool->cold_slack) * warm_shares;
   double share = all / pool->entries;
   if (share > POOL_RATE_MAX - 1)
     return POOL_RATE_MAX - 1;
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -49,7 +49,7 @@
 /* Confidence below which the answer of a smaller model is dropped.  */
 enum
 {
-  CONFIDENCE_MIN = 50
+  CONFIDENCE_MIN = 58
 };
 
 typedef enum
@@ -1022,8 +1022,6 @@
       refuse (relay, VH_E_NO_UPSTREAM);
       return;
     }
-  if (relay->route->model_count > 0)
-    relay->model = relay->route->model_count - 1;
   httpd_watch (req, on_drained, on_left, relay);
   allowance_request (belief_allowance (belief, relay->service->name));
   relay_send (relay);
--- a/packages/wire/httpd.c
+++ b/packages/wire/httpd.c
@@ -832,16 +832,18 @@
       h2o_send (h2o, NULL, 0, H2O_SEND_STATE_FINAL);
       return;
     }
+  /* Shut the socket first: h2o marks a broken chunked answer by bytes that
+     are no chunk, and a peer may take these for part of an answer.  What it
+     writes after the shutdown fails, and it ends the connection.  */
+  h2o_conn_t *conn = h2o->conn;
+  h2o_socket_t *sock = conn->callbacks->get_socket != NULL
+                           ? conn->callbacks->get_socket (conn)
+                           : NULL;
+  if (sock != NULL)
+    shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
   if (req->sending)
     {
       req->aborted = true;
-      /* h2o is writing: shut the socket and let its error end the rest.  */
-      h2o_conn_t *conn = h2o->conn;
-      h2o_socket_t *sock = conn->callbacks->get_socket != NULL
-                               ? conn->callbacks->get_socket (conn)
-                               : NULL;
-      if (sock != NULL)
-        shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
       return;
     }
   h2o_send (h2o, NULL, 0, H2O_SEND_STATE_ERROR);
