--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -485,6 +485,7 @@
   void *value;
 
   duties->ticks++;
+  sessions_sweep (belief->sessions);
   if (belief->stopping_ms != 0 || !duties->own_read)
     return;
   if (!duties->node_written && !duties->node_pending)
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -10,6 +10,7 @@
 #include "gateway/allowance.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
+#include "gateway/sessions.h"
 #include "gateway/trial.h"
 #include "wire/httpd.h"
 
@@ -46,6 +47,7 @@
   catalog_t *catalog;  /* NULL until one is known.  */
   map_t *trials;       /* Service to trial_t.  */
   map_t *allowances;   /* Service to allowance_t.  */
+  sessions_t *sessions;
   uint32_t entries;    /* Entries that share what all may use.  */
   follow_t *orders;    /* Tells how old the configuration is.  */
   gateway_counters_t counters;
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -151,6 +151,14 @@
   return share;
 }
 
+bool
+trial_keeps_old (const trial_t *trial, uint64_t now_ms)
+{
+  static const double half = 0.5;
+
+  return part_of (trial, now_ms) < half;
+}
+
 bool
 trial_assign (trial_t *trial, uint64_t key, uint64_t now_ms, bool held)
 {
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -86,6 +86,9 @@
 /* Share of the requests for the new version at NOW_MS of the store's clock.
    It does not grow while HELD (the store is away and evidence stays home).  */
 double trial_share (trial_t *trial, uint64_t now_ms, bool held);
+/* Tell whether sessions that are on the old version stay there: in the first
+   half of the order's time.  */
+bool trial_keeps_old (const trial_t *trial, uint64_t now_ms);
 /* Tell whether the session or request with hash KEY goes to the new version:
    a greater share only adds keys.  */
 bool trial_assign (trial_t *trial, uint64_t key, uint64_t now_ms, bool held);
--- a/packages/wire/call.c
+++ b/packages/wire/call.c
@@ -5,6 +5,7 @@
 #include "wire/picohttp.h"
 
 #include <stdlib.h>
+#include <sys/socket.h>
 
 enum
 {
@@ -217,6 +218,23 @@
   *buf = uv_buf_init (read_bytes, sizeof read_bytes);
 }
 
+/* Tell whether the connection was reset behind its end.  A reset that comes
+   before the end was read shows as an end like any other, and the socket
+   keeps the error: without this look the beginning of an answer that has no
+   length would pass for the whole.  */
+static bool
+was_reset (const call_t *call)
+{
+  uv_os_fd_t fd;
+  int error = 0;
+  socklen_t len = sizeof error;
+
+  if (uv_fileno ((const uv_handle_t *)&call->tcp, &fd) != 0
+      || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+    return true;
+  return error != 0;
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
@@ -228,7 +246,8 @@
     {
       /* Only a proper end of the connection ends an answer that has no
          length; a reset leaves it incomplete.  */
-      bool whole = got == UV_EOF && call->has_head && call->body == BODY_TO_END;
+      bool whole = got == UV_EOF && call->has_head && call->body == BODY_TO_END
+                   && !was_reset (call);
       finish (call, whole ? VH_OK : VH_E_UPSTREAM_CUT);
       return;
     }
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -274,6 +274,181 @@
 }
 END_TEST
 
+/* Callers that leave in the middle of a stream.  */
+
+enum
+{
+  LEAVERS = 400,
+  DRIPS_MAX = 256
+};
+
+typedef struct drips drips_t;
+
+typedef struct
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  uv_write_t write;
+  drips_t *all;
+  size_t reads_left;
+  bool reset;
+} leaver_t;
+
+struct drips
+{
+  uv_loop_t loop;
+  httpd_t *server;
+  uv_timer_t timer;
+  httpd_req_t *held[DRIPS_MAX];
+  size_t held_count;
+  size_t stopped;
+  size_t started;
+  size_t closed;
+  uint64_t seed;
+};
+
+typedef struct
+{
+  drips_t *all;
+  httpd_req_t *req;
+} drip_t;
+
+static void
+on_drip_stopped (void *arg)
+{
+  drip_t *drip = arg;
+  drips_t *all = drip->all;
+
+  all->stopped++;
+  for (size_t i = 0; i < all->held_count; i++)
+    if (all->held[i] == drip->req)
+      all->held[i--] = all->held[--all->held_count];
+  free (drip);
+}
+
+static void
+hold_drip (void *arg, httpd_req_t *req)
+{
+  drips_t *all = arg;
+  drip_t *drip = mem_zalloc (sizeof *drip);
+
+  drip->all = all;
+  drip->req = req;
+  all->held[all->held_count++] = req;
+  httpd_watch (req, NULL, on_drip_stopped, drip);
+  httpd_start (req, 200, NULL, 0);
+  httpd_send (req, STR ("first"), false);
+}
+
+static void
+on_leaver_closed (uv_handle_t *handle)
+{
+  leaver_t *leaver = handle->data;
+
+  leaver->all->closed++;
+  free (leaver);
+}
+
+static void
+on_leaver_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  static char bytes[4096];
+
+  (void)handle;
+  (void)size;
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+leave (leaver_t *leaver)
+{
+  if (uv_is_closing ((uv_handle_t *)&leaver->tcp))
+    return;
+  if (leaver->reset)
+    uv_tcp_close_reset (&leaver->tcp, on_leaver_closed);
+  else
+    uv_close ((uv_handle_t *)&leaver->tcp, on_leaver_closed);
+}
+
+static void
+on_leaver_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+  leaver_t *leaver = stream->data;
+
+  (void)buf;
+  if (got < 0 || leaver->reads_left-- == 0)
+    leave (leaver);
+}
+
+static void
+on_leaver_connected (uv_connect_t *connect, int status)
+{
+  static char text[] = "GET /drip HTTP/1.1\r\nhost: a\r\n\r\n";
+  leaver_t *leaver = connect->data;
+  uv_buf_t buf = uv_buf_init (text, sizeof text - 1);
+
+  ck_assert_int_eq (status, 0);
+  uv_write (&leaver->write, (uv_stream_t *)&leaver->tcp, &buf, 1, NULL);
+  uv_read_start ((uv_stream_t *)&leaver->tcp, on_leaver_alloc,
+                 on_leaver_read);
+}
+
+static void
+start_leaver (drips_t *all)
+{
+  struct sockaddr_in addr;
+  leaver_t *leaver = mem_zalloc (sizeof *leaver);
+
+  uv_ip4_addr ("127.0.0.1", httpd_port (all->server), &addr);
+  leaver->all = all;
+  all->seed = all->seed * 6364136223846793005u + 1442695040888963407u;
+  leaver->reads_left = (all->seed >> 33) % 8;
+  leaver->reset = (all->seed >> 40) % 2 == 0;
+  uv_tcp_init (&all->loop, &leaver->tcp);
+  leaver->tcp.data = leaver;
+  leaver->connect.data = leaver;
+  uv_tcp_connect (&leaver->connect, &leaver->tcp, (struct sockaddr *)&addr,
+                  on_leaver_connected);
+  all->started++;
+}
+
+static void
+on_drip_timer (uv_timer_t *timer)
+{
+  drips_t *all = timer->data;
+
+  for (size_t i = 0; i < all->held_count; i++)
+    httpd_send (all->held[i], STR ("drip"), false);
+  for (int i = 0; i < 4 && all->started < LEAVERS; i++)
+    start_leaver (all);
+}
+
+/* Callers leave in the middle of their streams, some with a reset, while more
+   of the stream is on its way to them: before its first piece, between two, in
+   the middle of a write.  Each departure is told once, and the process, which
+   used to end on an assertion when a write failed beside the cut, lives.  */
+START_TEST (callers_leave_in_mid_stream)
+{
+  const httpd_options_t options = { .body_limit = 1024 };
+  drips_t all = { .seed = 7 };
+
+  uv_loop_init (&all.loop);
+  ck_assert_int_eq (httpd_create (&all.loop, STR ("127.0.0.1:0"), &options,
+                                  hold_drip, &all, &all.server),
+                    VH_OK);
+  uv_timer_init (&all.loop, &all.timer);
+  all.timer.data = &all;
+  uv_timer_start (&all.timer, on_drip_timer, 1, 2);
+  while (all.closed < LEAVERS || all.held_count > 0)
+    uv_run (&all.loop, UV_RUN_ONCE);
+  ck_assert_uint_eq (all.stopped, LEAVERS);
+  uv_close ((uv_handle_t *)&all.timer, NULL);
+  httpd_destroy (all.server);
+  uv_run (&all.loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&all.loop), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -287,6 +462,7 @@
   tcase_add_test (tcase, cut_answer_is_seen);
   tcase_add_test (tcase, answer_cut_between_chunks_is_seen);
   tcase_add_test (tcase, departure_is_noticed);
+  tcase_add_test (tcase, callers_leave_in_mid_stream);
   tcase_add_test (tcase, silent_server_times_out);
   tcase_add_test (tcase, refused_connection_is_told_apart);
   suite_add_tcase (suite, tcase);
