gateway: roll-outs keep sessions and wait for evidence

Change: nothing moves in the first half of the order's time; steps stand in a shared row with the moment they hold from, advance only while the store answers; a decision is written until the row has one. The book of sessions is taken out again.

--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -82,8 +82,7 @@
   X ("extra-window-s", VALUE_DOUBLE, false, pub.extra_window_s, 1, 3600,      \
      NULL)                                                                    \
   X ("cold-factor", VALUE_DOUBLE, false, pub.cold_factor, 0.1, 100, NULL)     \
-  X ("cold-slack", VALUE_DOUBLE, false, pub.cold_slack, 0, 100000, NULL)      \
-  X ("session-s", VALUE_DOUBLE, false, pub.session_s, 0, 86400, NULL)
+  X ("cold-slack", VALUE_DOUBLE, false, pub.cold_slack, 0, 100000, NULL)
 
 /* Those of [sidecar] and [upstream NAME] alike.  */
 #define UPSTREAM_KEYS(X)                                                      \
@@ -307,7 +306,6 @@
   pub->extra_slack = 10;
   pub->extra_window_s = 10;
   pub->cold_factor = 1;
-  pub->session_s = 300;
 }
 
 /* Complain that SECTION, in LINE unless 0, has no use in this role.  */
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -129,7 +129,6 @@
   double extra_window_s;
   double cold_factor;        /* Over a cold instance's rate ...  */
   double cold_slack;         /* ... and more requests in a second.  */
-  double session_s;          /* Between two requests of one session.  */
   /* [sidecar], or [upstream NAME] of a standalone */
   upstream_settings_t *upstreams;
   size_t upstreams_count;
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -85,7 +85,6 @@
     .retry_window_ms = (uint64_t)(settings->extra_window_s * MS_PER_S),
     .cold_factor = settings->cold_factor,
     .cold_slack = settings->cold_slack,
-    .session_ms = (uint64_t)(settings->session_s * MS_PER_S),
   };
 
   options.drain_grace_ms = options.drain_bound_ms / 2 < GRACE_MS
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -27,9 +27,7 @@
   OWN_WAIT_MS = 8000,
   OWN_SLACK_MS = 1000,
   OWN_GAP_MS = 1000,
-  COMMIT_TIMEOUT_MS = 2000,
-  /* Writes of evidence while a roll-out runs.  */
-  EVIDENCE_TICKS = 2
+  COMMIT_TIMEOUT_MS = 2000
 };
 
 struct duties
@@ -39,7 +37,6 @@
   follow_t *instances;
   follow_t *own;
   uv_timer_t tick;
-  uint64_t ticks;
   bool own_read;       /* The shared rows were read once.  */
   bool instances_read;
   bool node_written;
@@ -226,34 +223,37 @@
   return kind;
 }
 
-/* A roll-out's shared row: ORDER START PHASE.  */
+/* A roll-out's shared row: ORDER START STEP FROM PHASE.  */
 static void
 take_rollout_row (duties_t *duties, str_t service, const rows_row_t *row)
 {
   trial_t *trial = map_get (duties->belief->trials, service);
   str_t rest = row->value;
-  uint64_t order;
-  uint64_t start;
+  uint64_t numbers[4];
 
   map_put (duties->rollout_rows, service, (void *)(uintptr_t)row->version);
-  if (trial == NULL || !str_to_u64 (str_cut (rest, ' ', &rest), &order)
-      || rest.ptr == NULL || !str_to_u64 (str_cut (rest, ' ', &rest), &start)
-      || rest.ptr == NULL || order != trial_order (trial))
+  for (size_t i = 0; i < 4; i++)
+    if (rest.ptr == NULL
+        || !str_to_u64 (str_cut (rest, ' ', &rest), &numbers[i]))
+      return;
+  if (trial == NULL || rest.ptr == NULL || numbers[0] != trial_order (trial))
     return;
-  trial_set_start (trial, start);
+  trial_set_progress (trial, numbers[1], (uint32_t)numbers[2], numbers[3]);
+  log_notice ("rollout",
+              "A step is written. service=%.*s version=%.*s step=%llu "
+              "from=%llu phase=%.*s",
+              STR_ARG (service), STR_ARG (trial_version (trial)),
+              (unsigned long long)numbers[2], (unsigned long long)numbers[3],
+              STR_ARG (rest));
   /* A decision made here and not yet written stays over `running'.  */
+  bool final = false;
   for (trial_phase_t phase = TRIAL_DONE; phase <= TRIAL_ROLLED_BACK; phase++)
-    {
-      str_t name = str_from (trial_phase_name (phase));
-      if (!str_eq (rest, name) || trial_phase (trial) == phase)
-        continue;
-      log_notice ("rollout",
-                  "Another entry decided. service=%.*s version=%.*s "
-                  "phase=%.*s",
-                  STR_ARG (service), STR_ARG (trial_version (trial)),
-                  STR_ARG (name));
-      trial_set_phase (trial, phase);
-    }
+    if (str_eq (rest, str_from (trial_phase_name (phase))))
+      {
+        trial_set_phase (trial, phase);
+        final = true;
+      }
+  trial_set_written (trial, final);
 }
 
 static void
@@ -360,11 +360,11 @@
     log_warning ("rollout", "A step could not be written. code=%d", (int)code);
 }
 
-/* Write the state of TRIAL for the entries and for the operators, in one
-   transaction and only over the row as it was seen.  */
+/* Write the state of TRIAL with STEP from FROM_MS on for the entries and for
+   the operators, in one transaction and only over the row as it was seen.  */
 static void
 write_rollout (duties_t *duties, str_t service, const trial_t *trial,
-               uint64_t start_ms)
+               uint64_t start_ms, uint32_t step, uint64_t from_ms)
 {
   static const rollout_state_t states[]
       = { ROLLOUT_RUNNING, ROLLOUT_DONE, ROLLOUT_TAKEN_BACK };
@@ -375,10 +375,14 @@
   buf_t status_key = BUF_NULL;
   buf_t status = BUF_NULL;
 
+  if (duties->commit_pending)
+    return;
   buf_append_str (&key, STR ("rollout/"));
   buf_append_str (&key, service);
-  buf_printf (&value, "%llu %llu %s", (unsigned long long)trial_order (trial),
-              (unsigned long long)start_ms, trial_phase_name (phase));
+  buf_printf (&value, "%llu %llu %u %llu %s",
+              (unsigned long long)trial_order (trial),
+              (unsigned long long)start_ms, step, (unsigned long long)from_ms,
+              trial_phase_name (phase));
   duties->belief->dialect->write_rollout_status (
       service, trial_version (trial), states[phase], &status_key, &status);
   writes[0].table = ROWS_OWN;
@@ -443,36 +447,62 @@
   return running;
 }
 
+/* Carry out what the evidence says of a running TRIAL.  */
 static void
-step_trial (duties_t *duties, str_t service, trial_t *trial)
+judge_trial (duties_t *duties, str_t service, trial_t *trial)
 {
-  belief_t *belief = duties->belief;
-  uint64_t now_ms = follow_store_ms (belief->orders);
+  uint64_t now_ms = follow_store_ms (duties->belief->orders);
+  bool alone = follow_down (duties->belief->orders);
   buf_t why = BUF_NULL;
+  trial_verdict_t verdict = trial_judge (trial, now_ms, alone, &why);
+
+  switch (verdict)
+    {
+    case TRIAL_WAIT:
+      break;
+    case TRIAL_ADVANCE:
+      write_rollout (duties, service, trial, trial_start (trial),
+                     trial_step (trial) + 1, now_ms + TRIAL_NOTICE_MS);
+      break;
+    case TRIAL_TAKE_BACK:
+    case TRIAL_FINISH:
+      trial_set_phase (trial, verdict == TRIAL_FINISH ? TRIAL_DONE
+                                                      : TRIAL_ROLLED_BACK);
+      log_notice ("rollout",
+                  "A roll-out ends. service=%.*s version=%.*s phase=%s "
+                  "why=\"%.*s\"",
+                  STR_ARG (service), STR_ARG (trial_version (trial)),
+                  trial_phase_name (trial_phase (trial)),
+                  STR_ARG (buf_str (&why)));
+      break;
+    }
+  buf_free (&why);
+}
 
-  if (trial_phase (trial) == TRIAL_RUNNING && trial_start (trial) != 0)
+static void
+step_trial (duties_t *duties, str_t service, trial_t *trial)
+{
+  uint64_t now_ms = follow_store_ms (duties->belief->orders);
+
+  if (trial_start (trial) == 0)
+    {
+      write_rollout (duties, service, trial, now_ms, 0, now_ms);
+      return;
+    }
+  if (trial_phase (trial) == TRIAL_RUNNING)
     {
       trial_fade (trial);
       trial_old_running (trial,
                          count_old (duties, service, trial_version (trial)));
-      trial_phase_t phase = trial_judge (trial, now_ms, &why);
-      if (phase != TRIAL_RUNNING)
-        {
-          log_notice ("rollout",
-                      "A roll-out ends. service=%.*s version=%.*s phase=%s "
-                      "why=\"%.*s\"",
-                      STR_ARG (service), STR_ARG (trial_version (trial)),
-                      trial_phase_name (phase), STR_ARG (buf_str (&why)));
-          trial_set_phase (trial, phase);
-          if (!duties->commit_pending)
-            write_rollout (duties, service, trial, trial_start (trial));
-        }
-      else if (trial_dirty (trial) && duties->ticks % EVIDENCE_TICKS == 0)
-        write_evidence (duties, service, trial);
+      judge_trial (duties, service, trial);
     }
-  else if (trial_start (trial) == 0 && !duties->commit_pending)
-    write_rollout (duties, service, trial, now_ms);
-  buf_free (&why);
+  /* A decision is written again until the shared row has it or another.  */
+  if (trial_phase (trial) != TRIAL_RUNNING && !trial_written (trial))
+    write_rollout (duties, service, trial, trial_start (trial),
+                   trial_step (trial), trial_from (trial));
+  else if (trial_phase (trial) == TRIAL_RUNNING && trial_step (trial) > 0
+           && trial_dirty (trial))
+    write_evidence (duties, service, trial);
 }
 
 static void
@@ -484,8 +514,6 @@
   str_t service;
   void *value;
 
-  duties->ticks++;
-  sessions_sweep (belief->sessions);
   if (belief->stopping_ms != 0 || !duties->own_read)
     return;
   if (!duties->node_written && !duties->node_pending)
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -187,7 +187,6 @@
   while (map_next (belief->allowances, &cursor, &key, &value))
     allowance_destroy (value);
   map_destroy (belief->allowances);
-  sessions_destroy (belief->sessions);
   catalog_unref (belief->catalog);
   metrics_destroy (belief->metrics);
 }
@@ -271,7 +270,6 @@
   belief->trials = map_create ();
   belief->allowances = map_create ();
   belief->entries = 1;
-  belief->sessions = sessions_create (clock, options->session_ms);
   belief->metrics = metrics_create ();
   list_init (&belief->relays);
   make_counters (belief);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -78,7 +78,6 @@
   uint64_t retry_window_ms;
   double cold_factor;
   double cold_slack;
-  uint64_t session_ms;       /* Between two requests of one session.  */
 } gateway_options_t;
 
 /* Start on LOOP.  ROWS and DIALECT outlive the gateway; strings of OPTIONS are
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -10,7 +10,6 @@
 #include "gateway/allowance.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
-#include "gateway/sessions.h"
 #include "gateway/trial.h"
 #include "wire/httpd.h"
 
@@ -47,7 +46,6 @@
   catalog_t *catalog;  /* NULL until one is known.  */
   map_t *trials;       /* Service to trial_t.  */
   map_t *allowances;   /* Service to allowance_t.  */
-  sessions_t *sessions;
   uint32_t entries;    /* Entries that share what all may use.  */
   follow_t *orders;    /* Tells how old the configuration is.  */
   gateway_counters_t counters;
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -72,7 +72,6 @@
   uint64_t due_ms; /* The last moment for an answer.  */
   uint64_t key;    /* Hash of the shared prompt parts; 0: none.  */
   uint64_t session;     /* Hash of the session, or of the attempt's id.  */
-  bool in_session;      /* Told to the book of sessions.  */
   uint32_t prompt; /* Tokens.  */
   bool may_repeat;
   size_t model;    /* Index into the route's models.  */
@@ -124,8 +123,6 @@
 static void
 relay_destroy (relay_t *relay)
 {
-  if (relay->in_session)
-    sessions_end (relay->belief->sessions, relay->session);
   list_remove (&relay->link);
   uv_close ((uv_handle_t *)&relay->timer, on_timer_closed);
 }
@@ -679,32 +676,11 @@
 static void
 arm_timer (relay_t *relay, uint64_t now_ms);
 
-/* The arm of a request while TRIAL runs.  A session stays with the version it
-   is on, but for the old one's sessions after the first half.  */
-static version_arm_t
-running_arm (const relay_t *relay, trial_t *trial)
-{
-  belief_t *belief = relay->belief;
-  uint64_t now_ms = follow_store_ms (belief->orders);
-  uint64_t last = sessions_version (belief->sessions, relay->session);
-
-  if (!pool_has (belief->pool, relay->service->name, ARM_NEW,
-                 trial_version (trial)))
-    return ARM_OLD;
-  if (last == sessions_hash (trial_version (trial)))
-    return ARM_NEW;
-  if (last != 0 && trial_keeps_old (trial, now_ms))
-    return ARM_OLD;
-  return trial_assign (trial, relay->session, now_ms,
-                       follow_down (belief->orders))
-             ? ARM_NEW
-             : ARM_OLD;
-}
-
 /* Which versions WANT may go to.  */
 static void
 choose_arm (const relay_t *relay, pool_want_t *want)
 {
+  belief_t *belief = relay->belief;
   trial_t *trial = relay_trial (relay);
 
   want->arm = ARM_ANY;
@@ -717,12 +693,16 @@
       want->arm = ARM_OLD;
       break;
     case TRIAL_DONE:
-      if (pool_has (relay->belief->pool, want->service, ARM_NEW,
-                    want->version))
+      if (pool_has (belief->pool, want->service, ARM_NEW, want->version))
         want->arm = ARM_NEW;
       break;
     case TRIAL_RUNNING:
-      want->arm = running_arm (relay, trial);
+      if (pool_has (belief->pool, want->service, ARM_NEW, want->version)
+          && trial_assign (trial, relay->session,
+                           follow_store_ms (belief->orders)))
+        want->arm = ARM_NEW;
+      else
+        want->arm = ARM_OLD;
       break;
     }
 }
@@ -765,11 +745,6 @@
                                        : RETRY_UNAVAILABLE_MS);
       return;
     }
-  if (relay->in_session)
-    sessions_end (belief->sessions, relay->session);
-  relay->in_session = true;
-  sessions_begin (belief->sessions, relay->session,
-                  upstream_version (relay->upstream));
   relay->prompt_left = relay->prompt;
   pool_started (belief->pool, relay->upstream, relay->prompt);
   relay->phase = PHASE_SENT;
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -7,12 +7,19 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-/* A version that is good is declared once nothing runs on the old one, not
-   before this part of the time, and at the second part in any case.  */
-static const double done_from = 0.66;
-static const double done_at_last = 0.92;
-/* New instances start slow; their waits count from this part on.  */
-static const double waits_from = 0.2;
+/* Part of the order's time after the last step at which the old version is
+   given up though requests still run there.  */
+static const double linger_part = 0.14;
+
+static const struct
+{
+  double share;
+  double part;
+} steps[] = {
+#define X(share, part) { share, part },
+  TRIAL_STEPS (X)
+#undef X
+};
 
 typedef struct
 {
@@ -27,8 +34,10 @@
   uint64_t order;
   uint64_t within_ms;
   uint64_t start_ms;
+  uint32_t step;
+  uint64_t from_ms; /* When STEP holds; the one before it until then.  */
   trial_phase_t phase;
-  double held_share;
+  bool written;
   evidence_t own;
   map_t *peers; /* Entry to evidence_t.  */
   bool dirty;
@@ -104,9 +113,24 @@
 }
 
 void
-trial_set_start (trial_t *trial, uint64_t start_ms)
+trial_set_written (trial_t *trial, bool written)
+{
+  trial->written = written;
+}
+
+bool
+trial_written (const trial_t *trial)
+{
+  return trial->written;
+}
+
+void
+trial_set_progress (trial_t *trial, uint64_t start_ms, uint32_t step,
+                    uint64_t from_ms)
 {
   trial->start_ms = start_ms;
+  trial->step = step < TRIAL_STEP_COUNT ? step : TRIAL_STEP_COUNT - 1;
+  trial->from_ms = from_ms;
 }
 
 uint64_t
@@ -115,54 +139,32 @@
   return trial->start_ms;
 }
 
-/* Part of the order's time that has passed.  */
-static double
-part_of (const trial_t *trial, uint64_t now_ms)
+uint32_t
+trial_step (const trial_t *trial)
 {
-  if (trial->start_ms == 0 || now_ms <= trial->start_ms
-      || trial->within_ms == 0)
-    return 0;
-  return (double)(now_ms - trial->start_ms) / (double)trial->within_ms;
+  return trial->step;
 }
 
-double
-trial_share (trial_t *trial, uint64_t now_ms, bool held)
-{
-  static const struct
-  {
-    double from;
-    double share;
-  } steps[] = {
-#define X(from, share) { from, share },
-    TRIAL_STEPS (X)
-#undef X
-  };
-  double part = part_of (trial, now_ms);
-  double share = 0;
-
-  if (trial->phase != TRIAL_RUNNING)
-    return trial->phase == TRIAL_DONE ? 1 : 0;
-  for (size_t i = 0; i < sizeof steps / sizeof steps[0]; i++)
-    if (part >= steps[i].from)
-      share = steps[i].share;
-  if (held && share > trial->held_share)
-    return trial->held_share;
-  trial->held_share = share;
-  return share;
+uint64_t
+trial_from (const trial_t *trial)
+{
+  return trial->from_ms;
 }
 
-bool
-trial_keeps_old (const trial_t *trial, uint64_t now_ms)
+double
+trial_share (const trial_t *trial, uint64_t now_ms)
 {
-  static const double half = 0.5;
-
-  return part_of (trial, now_ms) < half;
+  if (trial->phase != TRIAL_RUNNING)
+    return trial->phase == TRIAL_DONE ? 1 : 0;
+  if (trial->start_ms == 0 || trial->step == 0)
+    return 0;
+  return steps[now_ms >= trial->from_ms ? trial->step : trial->step - 1].share;
 }
 
 bool
-trial_assign (trial_t *trial, uint64_t key, uint64_t now_ms, bool held)
+trial_assign (const trial_t *trial, uint64_t key, uint64_t now_ms)
 {
-  return (double)(key >> 11) * 0x1.0p-53 < trial_share (trial, now_ms, held);
+  return (double)(key >> 11) * 0x1.0p-53 < trial_share (trial, now_ms);
 }
 
 void
@@ -351,34 +353,58 @@
          && mean_new - mean_old > log (TRIAL_SLOW) / 2 + TRIAL_SIGMAS * error;
 }
 
-trial_phase_t
-trial_judge (trial_t *trial, uint64_t now_ms, buf_t *why)
+/* Tell whether the evidence of one cell is against the new version.  */
+static bool
+is_bad (const trial_sums_t *old, const trial_sums_t *new, buf_t *why)
+{
+  if (fails_more (old, new))
+    {
+      buf_printf (why, "failed %.0f of %.0f, the old version %.0f of %.0f",
+                  new->failed, new->count, old->failed, old->count);
+      return true;
+    }
+  if (is_slower (old, new))
+    {
+      buf_printf (why,
+                  "first events in %.0f ms, the old version's in %.0f ms",
+                  exp (new->log_wait / new->waits),
+                  exp (old->log_wait / old->waits));
+      return true;
+    }
+  return false;
+}
+
+trial_verdict_t
+trial_judge (const trial_t *trial, uint64_t now_ms, bool alone, buf_t *why)
 {
   evidence_t all = gather (trial);
-  double part = part_of (trial, now_ms);
+  trial_sums_t sums[TRIAL_ARMS] = { 0 };
 
-  if (trial->phase != TRIAL_RUNNING)
-    return trial->phase;
+  if (trial->phase != TRIAL_RUNNING || trial->start_ms == 0)
+    return TRIAL_WAIT;
   for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
     {
-      const trial_sums_t *old = &all.sums[TRIAL_OLD][cell];
-      const trial_sums_t *new = &all.sums[TRIAL_NEW][cell];
-      if (fails_more (old, new))
-        {
-          buf_printf (why, "failed %.0f of %.0f, the old version %.0f of %.0f",
-                      new->failed, new->count, old->failed, old->count);
-          return TRIAL_ROLLED_BACK;
-        }
-      if (part >= waits_from && is_slower (old, new))
-        {
-          buf_printf (why, "first events in %.0f ms, the old version's in "
-                           "%.0f ms",
-                      exp (new->log_wait / new->waits),
-                      exp (old->log_wait / old->waits));
-          return TRIAL_ROLLED_BACK;
-        }
+      if (is_bad (&all.sums[TRIAL_OLD][cell], &all.sums[TRIAL_NEW][cell], why))
+        return TRIAL_TAKE_BACK;
+      for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
+        sums_add (&sums[arm], &all.sums[arm][cell]);
     }
-  if (part >= done_at_last || (part >= done_from && all.old_running == 0))
-    return TRIAL_DONE;
-  return TRIAL_RUNNING;
+  if (is_bad (&sums[TRIAL_OLD], &sums[TRIAL_NEW], why))
+    return TRIAL_TAKE_BACK;
+  double within_ms = (double)trial->within_ms;
+  double least_ms = steps[trial->step].part * within_ms;
+  /* The first move holds from the half on, and is written before it.  */
+  if (trial->step == 0)
+    least_ms -= TRIAL_NOTICE_MS;
+  if (least_ms < TRIAL_STEP_MS_MIN)
+    least_ms = TRIAL_STEP_MS_MIN;
+  double in_step_ms
+      = now_ms > trial->from_ms ? (double)(now_ms - trial->from_ms) : 0;
+  if (alone || in_step_ms < least_ms)
+    return TRIAL_WAIT;
+  if (trial->step + 1 < TRIAL_STEP_COUNT)
+    return TRIAL_ADVANCE;
+  return all.old_running == 0 || in_step_ms >= linger_part * within_ms
+             ? TRIAL_FINISH
+             : TRIAL_WAIT;
 }
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -4,10 +4,14 @@
    later or under load.  Without it a bad version reaches every caller before
    anybody looks.
 
-   - The share that the new version gets follows TRIAL_STEPS: parts of the
-     order's time, so that every entry knows it without being told.  Its area
-     up to the half of the time, a few percent of the requests, is what a bad
-     version may be shown at most; evidence ends it sooner.
+   - The share that the new version gets goes up TRIAL_STEPS.  Which step is
+     in force stands in a row that all entries share, with the moment of the
+     store's clock from which it holds, so that all take it at once.  Nothing
+     moves in the first half of the order's time: a session's requests come to
+     any entry, none knows which sessions are under way elsewhere, and in that
+     half these may not change their version.
+   - A step is left only while the store answers: an outage must not carry a
+     version to everybody while the evidence against it stays home.
    - Evidence is the answers of both versions in cells by route, shared by all
      entries and forgotten with a half-life of about 4 s, so that a version
      that turns bad late is not covered by its good start.
@@ -27,20 +31,27 @@
 /* Part of its evidence that a second leaves.  */
 #define TRIAL_KEEP_S 0.85
 
-/* X (part of the time from which it holds, share).  Half of the time is for
-   the evidence of a small share; the rest moves all sessions over and leaves a
-   seventh for what still runs on the old version.  */
+/* X (share, part of the order's time that the step lasts at least).  The
+   second gives a dozen answers at 40 requests a second and 24 s, the third as
+   many of each route; what is left after the last is for requests that still
+   run on the old version.  */
 #define TRIAL_STEPS(X)                                                        \
-  X (0.04, 0.05)                                                              \
-  X (0.30, 0.10)                                                              \
-  X (0.45, 0.25)                                                              \
-  X (0.52, 0.50)                                                              \
-  X (0.58, 1.00)
+  X (0.00, 0.50)                                                              \
+  X (0.08, 0.12)                                                              \
+  X (0.35, 0.06)                                                              \
+  X (1.00, 0.06)
 
 enum
 {
   TRIAL_CELLS = 4,
-  TRIAL_SAMPLES = 8
+  TRIAL_SAMPLES = 8,
+#define X(share, part) +1
+  TRIAL_STEP_COUNT = TRIAL_STEPS (X),
+#undef X
+  /* A step in force is read by all entries within a second of its writing,
+     and a second of answers must be judged before the next.  */
+  TRIAL_NOTICE_MS = 1500,
+  TRIAL_STEP_MS_MIN = 1500
 };
 
 typedef struct trial trial_t;
@@ -79,19 +90,24 @@
 trial_phase_t trial_phase (const trial_t *trial);
 const char *trial_phase_name (trial_phase_t phase);
 void trial_set_phase (trial_t *trial, trial_phase_t phase);
-/* When the order was first seen, by the store's clock; 0: not known.  */
-void trial_set_start (trial_t *trial, uint64_t start_ms);
+/* Whether the shared row bears a final phase.  */
+void trial_set_written (trial_t *trial, bool written);
+bool trial_written (const trial_t *trial);
+/* What the shared row says: when the order was first seen, the step, and from
+   when it holds, all by the store's clock.  */
+void trial_set_progress (trial_t *trial, uint64_t start_ms, uint32_t step,
+                         uint64_t from_ms);
+/* 0 while the row is not known.  */
 uint64_t trial_start (const trial_t *trial);
+uint32_t trial_step (const trial_t *trial);
+uint64_t trial_from (const trial_t *trial);
 
 /* Share of the requests for the new version at NOW_MS of the store's clock.
-   It does not grow while HELD (the store is away and evidence stays home).  */
-double trial_share (trial_t *trial, uint64_t now_ms, bool held);
-/* Tell whether sessions that are on the old version stay there: in the first
-   half of the order's time.  */
-bool trial_keeps_old (const trial_t *trial, uint64_t now_ms);
+ */
+double trial_share (const trial_t *trial, uint64_t now_ms);
 /* Tell whether the session or request with hash KEY goes to the new version:
    a greater share only adds keys.  */
-bool trial_assign (trial_t *trial, uint64_t key, uint64_t now_ms, bool held);
+bool trial_assign (const trial_t *trial, uint64_t key, uint64_t now_ms);
 
 /* Take in an answer on a route with hash ROUTE; WAIT_MS until its first event,
    0 when there was none.  */
@@ -108,7 +124,17 @@
 /* Tell whether anything was observed since the last write.  */
 bool trial_dirty (const trial_t *trial);
 
-/* Judge all evidence; WHY gets a sentence when the version is bad.  */
-trial_phase_t trial_judge (trial_t *trial, uint64_t now_ms, buf_t *why);
+typedef enum
+{
+  TRIAL_WAIT,      /* Nothing to do yet.  */
+  TRIAL_ADVANCE,   /* Take the next step.  */
+  TRIAL_TAKE_BACK, /* The version is bad.  */
+  TRIAL_FINISH     /* The old version may stop.  */
+} trial_verdict_t;
+
+/* Judge all evidence; WHY gets a sentence when the version is bad.  ALONE:
+   the store does not answer, so the evidence of others is not here.  */
+trial_verdict_t trial_judge (const trial_t *trial, uint64_t now_ms, bool alone,
+                             buf_t *why);
 
 #endif
