--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 PREFIX ?= /usr/local
 SOURCES = $(shell git ls-files -co --exclude-standard 'packages/*.[ch]' \
-  'tests/*.[ch]' 'bench/*.[ch]' 'examples/*.[ch]' | grep -v 'wire/proto')
+  'tests/*.[ch]' 'bench/*.[ch]' 'examples/*.[ch]' 'platform/*.[ch]' | grep -v 'wire/proto')
 
 .PHONY: all deps build asan demo demo-rollout check bench bench-slopes format \
   format-check lint docs-check leaks install clean help
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -120,15 +120,15 @@
   double retry_share;   /* Retries earned by each request.  */
   uint32_t retry_burst; /* Retries that a quiet pool may spend at once.  */
   /* [gateway]; LISTEN is shared with [entry] */
-  str_t ready;               /* Asked by the balancer, HOST:PORT.  */
-  double kill_after_s;       /* A stop is ended by force after this.  */
-  uint64_t confirm_ms;       /* Longest age of the configuration's keys.  */
-  uint64_t lapse_ms;         /* Use of registrations lapsed in an outage.  */
-  double extra_ratio;        /* Extra sends for each request.  */
-  double extra_slack;        /* Extra sends in a window besides.  */
+  str_t ready;         /* Asked by the balancer, HOST:PORT.  */
+  double kill_after_s; /* A stop is ended by force after this.  */
+  uint64_t confirm_ms; /* Longest age of the configuration's keys.  */
+  uint64_t lapse_ms;   /* Use of registrations lapsed in an outage.  */
+  double extra_ratio;  /* Extra sends for each request.  */
+  double extra_slack;  /* Extra sends in a window besides.  */
   double extra_window_s;
-  double cold_factor;        /* Over a cold instance's rate ...  */
-  double cold_slack;         /* ... and more requests in a second.  */
+  double cold_factor; /* Over a cold instance's rate ...  */
+  double cold_slack;  /* ... and more requests in a second.  */
   /* [sidecar], or [upstream NAME] of a standalone */
   upstream_settings_t *upstreams;
   size_t upstreams_count;
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -45,12 +45,14 @@
   (void)number;
   vh_code_t code = settings_load (running->path, &settings, &errors);
   if (code == VH_OK)
-    log_notice ("gateway", "The settings file was read again; its changes "
-                           "hold from the next start. file=%s",
+    log_notice ("gateway",
+                "The settings file was read again; its changes "
+                "hold from the next start. file=%s",
                 running->path);
   else
-    log_err ("gateway", "The settings file is not valid and is left out. "
-                        "file=%s code=%d",
+    log_err ("gateway",
+             "The settings file is not valid and is left out. "
+             "file=%s code=%d",
              running->path, (int)code);
   conf_errors_free (&errors);
   settings_destroy (settings);
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -37,14 +37,14 @@
   follow_t *instances;
   follow_t *own;
   uv_timer_t tick;
-  bool own_read;       /* The shared rows were read once.  */
+  bool own_read; /* The shared rows were read once.  */
   bool instances_read;
   bool node_written;
   bool node_pending;
-  map_t *nodes;          /* Names of listed entries.  */
-  uint64_t returned_ms;  /* When the store came back, monotonic.  */
-  bool commit_pending;   /* Of a roll-out's row.  */
-  map_t *rollout_rows;   /* Service to the version of its shared row.  */
+  map_t *nodes;         /* Names of listed entries.  */
+  uint64_t returned_ms; /* When the store came back, monotonic.  */
+  bool commit_pending;  /* Of a roll-out's row.  */
+  map_t *rollout_rows;  /* Service to the version of its shared row.  */
 };
 
 static void drop_trial (belief_t *belief, str_t service);
@@ -69,7 +69,8 @@
       catalog_unref (catalog);
       return;
     }
-  log_notice ("config", "A configuration is in force. revision=%llu before=%llu",
+  log_notice ("config",
+              "A configuration is in force. revision=%llu before=%llu",
               (unsigned long long)catalog_revision (catalog),
               (unsigned long long)(belief->catalog != NULL
                                        ? catalog_revision (belief->catalog)
@@ -389,8 +390,7 @@
   writes[0].key = buf_str (&key);
   writes[0].value = buf_str (&value);
   writes[0].conditional = true;
-  writes[0].expected
-      = (uintptr_t)map_get (duties->rollout_rows, service);
+  writes[0].expected = (uintptr_t)map_get (duties->rollout_rows, service);
   writes[1].table = ROWS_STATUS;
   writes[1].key = buf_str (&status_key);
   writes[1].value = buf_str (&status);
@@ -529,11 +529,10 @@
 static void
 on_orders_caught_up (void *arg, bool full)
 {
-  static const follow_options_t instances
-      = { .table = ROWS_INSTANCES,
-          .name = "instances",
-          .wait_ms = INSTANCES_WAIT_MS,
-          .slack_ms = INSTANCES_SLACK_MS };
+  static const follow_options_t instances = { .table = ROWS_INSTANCES,
+                                              .name = "instances",
+                                              .wait_ms = INSTANCES_WAIT_MS,
+                                              .slack_ms = INSTANCES_SLACK_MS };
   static const follow_options_t own = { .table = ROWS_OWN,
                                         .name = "own",
                                         .wait_ms = OWN_WAIT_MS,
@@ -553,9 +552,9 @@
   duties->own
       = follow_create (belief->loop, belief->clock, duties->rows,
                        rng_u64 (&belief->rng), &own, &own_events, duties);
-  duties->instances = follow_create (belief->loop, belief->clock,
-                                     duties->rows, rng_u64 (&belief->rng),
-                                     &instances, &instance_events, duties);
+  duties->instances = follow_create (belief->loop, belief->clock, duties->rows,
+                                     rng_u64 (&belief->rng), &instances,
+                                     &instance_events, duties);
 }
 
 duties_t *
--- a/packages/gateway/events.c
+++ b/packages/gateway/events.c
@@ -31,8 +31,8 @@
     {
       str_t line = str_cut (event, '\n', &event);
       if (str_starts (line, STR ("id:")))
-        found = str_to_u64 (
-            str_trim (str_make (line.ptr + 3, line.len - 3)), id);
+        found = str_to_u64 (str_trim (str_make (line.ptr + 3, line.len - 3)),
+                            id);
     }
   return found;
 }
@@ -66,8 +66,7 @@
   buf_append_str (&events->rest, bytes);
   for (;;)
     {
-      str_t left
-          = str_make (events->rest.ptr + at, events->rest.len - at);
+      str_t left = str_make (events->rest.ptr + at, events->rest.len - at);
       size_t len = event_length (left);
       if (len == 0 || code != VH_OK)
         break;
--- a/packages/gateway/follow.c
+++ b/packages/gateway/follow.c
@@ -135,7 +135,6 @@
   follow->store_ms = result->now_ms;
   follow->store_seen_ms = clock_boot_ms (follow->clock);
   follow->retry_ms = RETRY_FIRST_MS;
-  set_down (follow, false, VH_OK);
 }
 
 static void
@@ -207,6 +206,8 @@
       step_after (follow, rng_jitter (&follow->rng, RETRY_LAST_MS));
       return;
     }
+  /* Before the rows: what an outage means for them must be known.  */
+  set_down (follow, false, VH_OK);
   if (follow->reading)
     take_read (follow, result);
   else
@@ -226,10 +227,9 @@
       /* After a failure the wait is none, so that the state is confirmed at
          once rather than after a whole wait.  */
       uint64_t wait_ms = follow->down ? 0 : follow->options.wait_ms;
-      follow->rows->ops->watch (follow->rows, follow->options.table,
-                                follow->version, wait_ms,
-                                wait_ms + follow->options.slack_ms, on_result,
-                                follow);
+      follow->rows->ops->watch (
+          follow->rows, follow->options.table, follow->version, wait_ms,
+          wait_ms + follow->options.slack_ms, on_result, follow);
     }
 }
 
@@ -276,8 +276,9 @@
 uint64_t
 follow_age_ms (const follow_t *follow)
 {
-  return !follow->confirmed ? UINT64_MAX
-                                   : clock_boot_ms (follow->clock) - follow->confirmed_ms;
+  return !follow->confirmed
+             ? UINT64_MAX
+             : clock_boot_ms (follow->clock) - follow->confirmed_ms;
 }
 
 bool
@@ -291,5 +292,6 @@
 {
   return follow->store_ms == 0
              ? 0
-             : follow->store_ms + (clock_boot_ms (follow->clock) - follow->store_seen_ms);
+             : follow->store_ms
+                   + (clock_boot_ms (follow->clock) - follow->store_seen_ms);
 }
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -36,10 +36,10 @@
 belief_allowance (belief_t *belief, str_t service)
 {
   allowance_t *allowance = map_get (belief->allowances, service);
-  allowance_options_t options = { .ratio = belief->options.retry_ratio,
-                                  .slack = belief->options.retry_slack,
-                                  .window_ms
-                                  = belief->options.retry_window_ms };
+  allowance_options_t options
+      = { .ratio = belief->options.retry_ratio,
+          .slack = belief->options.retry_slack,
+          .window_ms = belief->options.retry_window_ms };
 
   if (allowance != NULL)
     return allowance;
@@ -127,8 +127,8 @@
 copy_options (gateway_t *gateway, const gateway_options_t *options)
 {
   gateway_options_t *own = &gateway->belief.options;
-  str_t *texts[] = { &own->name, &own->zone, &own->listen, &own->ready,
-                     &own->admin };
+  str_t *texts[]
+      = { &own->name, &own->zone, &own->listen, &own->ready, &own->admin };
 
   *own = *options;
   for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
@@ -242,6 +242,18 @@
   uv_timer_start (&gateway->watch, on_watch, WATCH_MS, WATCH_MS);
 }
 
+uint16_t
+gateway_port (const gateway_t *gateway)
+{
+  return httpd_port (gateway->front);
+}
+
+uint16_t
+gateway_ready_port (const gateway_t *gateway)
+{
+  return httpd_port (gateway->ready);
+}
+
 bool
 gateway_over (const gateway_t *gateway)
 {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -67,14 +67,14 @@
   str_t ready;  /* The balancer, HOST:PORT.  */
   str_t admin;  /* Metrics, HOST:PORT; empty: none.  */
   uint64_t seed;
-  uint64_t drain_grace_ms;   /* Take new requests on while a stop is noticed. */
-  uint64_t drain_bound_ms;   /* Longest planned stop.  */
-  uint64_t confirm_ms;       /* Age of the configuration past which a key may
-                                have been taken away unseen.  */
-  uint64_t lapse_ms;         /* Registrations that lapsed with the store stay
-                                usable for so long after its return.  */
-  double retry_ratio;        /* Extra sends for each request, of all.  */
-  double retry_slack;        /* Extra sends in a window besides.  */
+  uint64_t drain_grace_ms; /* Take new requests on while a stop is noticed. */
+  uint64_t drain_bound_ms; /* Longest planned stop.  */
+  uint64_t confirm_ms;     /* Age of the configuration past which a key may
+                              have been taken away unseen.  */
+  uint64_t lapse_ms;       /* Registrations that lapsed with the store stay
+                              usable for so long after its return.  */
+  double retry_ratio;      /* Extra sends for each request, of all.  */
+  double retry_slack;      /* Extra sends in a window besides.  */
   uint64_t retry_window_ms;
   double cold_factor;
   double cold_slack;
@@ -85,6 +85,9 @@
 vh_code_t gateway_create (uv_loop_t *loop, clock_iface_t *clock, rows_t *rows,
                           const gateway_dialect_t *dialect,
                           const gateway_options_t *options, gateway_t **out);
+/* Ports listened on, where the options gave 0.  */
+uint16_t gateway_port (const gateway_t *gateway);
+uint16_t gateway_ready_port (const gateway_t *gateway);
 /* Begin the planned stop; a second call changes nothing.  */
 void gateway_stop (gateway_t *gateway);
 /* Tell whether a planned stop has ended.  */
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -43,11 +43,11 @@
   gateway_options_t options;
   rng_t rng;
   pool_t *pool;
-  catalog_t *catalog;  /* NULL until one is known.  */
-  map_t *trials;       /* Service to trial_t.  */
-  map_t *allowances;   /* Service to allowance_t.  */
-  uint32_t entries;    /* Entries that share what all may use.  */
-  follow_t *orders;    /* Tells how old the configuration is.  */
+  catalog_t *catalog; /* NULL until one is known.  */
+  map_t *trials;      /* Service to trial_t.  */
+  map_t *allowances;  /* Service to allowance_t.  */
+  uint32_t entries;   /* Entries that share what all may use.  */
+  follow_t *orders;   /* Tells how old the configuration is.  */
   gateway_counters_t counters;
   metrics_t *metrics;
   list_t relays;
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -30,9 +30,9 @@
   uint64_t out_till;
   uint64_t out_ms; /* Length of the last time out.  */
   unsigned failures;
-  uint32_t running;     /* Of this entry.  */
-  uint64_t prompts;     /* Tokens of this entry not yet read.  */
-  double others;        /* Running or waiting there, not from here.  */
+  uint32_t running; /* Of this entry.  */
+  uint64_t prompts; /* Tokens of this entry not yet read.  */
+  double others;    /* Running or waiting there, not from here.  */
   uint64_t reported_ms;
   uint64_t sends[POOL_RATE_MAX]; /* Times of the last ones, a ring.  */
   size_t send_at;
@@ -218,15 +218,14 @@
 
 /* Tell whether UPSTREAM had fewer sends in the last window than it may.  */
 static bool
-rate_allows (const pool_t *pool, const upstream_t *upstream,
-             double cold_per_s, uint64_t now_ms)
+rate_allows (const pool_t *pool, const upstream_t *upstream, double cold_per_s,
+             uint64_t now_ms)
 {
   if (cold_per_s <= 0)
     return true;
   uint32_t share = rate_share (pool, upstream, cold_per_s, now_ms);
-  uint64_t oldest
-      = upstream->sends[(upstream->send_at + POOL_RATE_MAX - share)
-                        % POOL_RATE_MAX];
+  uint64_t oldest = upstream->sends[(upstream->send_at + POOL_RATE_MAX - share)
+                                    % POOL_RATE_MAX];
   return oldest == 0 || now_ms - oldest >= POOL_RATE_WINDOW_MS;
 }
 
@@ -433,8 +432,8 @@
     }
   else if (outcome == SEND_FAILED && ++upstream->failures >= POOL_FAILURES)
     {
-      upstream->out_ms = upstream->out_ms == 0 ? POOL_OUT_FIRST_MS
-                                               : upstream->out_ms * 2;
+      upstream->out_ms
+          = upstream->out_ms == 0 ? POOL_OUT_FIRST_MS : upstream->out_ms * 2;
       if (upstream->out_ms > POOL_OUT_LAST_MS)
         upstream->out_ms = POOL_OUT_LAST_MS;
       upstream->out_till = now_ms + upstream->out_ms;
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -69,12 +69,12 @@
   const team_t *team;
   char *attempt_id;
   uint64_t arrived_ms;
-  uint64_t due_ms; /* The last moment for an answer.  */
-  uint64_t key;    /* Hash of the shared prompt parts; 0: none.  */
-  uint64_t session;     /* Hash of the session, or of the attempt's id.  */
-  uint32_t prompt; /* Tokens.  */
+  uint64_t due_ms;  /* The last moment for an answer.  */
+  uint64_t key;     /* Hash of the shared prompt parts; 0: none.  */
+  uint64_t session; /* Hash of the session, or of the attempt's id.  */
+  uint32_t prompt;  /* Tokens.  */
   bool may_repeat;
-  size_t model;    /* Index into the route's models.  */
+  size_t model; /* Index into the route's models.  */
   uv_timer_t timer;
   /* The present send.  */
   call_t *call;
@@ -100,6 +100,8 @@
   buf_t head; /* Pairs of NAME NUL VALUE NUL.  */
   buf_t body;
   bool paused;
+  bool shed;          /* The last upstream said that it did not run it.  */
+  bool new_failed;    /* A version under trial failed this request.  */
   const char *reason; /* Of the last failure, for the log.  */
 } relay_t;
 
@@ -133,6 +135,16 @@
   return map_get (relay->belief->trials, relay->service->name);
 }
 
+/* Tell whether the present send is to a version under trial.  */
+static bool
+is_on_trial (const relay_t *relay)
+{
+  const trial_t *trial = relay_trial (relay);
+
+  return trial != NULL && trial_phase (trial) == TRIAL_RUNNING
+         && str_eq (upstream_version (relay->upstream), trial_version (trial));
+}
+
 /* Tell the trial of the service what became of the present send.  */
 static void
 tell_trial (relay_t *relay, send_outcome_t outcome)
@@ -142,11 +154,9 @@
   if (trial == NULL || trial_phase (trial) != TRIAL_RUNNING
       || (outcome != SEND_OK && outcome != SEND_FAILED))
     return;
-  bool is_new
-      = str_eq (upstream_version (relay->upstream), trial_version (trial));
   uint64_t wait_ms
       = relay->phase == PHASE_ANSWERING ? relay->head_ms - relay->sent_ms : 0;
-  trial_observe (trial, is_new ? TRIAL_NEW : TRIAL_OLD,
+  trial_observe (trial, is_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD,
                  str_hash (relay->route->name, 0), outcome == SEND_FAILED,
                  wait_ms);
 }
@@ -276,12 +286,19 @@
 static bool
 is_hop_header (str_t name)
 {
-  static const char *const names[]
-      = { "connection",       "keep-alive",        "proxy-connection",
-          "proxy-authenticate", "proxy-authorization", "te",
-          "trailer",          "transfer-encoding", "upgrade",
-          "content-length",   "expect",            "date",
-          "server" };
+  static const char *const names[] = { "connection",
+                                       "keep-alive",
+                                       "proxy-connection",
+                                       "proxy-authenticate",
+                                       "proxy-authorization",
+                                       "te",
+                                       "trailer",
+                                       "transfer-encoding",
+                                       "upgrade",
+                                       "content-length",
+                                       "expect",
+                                       "date",
+                                       "server" };
 
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
     if (str_eq_nocase (name, str_from (names[i])))
@@ -329,6 +346,8 @@
   if (ran)
     relay->runs++;
   remember_tried (relay);
+  relay->shed = !ran;
+  relay->new_failed = relay->new_failed || (ran && is_on_trial (relay));
   end_send (relay, ran ? SEND_FAILED : SEND_REFUSED);
   relay->head.len = 0;
   relay->body.len = 0;
@@ -392,9 +411,9 @@
   uint64_t cold_ms;
   size_t count = 0;
 
-  while (load.ptr != NULL && count < 3
-         && str_to_u64 (str_trim (str_cut (load, ',', &load)),
-                        &numbers[count]))
+  while (
+      load.ptr != NULL && count < 3
+      && str_to_u64 (str_trim (str_cut (load, ',', &load)), &numbers[count]))
     count++;
   if (count == 3)
     pool_load (relay->belief->pool, relay->upstream, (uint32_t)numbers[0],
@@ -433,8 +452,7 @@
   if (relay->started || relay->route->model_count == 0
       || relay->model + 1 >= relay->route->model_count || text.ptr == NULL
       || !str_to_u64 (text, &confidence) || confidence >= CONFIDENCE_MIN
-      || relay->runs + 1 >= relay->route->attempts_max
-      || !take_extra (relay))
+      || relay->runs + 1 >= relay->route->attempts_max || !take_extra (relay))
     return false;
   counter_add (relay->belief->counters.escalations, 1);
   relay->runs++;
@@ -464,8 +482,8 @@
     }
   relay->is_ok = head->status < 300;
   if (!relay->is_ok && head->status >= 500 && may_send_again (relay)
-      && allowance_left (belief_allowance (relay->belief,
-                                           relay->service->name))
+      && allowance_left (
+             belief_allowance (relay->belief, relay->service->name))
              >= 1)
     {
       send_failed (relay, "upstream-error", true);
@@ -501,8 +519,7 @@
     {
       if (relay->prompt_left > 0)
         {
-          pool_first (relay->belief->pool, relay->upstream,
-                      relay->prompt_left,
+          pool_first (relay->belief->pool, relay->upstream, relay->prompt_left,
                       relay->last_ms - relay->sent_ms);
           relay->prompt_left = 0;
         }
@@ -554,16 +571,15 @@
                        RETRY_UNAVAILABLE_MS);
       return;
     }
-  if (code == VH_OK && relay->started
-      && !events_at_border (&relay->events))
+  if (code == VH_OK && relay->started && !events_at_border (&relay->events))
     code = VH_E_UPSTREAM_CUT;
   if (code != VH_OK)
     {
       send_failed (relay, code == VH_E_PROTOCOL ? "garbled" : "cut", true);
       return;
     }
-  end_send (relay, relay->is_ok || relay->status < 500 ? SEND_OK
-                                                       : SEND_FAILED);
+  end_send (relay,
+            relay->is_ok || relay->status < 500 ? SEND_OK : SEND_FAILED);
   if (!relay->started)
     {
       pass_whole (relay);
@@ -599,13 +615,12 @@
 static bool
 is_own_header (const header_names_t *names, str_t name)
 {
-  const str_t own[] = { names->deadline_ms, names->model,
-                        names->team,        names->expect_instance,
-                        names->expect_version, names->urgency,
-                        names->reservation, names->pin_ms,
-                        names->kv_backup,   names->kv_source,
-                        names->kv_fetch,    names->not_run,
-                        STR ("authorization"), STR ("host") };
+  const str_t own[]
+      = { names->deadline_ms,     names->model,          names->team,
+          names->expect_instance, names->expect_version, names->urgency,
+          names->reservation,     names->pin_ms,         names->kv_backup,
+          names->kv_source,       names->kv_fetch,       names->not_run,
+          STR ("authorization"),  STR ("host") };
 
   for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
     if (str_eq_nocase (name, own[i]))
@@ -650,8 +665,7 @@
     {
       if (is_hop_header (header.name) || is_own_header (names, header.name)
           || is_listed (connection, header.name)
-          || (resumes
-              && str_eq_nocase (header.name, STR ("last-event-id"))))
+          || (resumes && str_eq_nocase (header.name, STR ("last-event-id"))))
         continue;
       append_header (out, header.name, header.value);
     }
@@ -673,8 +687,7 @@
 }
 
 /* Arm the timer for the next moment at which something is due.  */
-static void
-arm_timer (relay_t *relay, uint64_t now_ms);
+static void arm_timer (relay_t *relay, uint64_t now_ms);
 
 /* Which versions WANT may go to.  */
 static void
@@ -697,7 +710,8 @@
         want->arm = ARM_NEW;
       break;
     case TRIAL_RUNNING:
-      if (pool_has (belief->pool, want->service, ARM_NEW, want->version)
+      if (!relay->new_failed
+          && pool_has (belief->pool, want->service, ARM_NEW, want->version)
           && trial_assign (trial, relay->session,
                            follow_store_ms (belief->orders)))
         want->arm = ARM_NEW;
@@ -714,13 +728,12 @@
   static const call_events_t events = { on_head, on_body, on_end };
   belief_t *belief = relay->belief;
   uint64_t now_ms = clock_ms (belief->clock);
-  pool_want_t want = { .service = relay->service->name,
-                       .cold_per_s = relay->service->cold_per_s,
-                       .key = relay->key != 0
-                                  ? relay->key ^ (relay->model + 1)
-                                  : 0,
-                       .tried = relay->tried,
-                       .tried_count = relay->tried_count };
+  pool_want_t want
+      = { .service = relay->service->name,
+          .cold_per_s = relay->service->cold_per_s,
+          .key = relay->key != 0 ? relay->key ^ (relay->model + 1) : 0,
+          .tried = relay->tried,
+          .tried_count = relay->tried_count };
   buf_t request = BUF_NULL;
 
   if (now_ms + RETURN_MS >= relay->due_ms)
@@ -732,17 +745,22 @@
   vh_code_t code = pool_choose (belief->pool, &want, &relay->upstream);
   if (code == VH_E_NO_UPSTREAM && relay->tried_count > 0)
     {
-      /* All were tried: once more to any of them.  */
+      /* All were tried.  One that was full still is, and each refused send is
+         load on it; one that failed may do better.  */
+      if (relay->shed)
+        {
+          relay->upstream = NULL;
+          relay_give_up (relay, VH_E_FULL, relay->reason, RETRY_FULL_MS);
+          return;
+        }
       want.tried_count = 0;
       code = pool_choose (belief->pool, &want, &relay->upstream);
     }
   if (code != VH_OK)
     {
       relay->upstream = NULL;
-      relay_give_up (relay, code,
-                     code == VH_E_FULL ? "full" : "no-upstream",
-                     code == VH_E_FULL ? RETRY_FULL_MS
-                                       : RETRY_UNAVAILABLE_MS);
+      relay_give_up (relay, code, code == VH_E_FULL ? "full" : "no-upstream",
+                     code == VH_E_FULL ? RETRY_FULL_MS : RETRY_UNAVAILABLE_MS);
       return;
     }
   relay->prompt_left = relay->prompt;
@@ -806,8 +824,8 @@
     }
   if (now_ms >= silence_due (relay))
     {
-      bool allowed = allowance_left (belief_allowance (
-                         relay->belief, relay->service->name))
+      bool allowed = allowance_left (belief_allowance (relay->belief,
+                                                       relay->service->name))
                      >= 1;
       if (allowed)
         {
@@ -923,10 +941,10 @@
       while (point >= route->splits[at].weight)
         point -= route->splits[at++].weight;
     }
-  relay->service = route->split_count > 0
-                       ? catalog_service (relay->catalog,
-                                          route->splits[at].service)
-                       : NULL;
+  relay->service
+      = route->split_count > 0
+            ? catalog_service (relay->catalog, route->splits[at].service)
+            : NULL;
 }
 
 /* Read the numbers of the request.  Return VH_OK or VH_E_BAD_HEADER.  */
@@ -965,9 +983,9 @@
       relay->events.has_last = true;
       relay->events.last_id = given;
     }
-  relay->may_repeat = relay->route->kind == ROUTE_IDEMPOTENT
-                      || (relay->route->kind == ROUTE_STREAM
-                          && relay->route->resumable);
+  relay->may_repeat
+      = relay->route->kind == ROUTE_IDEMPOTENT
+        || (relay->route->kind == ROUTE_STREAM && relay->route->resumable);
   return VH_OK;
 }
 
@@ -975,8 +993,7 @@
 refuse (relay_t *relay, vh_code_t code)
 {
   const code_info_t *info = code_info (code);
-  uint64_t retry_ms
-      = info->http_status == 503 ? RETRY_UNAVAILABLE_MS : 0;
+  uint64_t retry_ms = info->http_status == 503 ? RETRY_UNAVAILABLE_MS : 0;
 
   relay_reply (relay, info->http_status, code, info->type, retry_ms);
 }
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -16,7 +16,7 @@
   double share;
   double part;
 } steps[] = {
-#define X(share, part) { share, part },
+#define X(symbol, share, part) { share, part },
   TRIAL_STEPS (X)
 #undef X
 };
@@ -44,8 +44,7 @@
 };
 
 trial_t *
-trial_create (str_t service, str_t version, uint64_t order,
-              uint64_t within_ms)
+trial_create (str_t service, str_t version, uint64_t order, uint64_t within_ms)
 {
   trial_t *trial = mem_zalloc (sizeof *trial);
 
@@ -156,7 +155,7 @@
 {
   if (trial->phase != TRIAL_RUNNING)
     return trial->phase == TRIAL_DONE ? 1 : 0;
-  if (trial->start_ms == 0 || trial->step == 0)
+  if (trial->start_ms == 0 || trial->step == TRIAL_STEP_HELD)
     return 0;
   return steps[now_ms >= trial->from_ms ? trial->step : trial->step - 1].share;
 }
@@ -332,8 +331,8 @@
   double p_old = (old->failed + 1) / (old->count + 20);
   double pooled
       = (new->failed + old->failed + 1) / (new->count + old->count + 2);
-  double error = sqrt (pooled * (1 - pooled)
-                       * (1 / new->count + 1 / (old->count + 1)));
+  double error
+      = sqrt (pooled * (1 - pooled) * (1 / new->count + 1 / (old->count + 1)));
   return p_new - p_old > TRIAL_HARM && p_new - p_old > TRIAL_SIGMAS * error;
 }
 
@@ -345,7 +344,7 @@
     return false;
   double mean_new = new->log_wait / new->waits;
   double mean_old = old->log_wait / old->waits;
-  double var_new = new->log_wait_squared / new->waits - mean_new * mean_new;
+  double var_new = new->log_wait_squared / new->waits - mean_new *mean_new;
   double var_old = old->log_wait_squared / old->waits - mean_old * mean_old;
   double error = sqrt (fmax (var_new, 0.05) / new->waits
                        + fmax (var_old, 0.05) / old->waits);
@@ -365,8 +364,7 @@
     }
   if (is_slower (old, new))
     {
-      buf_printf (why,
-                  "first events in %.0f ms, the old version's in %.0f ms",
+      buf_printf (why, "first events in %.0f ms, the old version's in %.0f ms",
                   exp (new->log_wait / new->waits),
                   exp (old->log_wait / old->waits));
       return true;
@@ -394,7 +392,7 @@
   double within_ms = (double)trial->within_ms;
   double least_ms = steps[trial->step].part * within_ms;
   /* The first move holds from the half on, and is written before it.  */
-  if (trial->step == 0)
+  if (trial->step == TRIAL_STEP_HELD)
     least_ms -= TRIAL_NOTICE_MS;
   if (least_ms < TRIAL_STEP_MS_MIN)
     least_ms = TRIAL_STEP_MS_MIN;
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -31,23 +31,28 @@
 /* Part of its evidence that a second leaves.  */
 #define TRIAL_KEEP_S 0.85
 
-/* X (share, part of the order's time that the step lasts at least).  The
-   second gives a dozen answers at 40 requests a second and 24 s, the third as
-   many of each route; what is left after the last is for requests that still
-   run on the old version.  */
+/* X (symbol, share, part of the order's time that the step lasts at least).
+   The second gives a dozen answers at 40 requests a second and 24 s, the third
+   as many of each route; what is left after the last is for requests that
+   still run on the old version.  */
 #define TRIAL_STEPS(X)                                                        \
-  X (0.00, 0.50)                                                              \
-  X (0.08, 0.12)                                                              \
-  X (0.35, 0.06)                                                              \
-  X (1.00, 0.06)
+  X (TRIAL_STEP_HELD, 0.00, 0.50)                                             \
+  X (TRIAL_STEP_FIRST, 0.08, 0.12)                                            \
+  X (TRIAL_STEP_WIDER, 0.35, 0.06)                                            \
+  X (TRIAL_STEP_ALL, 1.00, 0.06)
+
+typedef enum
+{
+#define X(symbol, share, part) symbol,
+  TRIAL_STEPS (X)
+#undef X
+      TRIAL_STEP_COUNT
+} trial_step_t;
 
 enum
 {
   TRIAL_CELLS = 4,
   TRIAL_SAMPLES = 8,
-#define X(share, part) +1
-  TRIAL_STEP_COUNT = TRIAL_STEPS (X),
-#undef X
   /* A step in force is read by all entries within a second of its writing,
      and a second of answers must be judged before the next.  */
   TRIAL_NOTICE_MS = 1500,
--- /dev/null
+++ b/tests/test_dialect.c
@@ -0,0 +1,186 @@
+/* What the platform writes, read; and what it reads, written.  */
+
+#include "platform/platform.h"
+#include "suite.h"
+
+static const char config[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r1\",\"hostname\":\"h.example\","
+      "\"prefix\":\"/a/\",\"kind\":\"stream\",\"timeoutMs\":25000,"
+      "\"targetLatencyMs\":3000,\"priority\":1,\"sizes\":[\"s\",\"l\"],"
+      "\"trafficSplit\":[{\"service\":\"x\",\"weight\":90},{\"service\":\"y\","
+      "\"weight\":10}],\"maxAttempts\":3,\"public\":false,\"resumable\":true,"
+      "\"gapAimMs\":1000},{\"name\":\"r2\",\"hostname\":\"h.example\","
+      "\"prefix\":\"/b/\",\"kind\":\"non_idempotent\",\"timeoutMs\":1000,"
+      "\"service\":\"y\",\"maxAttempts\":1,\"public\":true}],"
+      "\"services\":[{\"name\":\"x\",\"healthPath\":\"/health\",\"coldS\":3.0,"
+      "\"coldPerS\":14.0,\"engine\":{\"kvCapacity\":100,\"models\":[{\"name\":"
+      "\"s\",\"cost\":0.014}]}},{\"name\":\"y\",\"coldS\":0.0,\"coldPerS\":0}]"
+      ","
+      "\"limits\":{\"idleTimeoutMs\":15000},\"tenants\":[{\"name\":\"t\","
+      "\"apiKeys\":[\"k1\",\"k2\"],\"priority\":2}],\"unheardOf\":1}";
+
+START_TEST (a_configuration_is_read_whole)
+{
+  catalog_t *catalog;
+
+  ck_assert_int_eq (
+      platform_dialect ()->read_catalog (str_from (config), &catalog), VH_OK);
+  ck_assert_uint_eq (catalog_revision (catalog), 7);
+  const route_t *route
+      = catalog_route (catalog, STR ("h.example"), STR ("/a/1"));
+  ck_assert_int_eq (route->kind, ROUTE_STREAM);
+  ck_assert_uint_eq (route->timeout_ms, 25000);
+  ck_assert_uint_eq (route->objective_ms, 3000);
+  ck_assert_uint_eq (route->pause_ms, 1000);
+  ck_assert_uint_eq (route->attempts_max, 3);
+  ck_assert_uint_eq (route->model_count, 2);
+  ck_assert (str_eq (route->models[1], STR ("l")));
+  ck_assert_uint_eq (route->split_count, 2);
+  ck_assert_uint_eq (route->splits[0].weight, 90);
+  ck_assert (route->resumable && !route->is_public);
+  route = catalog_route (catalog, STR ("h.example"), STR ("/b/"));
+  ck_assert_int_eq (route->kind, ROUTE_ONCE);
+  ck_assert (route->is_public);
+  ck_assert (str_eq (route->splits[0].service, STR ("y")));
+  const service_t *service = catalog_service (catalog, STR ("x"));
+  ck_assert (service->is_engine);
+  ck_assert_double_eq (service->cold_per_s, 14);
+  ck_assert_double_eq (service->models[0].cost, 0.014);
+  ck_assert (!catalog_service (catalog, STR ("y"))->is_engine);
+  ck_assert_uint_eq (catalog_limits (catalog)->idle_ms, 15000);
+  const team_t *team = catalog_team (catalog, STR ("k2"));
+  ck_assert (str_eq (team->name, STR ("t")));
+  ck_assert_uint_eq (team->priority, 2);
+  catalog_unref (catalog);
+}
+END_TEST
+
+START_TEST (a_spoiled_configuration_is_refused)
+{
+  static const char *const cases[] = {
+    "",
+    "[]",
+    "{\"version\":\"7\"}",
+    "{\"version\":7,\"routes\":[{\"name\":\"r\"}]}",
+    "{\"version\":7,\"routes\":[{\"prefix\":\"/\",\"kind\":\"new\","
+    "\"service\":\"x\"}]}",
+    "{\"version\":7,\"services\":[3]}",
+    "{\"version\":7,\"tenants\":[{\"apiKeys\":[\"k\"]}]}",
+  };
+  catalog_t *catalog;
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      ck_assert_msg (
+          platform_dialect ()->read_catalog (str_from (cases[i]), &catalog)
+              != VH_OK,
+          "case %zu", i);
+      ck_assert_ptr_null (catalog);
+    }
+}
+END_TEST
+
+START_TEST (a_registration_is_read)
+{
+  const gateway_dialect_t *dialect = platform_dialect ();
+  upstream_info_t info;
+  void *holder;
+
+  ck_assert_int_eq (
+      dialect->read_instance (
+          STR ("i-1"),
+          STR ("{\"service\":\"x\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+               "\"version\":\"v1\",\"slotCount\":128,\"state\":\"ready\","
+               "\"coldLeftMs\":3000,\"sequence\":4,\"born\":99}"),
+          &info, &holder),
+      VH_OK);
+  ck_assert (str_eq (info.id, STR ("i-1")));
+  ck_assert (str_eq (info.address, STR ("10.0.0.1:80")));
+  ck_assert_uint_eq (info.slots, 128);
+  ck_assert_uint_eq (info.cold_ms, 3000);
+  ck_assert_uint_eq (info.born, 99);
+  ck_assert (!info.draining);
+  dialect->free_holder (holder);
+}
+END_TEST
+
+/* Rows by another writer: fields missing or of another type, a state that is
+   not known, bytes that are no JSON.  They name no upstream.  */
+START_TEST (a_spoiled_registration_is_refused)
+{
+  static const char *const cases[] = {
+    "",
+    "\xff\xfe",
+    "[]",
+    "{\"service\":\"x\",\"address\":\"a:1\",\"zone\":\"z\",\"version\":\"v\","
+    "\"slotCount\":1,\"state\":\"asleep\"}",
+    "{\"service\":3,\"address\":\"a:1\",\"zone\":\"z\",\"version\":\"v\","
+    "\"slotCount\":1,\"state\":\"ready\"}",
+    "{\"service\":\"x\",\"zone\":\"z\",\"version\":\"v\",\"slotCount\":1,"
+    "\"state\":\"ready\"}",
+    "{\"service\":\"x\",\"address\":\"a:1\",\"zone\":\"z\",\"version\":\"v\","
+    "\"slotCount\":\"1\",\"state\":\"ready\"}",
+  };
+  upstream_info_t info;
+  void *holder;
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    ck_assert_msg (platform_dialect ()->read_instance (
+                       STR ("i"), str_from (cases[i]), &info, &holder)
+                       != VH_OK,
+                   "case %zu", i);
+}
+END_TEST
+
+START_TEST (orders_are_told_apart)
+{
+  const gateway_dialect_t *dialect = platform_dialect ();
+  rollout_order_t order;
+  buf_t key = BUF_NULL;
+  buf_t value = BUF_NULL;
+  void *holder;
+  str_t name;
+
+  ck_assert_int_eq (dialect->order_kind (STR ("config"), &name),
+                    ORDER_CATALOG);
+  ck_assert_int_eq (dialect->order_kind (STR ("rollout/x"), &name),
+                    ORDER_ROLLOUT);
+  ck_assert (str_eq (name, STR ("x")));
+  ck_assert_int_eq (dialect->order_kind (STR ("evacuate/z"), &name),
+                    ORDER_ZONE_OUT);
+  ck_assert (str_eq (name, STR ("z")));
+  ck_assert_int_eq (dialect->order_kind (STR ("other"), &name), ORDER_NONE);
+  ck_assert_int_eq (
+      dialect->read_rollout (
+          STR ("{\"service\":\"x\",\"to\":\"v2\",\"withinS\":12}"), &order,
+          &holder),
+      VH_OK);
+  ck_assert_uint_eq (order.within_ms, 12000);
+  dialect->free_holder (holder);
+  ck_assert_int_ne (
+      dialect->read_rollout (STR ("{\"service\":\"x\"}"), &order, &holder),
+      VH_OK);
+  dialect->write_rollout_status (STR ("x"), STR ("v2"), ROLLOUT_TAKEN_BACK,
+                                 &key, &value);
+  ck_assert (str_eq (buf_str (&key), STR ("rollout/x")));
+  ck_assert (str_eq (buf_str (&value), STR ("{\"service\":\"x\",\"to\":\"v2\","
+                                            "\"state\":\"rolled_back\"}")));
+  buf_free (&key);
+  buf_free (&value);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("dialect");
+  TCase *tcase = tcase_create ("dialect");
+
+  tcase_add_test (tcase, a_configuration_is_read_whole);
+  tcase_add_test (tcase, a_spoiled_configuration_is_refused);
+  tcase_add_test (tcase, a_registration_is_read);
+  tcase_add_test (tcase, a_spoiled_registration_is_refused);
+  tcase_add_test (tcase, orders_are_told_apart);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -389,8 +389,7 @@
 
   ck_assert_int_eq (status, 0);
   uv_write (&leaver->write, (uv_stream_t *)&leaver->tcp, &buf, 1, NULL);
-  uv_read_start ((uv_stream_t *)&leaver->tcp, on_leaver_alloc,
-                 on_leaver_read);
+  uv_read_start ((uv_stream_t *)&leaver->tcp, on_leaver_alloc, on_leaver_read);
 }
 
 static void
--- /dev/null
+++ b/tests/test_pool.c
@@ -0,0 +1,237 @@
+/* Which instance gets a request: hot subjects, cold instances, failures.  */
+
+#include "gateway/pool.h"
+#include "suite.h"
+
+#include <stdio.h>
+
+enum
+{
+  INSTANCES = 6
+};
+
+typedef struct
+{
+  clock_iface_t *clock;
+  pool_t *pool;
+  pool_want_t want;
+} fixture_t;
+
+static void
+put (fixture_t *f, int index, const char *version, const char *zone,
+     uint64_t cold_ms)
+{
+  char id[16];
+
+  snprintf (id, sizeof id, "i-%d", index);
+  const upstream_info_t info = { .id = str_from (id),
+                                 .service = STR ("llm"),
+                                 .address = STR ("127.0.0.1:1"),
+                                 .zone = str_from (zone),
+                                 .version = str_from (version),
+                                 .slots = 64,
+                                 .cold_ms = cold_ms };
+  pool_put (f->pool, &info);
+}
+
+static void
+setup (fixture_t *f, int instances)
+{
+  const pool_options_t options
+      = { .zone = STR ("a"), .cold_factor = 1.5, .cold_slack = 5 };
+
+  f->clock = clock_manual_create (0);
+  clock_manual_advance_us (f->clock, 10000000);
+  f->pool = pool_create (f->clock, 1, &options);
+  f->want = (pool_want_t){ .service = STR ("llm") };
+  for (int i = 0; i < instances; i++)
+    put (f, i, "v1", "a", 0);
+}
+
+static void
+teardown (fixture_t *f)
+{
+  pool_destroy (f->pool);
+  clock_manual_destroy (f->clock);
+}
+
+static upstream_t *
+choose (fixture_t *f)
+{
+  upstream_t *upstream = NULL;
+
+  ck_assert_int_eq (pool_choose (f->pool, &f->want, &upstream), VH_OK);
+  return upstream;
+}
+
+/* The same subject comes to the same instance at any entry, and a subject that
+   becomes hot gets further ones before its first is full.  */
+START_TEST (a_subject_has_a_home_until_it_is_hot)
+{
+  fixture_t f;
+  fixture_t other;
+  upstream_t *used[INSTANCES] = { NULL };
+  size_t count = 0;
+
+  setup (&f, INSTANCES);
+  setup (&other, INSTANCES);
+  f.want.key = other.want.key = 12345;
+  upstream_t *home = choose (&f);
+  ck_assert (str_eq (upstream_id (home), upstream_id (choose (&other))));
+  for (int i = 0; i < 60; i++)
+    {
+      upstream_t *next = choose (&f);
+      bool known = false;
+      pool_started (f.pool, next, 0);
+      for (size_t j = 0; j < count; j++)
+        known = known || used[j] == next;
+      if (!known)
+        used[count++] = next;
+    }
+  ck_assert_uint_gt (count, 2);
+  for (size_t i = 0; i < count; i++)
+    ck_assert_uint_lt (upstream_running (used[i]), 40);
+  teardown (&f);
+  teardown (&other);
+}
+END_TEST
+
+/* A cold instance falls over at a rate that a warm one bears.  Entries that
+   cannot ask each other stay under its bound together.  */
+START_TEST (a_cold_instance_gets_its_share_of_requests)
+{
+  fixture_t f;
+  upstream_t *upstream;
+  int sent = 0;
+
+  setup (&f, 0);
+  put (&f, 0, "v1", "a", 5000);
+  pool_set_entries (f.pool, 6);
+  f.want.cold_per_s = 14;
+  while (pool_choose (f.pool, &f.want, &upstream) == VH_OK)
+    {
+      pool_started (f.pool, upstream, 0);
+      sent++;
+    }
+  ck_assert_int_ge (sent, 1);
+  ck_assert_int_le (sent * 6, 14 + 5);
+  clock_manual_advance_us (f.clock, 1000000);
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &upstream), VH_OK);
+  teardown (&f);
+}
+END_TEST
+
+/* One instance fails every request: after a few it gets none for a while, then
+   one to try.  When all fail, all stay in use.  */
+START_TEST (a_failing_instance_is_left_alone)
+{
+  fixture_t f;
+  upstream_t *bad = NULL;
+
+  setup (&f, 2);
+  for (int i = 0; i < 40; i++)
+    {
+      upstream_t *next = choose (&f);
+      if (bad == NULL)
+        bad = next;
+      pool_started (f.pool, next, 0);
+      pool_finished (f.pool, next, 0, next == bad ? SEND_FAILED : SEND_OK);
+    }
+  for (int i = 0; i < 20; i++)
+    ck_assert_ptr_ne (choose (&f), bad);
+  for (int i = 0; i < 4; i++)
+    {
+      upstream_t *good = choose (&f);
+      pool_started (f.pool, good, 0);
+      pool_finished (f.pool, good, 0, SEND_FAILED);
+    }
+  choose (&f);
+  teardown (&f);
+}
+END_TEST
+
+START_TEST (versions_zones_and_tried_ones_are_told_apart)
+{
+  fixture_t f;
+  upstream_t *upstream;
+
+  setup (&f, 1);
+  put (&f, 1, "v2", "b", 0);
+  f.want.version = STR ("v2");
+  f.want.arm = ARM_NEW;
+  ck_assert (str_eq (upstream_id (choose (&f)), STR ("i-1")));
+  f.want.arm = ARM_OLD;
+  ck_assert (str_eq (upstream_id (choose (&f)), STR ("i-0")));
+  pool_zone_out (f.pool, STR ("a"), true);
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &upstream),
+                    VH_E_NO_UPSTREAM);
+  f.want.arm = ARM_ANY;
+  upstream_t *only = choose (&f);
+  const upstream_t *tried[] = { only };
+  f.want.tried = tried;
+  f.want.tried_count = 1;
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &upstream),
+                    VH_E_NO_UPSTREAM);
+  pool_zone_out (f.pool, STR ("a"), false);
+  ck_assert (str_eq (upstream_id (choose (&f)), STR ("i-0")));
+  teardown (&f);
+}
+END_TEST
+
+/* An instance is removed while requests run there: they keep it, new ones do
+   not get it.  A lapsed one is usable for the time given.  */
+START_TEST (a_removed_instance_ends_its_requests)
+{
+  fixture_t f;
+  upstream_t *upstream;
+
+  setup (&f, 1);
+  upstream_t *running = choose (&f);
+  pool_started (f.pool, running, 100);
+  pool_remove (f.pool, STR ("i-0"), 2000);
+  ck_assert_ptr_eq (choose (&f), running);
+  clock_manual_advance_us (f.clock, 2000000);
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &upstream),
+                    VH_E_NO_UPSTREAM);
+  ck_assert (str_eq (upstream_id (running), STR ("i-0")));
+  pool_finished (f.pool, running, 100, SEND_OK);
+  teardown (&f);
+}
+END_TEST
+
+/* A long prompt is being read at one instance: short requests go elsewhere,
+   where no prefill delays their tokens.  */
+START_TEST (long_prompts_keep_others_away)
+{
+  fixture_t f;
+
+  setup (&f, 2);
+  upstream_t *busy = choose (&f);
+  pool_started (f.pool, busy, 12000);
+  for (int i = 0; i < 8; i++)
+    {
+      upstream_t *next = choose (&f);
+      ck_assert_ptr_ne (next, busy);
+      pool_started (f.pool, next, 200);
+    }
+  pool_first (f.pool, busy, 12000, 100);
+  ck_assert_ptr_eq (choose (&f), busy);
+  teardown (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("pool");
+  TCase *tcase = tcase_create ("pool");
+
+  tcase_add_test (tcase, a_subject_has_a_home_until_it_is_hot);
+  tcase_add_test (tcase, a_cold_instance_gets_its_share_of_requests);
+  tcase_add_test (tcase, a_failing_instance_is_left_alone);
+  tcase_add_test (tcase, versions_zones_and_tried_ones_are_told_apart);
+  tcase_add_test (tcase, a_removed_instance_ends_its_requests);
+  tcase_add_test (tcase, long_prompts_keep_others_away);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/test_trial.c
@@ -0,0 +1,201 @@
+/* Roll-outs of good and bad versions, with a seeded stream of answers.  */
+
+#include "gateway/trial.h"
+#include "suite.h"
+
+#include "base/rng.h"
+
+enum
+{
+  WITHIN_MS = 24000,
+  START_MS = 100000,
+  TICK_MS = 100,
+  PER_TICK = 8 /* Requests: 80 a second.  */
+};
+
+typedef struct
+{
+  double fails;      /* Share of the new version's answers that fail.  */
+  uint64_t slow;     /* Times the old version's wait.  */
+  uint64_t bad_from; /* Milliseconds after the order.  */
+  uint64_t outage_from;
+  uint64_t outage_till;
+  int bad_route; /* Only this one of four; -1: all.  */
+} version_t;
+
+typedef struct
+{
+  trial_phase_t phase;
+  uint64_t end_ms; /* After the order.  */
+  unsigned shown;
+  unsigned asked;
+  double share_at_half;
+} outcome_t;
+
+/* Play one roll-out of VERSION with answers drawn from SEED.  */
+static outcome_t
+play (const version_t *version, uint64_t seed)
+{
+  trial_t *trial = trial_create (STR ("llm"), STR ("v2"), 1, WITHIN_MS);
+  rng_t rng = rng_make (seed);
+  outcome_t outcome = { 0 };
+  buf_t why = BUF_NULL;
+
+  trial_set_progress (trial, START_MS, 0, START_MS);
+  for (uint64_t ms = 0; ms < 2 * WITHIN_MS; ms += TICK_MS)
+    {
+      uint64_t now_ms = START_MS + ms;
+      bool away = ms >= version->outage_from && ms < version->outage_till;
+      for (int i = 0; i < PER_TICK; i++)
+        {
+          uint64_t route = rng_below (&rng, TRIAL_CELLS);
+          bool is_new = trial_assign (trial, rng_u64 (&rng), now_ms);
+          bool is_bad = is_new && ms >= version->bad_from
+                        && (version->bad_route < 0
+                            || version->bad_route == (int)route);
+          double fails = is_bad ? version->fails : 0.01;
+          uint64_t wait_ms = 50 + rng_below (&rng, 300);
+          outcome.asked++;
+          outcome.shown += is_new;
+          trial_observe (trial, is_new ? TRIAL_NEW : TRIAL_OLD, route,
+                         rng_double (&rng) < fails,
+                         is_bad ? wait_ms * version->slow : wait_ms);
+        }
+      if (ms == WITHIN_MS / 2 - TICK_MS)
+        outcome.share_at_half = trial_share (trial, now_ms);
+      if (ms % 1000 != 0)
+        continue;
+      trial_fade (trial);
+      switch (trial_judge (trial, now_ms, away, &why))
+        {
+        case TRIAL_WAIT:
+          break;
+        case TRIAL_ADVANCE:
+          trial_set_progress (trial, START_MS, trial_step (trial) + 1,
+                              now_ms + TRIAL_NOTICE_MS);
+          break;
+        case TRIAL_TAKE_BACK:
+          outcome.phase = TRIAL_ROLLED_BACK;
+          outcome.end_ms = ms;
+          goto over;
+        case TRIAL_FINISH:
+          outcome.phase = TRIAL_DONE;
+          outcome.end_ms = ms;
+          goto over;
+        }
+    }
+over:
+  buf_free (&why);
+  trial_destroy (trial);
+  return outcome;
+}
+
+START_TEST (a_good_version_is_declared_in_time)
+{
+  const version_t good = { .fails = 0.01, .slow = 1, .bad_route = -1 };
+  int taken_back = 0;
+
+  for (uint64_t seed = 1; seed <= 200; seed++)
+    {
+      outcome_t outcome = play (&good, seed);
+      ck_assert_double_eq (outcome.share_at_half, 0);
+      if (outcome.phase == TRIAL_ROLLED_BACK)
+        taken_back++;
+      else
+        ck_assert_uint_le (outcome.end_ms, WITHIN_MS);
+    }
+  /* One in a hundred would be two.  */
+  ck_assert_int_le (taken_back, 4);
+}
+END_TEST
+
+/* A bad version, in each of the ways that it can be bad, reaches a small part
+   of the callers and is taken back.  */
+START_TEST (a_bad_version_is_taken_back)
+{
+  static const version_t bad[] = {
+    { .fails = 0.5, .slow = 1, .bad_route = -1 },
+    { .fails = 0.4, .slow = 1, .bad_route = -1, .bad_from = 15000 },
+    { .fails = 0.5, .slow = 1, .bad_route = 2 },
+    { .fails = 0.01, .slow = 8, .bad_route = -1 },
+    { .fails = 0.5, .slow = 1, .bad_route = -1, .bad_from = 18500 },
+  };
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    for (uint64_t seed = 1; seed <= 50; seed++)
+      {
+        outcome_t outcome = play (&bad[i], seed);
+        ck_assert_msg (outcome.phase == TRIAL_ROLLED_BACK,
+                       "version %zu seed %d", i, (int)seed);
+        ck_assert_msg (outcome.shown < 0.15 * 80 * 24 + 30,
+                       "version %zu seed %d shown %u", i, (int)seed,
+                       outcome.shown);
+      }
+}
+END_TEST
+
+/* The store is away when the steps are due, and evidence stays where it was
+   made: no step is taken until it is back, and then one after the other.  */
+START_TEST (an_outage_holds_the_steps)
+{
+  const version_t bad = { .fails = 0.5,
+                          .slow = 1,
+                          .bad_route = -1,
+                          .outage_from = 9000,
+                          .outage_till = 23000 };
+  const version_t good = { .fails = 0.01,
+                           .slow = 1,
+                           .bad_route = -1,
+                           .outage_from = 9000,
+                           .outage_till = 23000 };
+  outcome_t outcome = play (&bad, 1);
+
+  ck_assert_int_eq (outcome.phase, TRIAL_ROLLED_BACK);
+  ck_assert_uint_lt (outcome.shown, 100);
+  outcome = play (&good, 1);
+  ck_assert_int_eq (outcome.phase, TRIAL_DONE);
+  ck_assert_uint_gt (outcome.end_ms, 23000 + 3 * TRIAL_STEP_MS_MIN);
+}
+END_TEST
+
+/* What one entry writes another one reads, and judges as its own.  */
+START_TEST (evidence_travels)
+{
+  trial_t *one = trial_create (STR ("llm"), STR ("v2"), 7, WITHIN_MS);
+  trial_t *other = trial_create (STR ("llm"), STR ("v2"), 7, WITHIN_MS);
+  buf_t text = BUF_NULL;
+  buf_t why = BUF_NULL;
+
+  trial_set_progress (other, START_MS, 1, START_MS);
+  for (int i = 0; i < 40; i++)
+    {
+      trial_observe (one, TRIAL_OLD, 1, false, 100);
+      trial_observe (one, TRIAL_NEW, 1, i % 2 == 0, 100);
+    }
+  ck_assert_int_eq (trial_judge (other, START_MS, false, &why), TRIAL_WAIT);
+  trial_write (one, &text);
+  ck_assert_int_eq (trial_merge (other, STR ("one"), buf_str (&text)), VH_OK);
+  ck_assert_int_eq (trial_judge (other, START_MS, true, &why),
+                    TRIAL_TAKE_BACK);
+  ck_assert_int_eq (trial_merge (other, STR ("one"), STR ("7 x")),
+                    VH_E_PROTOCOL);
+  buf_free (&text);
+  buf_free (&why);
+  trial_destroy (one);
+  trial_destroy (other);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("trial");
+  TCase *tcase = tcase_create ("trial");
+
+  tcase_add_test (tcase, a_good_version_is_declared_in_time);
+  tcase_add_test (tcase, a_bad_version_is_taken_back);
+  tcase_add_test (tcase, an_outage_holds_the_steps);
+  tcase_add_test (tcase, evidence_travels);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/tests/wire.cmake
+++ b/tests/wire.cmake
@@ -1,2 +1,3 @@
 vh_test (test_http DEPENDS vh_wire)
 vh_test (test_rpc DEPENDS vh_wire)
+vh_test (test_call DEPENDS vh_wire)
