gateway: one entry of a zone reads the store for the others

Change: share.c stands before the store with the same calls; the first entry of a zone by rank asks the store, the others ask it over ONC RPC (new procedure WIRE_ROWS) and the store itself where it does not answer. Answers bear the age of the confirmation.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -34,6 +34,7 @@
 {
   belief_t *belief;
   rows_t *rows;
+  share_t *share;
   follow_t *instances;
   follow_t *own;
   uv_timer_t tick;
@@ -273,7 +274,13 @@
                    field_number (FIELD_CODE, VH_E_PROTOCOL));
     }
   else if (str_eq (kind, STR ("entry")) && rest.len > 0)
-    map_put (duties->nodes, rest, duties);
+    {
+      str_t address;
+      str_t zone = str_cut (row->value, ' ', &address);
+      map_put (duties->nodes, rest, duties);
+      if (duties->share != NULL && address.ptr != NULL)
+        share_put (duties->share, rest, zone, address);
+    }
 }
 
 static void
@@ -283,7 +290,11 @@
   str_t rest;
 
   if (str_eq (key_kind (key, &rest), STR ("entry")))
-    map_remove (duties->nodes, rest);
+    {
+      map_remove (duties->nodes, rest);
+      if (duties->share != NULL)
+        share_remove (duties->share, rest);
+    }
 }
 
 static void
@@ -329,21 +340,26 @@
     log_event (EVENT_ENTRY_WRITE, field_number (FIELD_CODE, code));
 }
 
-/* Tell the others that there is one more to share with.  */
+/* Tell the others that there is one more to share with, or one less.  */
 static void
-write_node (duties_t *duties)
+write_node (duties_t *duties, bool leaves)
 {
   buf_t key = BUF_NULL;
+  buf_t value = BUF_NULL;
 
   buf_append_str (&key, STR ("entry/"));
   buf_append_str (&key, duties->belief->options.name);
+  buf_printf (&value, "%.*s %.*s", STR_ARG (duties->belief->options.zone),
+              STR_ARG (duties->belief->options.rpc));
   rows_write_t write = { .table = ROWS_OWN,
                          .key = buf_str (&key),
-                         .value = duties->belief->options.zone };
+                         .value = buf_str (&value),
+                         .remove = leaves };
   duties->node_pending = true;
   duties->rows->ops->commit (duties->rows, &write, 1, COMMIT_TIMEOUT_MS,
                              on_node_written, duties);
   buf_free (&key);
+  buf_free (&value);
 }
 
 static void
@@ -512,7 +528,7 @@
   if (belief->stopping_ms != 0 || !duties->own_read)
     return;
   if (!duties->node_written && !duties->node_pending)
-    write_node (duties);
+    write_node (duties, false);
   while (map_next (belief->trials, &cursor, &service, &value))
     step_trial (duties, service, value);
 }
@@ -553,7 +569,7 @@
 }
 
 duties_t *
-duties_create (belief_t *belief, rows_t *rows)
+duties_create (belief_t *belief, rows_t *rows, share_t *share)
 {
   static const follow_options_t orders = { .table = ROWS_ORDERS,
                                            .name = "orders",
@@ -565,6 +581,7 @@
 
   duties->belief = belief;
   duties->rows = rows;
+  duties->share = share;
   duties->rollout_rows = map_create ();
   duties->nodes = map_create ();
   belief->orders
@@ -583,6 +600,15 @@
   return duties->own_read && duties->instances_read;
 }
 
+void
+duties_stop (duties_t *duties)
+{
+  if (duties->share != NULL)
+    share_leave (duties->share);
+  if (duties->node_written)
+    write_node (duties, true);
+}
+
 static void
 on_tick_closed (uv_handle_t *handle)
 {
--- a/packages/gateway/follow.c
+++ b/packages/gateway/follow.c
@@ -131,7 +131,8 @@
 confirm (follow_t *follow, const rows_result_t *result, uint64_t sent_ms)
 {
   follow->confirmed = true;
-  follow->confirmed_ms = sent_ms;
+  follow->confirmed_ms
+      = sent_ms > result->age_ms ? sent_ms - result->age_ms : 0;
   follow->store_ms = result->now_ms;
   follow->store_seen_ms = clock_boot_ms (follow->clock);
   follow->retry_ms = RETRY_FIRST_MS;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -26,11 +26,12 @@
   httpd_t *front;
   httpd_t *ready;
   httpd_t *admin;
+  share_t *share; /* NULL: each entry asks the store.  */
   duties_t *duties;
   uv_timer_t watch;
   bool over;
   size_t cut;
-  char *texts[5]; /* Copies of the options' strings.  */
+  char *texts[6]; /* Copies of the options' strings.  */
 };
 
 allowance_t *
@@ -191,8 +192,8 @@
 copy_options (gateway_t *gateway, const gateway_options_t *options)
 {
   gateway_options_t *own = &gateway->belief.options;
-  str_t *texts[]
-      = { &own->name, &own->zone, &own->listen, &own->ready, &own->admin };
+  str_t *texts[] = { &own->name,  &own->zone,  &own->listen,
+                     &own->ready, &own->admin, &own->rpc };
 
   *own = *options;
   for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
@@ -225,6 +226,28 @@
   return code;
 }
 
+/* Put the sharing with other entries before *ROWS.  */
+static vh_code_t
+start_sharing (gateway_t *gateway, rows_t **rows)
+{
+  belief_t *belief = &gateway->belief;
+  const share_options_t options
+      = { .name = belief->options.name,
+          .zone = belief->options.zone,
+          .listen = belief->options.rpc,
+          .keys = belief->options.rpc_keys,
+          .key_count = belief->options.rpc_key_count };
+
+  if (options.listen.len == 0)
+    return VH_OK;
+  vh_code_t code
+      = share_create (belief->loop, belief->clock, rng_u64 (&belief->rng),
+                      *rows, &options, &gateway->share);
+  if (code == VH_OK)
+    *rows = share_rows (gateway->share);
+  return code;
+}
+
 static void
 on_watch_closed (uv_handle_t *handle)
 {
@@ -267,6 +290,7 @@
   httpd_destroy (gateway->ready);
   httpd_destroy (gateway->admin);
   duties_destroy (gateway->duties);
+  share_destroy (gateway->share);
   free_beliefs (&gateway->belief);
   uv_close ((uv_handle_t *)&gateway->watch, on_watch_closed);
   return whole;
@@ -299,6 +323,7 @@
   if (belief->stopping_ms != 0)
     return;
   belief->stopping_ms = clock_ms (belief->clock);
+  duties_stop (gateway->duties);
   log_event (EVENT_STOP,
              field_number (FIELD_IN_FLIGHT, httpd_in_flight (gateway->front)));
   uv_timer_start (&gateway->watch, on_watch, WATCH_MS, WATCH_MS);
@@ -350,8 +375,10 @@
   make_counters (belief);
   uv_timer_init (loop, &gateway->watch);
   gateway->watch.data = gateway;
-  gateway->duties = duties_create (belief, rows);
   vh_code_t code = listen_all (gateway);
+  if (code == VH_OK)
+    code = start_sharing (gateway, &rows);
+  gateway->duties = duties_create (belief, rows, gateway->share);
   if (code != VH_OK)
     {
       log_err ("gateway", "An address cannot be listened on. listen=%.*s",
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -66,6 +66,9 @@
   str_t listen; /* Callers, HOST:PORT.  */
   str_t ready;  /* The balancer, HOST:PORT.  */
   str_t admin;  /* Metrics, HOST:PORT; empty: none.  */
+  str_t rpc;    /* Peers, HOST:PORT; empty: each entry asks the store.  */
+  const str_t *rpc_keys;
+  size_t rpc_key_count;
   uint64_t seed;
   uint64_t drain_grace_ms; /* Take new requests on while a stop is noticed. */
   uint64_t drain_bound_ms; /* Longest planned stop.  */
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -10,6 +10,7 @@
 #include "gateway/allowance.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
+#include "gateway/share.h"
 #include "gateway/tally.h"
 #include "gateway/trial.h"
 #include "wire/httpd.h"
@@ -66,7 +67,10 @@
 /* Duties: follows the store and does what entries do together.  */
 typedef struct duties duties_t;
 
-duties_t *duties_create (belief_t *belief, rows_t *rows);
+/* SHARE may be NULL.  */
+duties_t *duties_create (belief_t *belief, rows_t *rows, share_t *share);
+/* A planned stop begins: the other entries need not count on this one.  */
+void duties_stop (duties_t *duties);
 /* Tell whether what a request needs has been read once.  */
 bool duties_ready (const duties_t *duties);
 void duties_destroy (duties_t *duties);
--- a/packages/gateway/rows.h
+++ b/packages/gateway/rows.h
@@ -36,6 +36,7 @@
   bool more;        /* The read has further rows after the last one.  */
   uint64_t version; /* The newest in the whole store.  */
   uint64_t now_ms;  /* The store's steady clock.  */
+  uint64_t age_ms;  /* Since the store said so; 0 from the store itself.  */
 } rows_result_t;
 
 typedef void (*rows_cb_t) (void *arg, vh_code_t code,
--- /dev/null
+++ b/packages/gateway/share.c
@@ -0,0 +1,723 @@
+#include "gateway/share.h"
+
+#include "base/map.h"
+#include "base/mem.h"
+#include "wire/rpc.h"
+
+#include <stdlib.h>
+
+enum
+{
+  TABLES = ROWS_OWN + 1,
+  TICK_MS = 100,
+  /* A reader waits so long for news for an asker: short against the age that
+     a confirmation may have.  */
+  ASK_WAIT_MS = 700,
+  /* More than that, and the store is asked instead: a turn of a slow machine
+     and both ways.  */
+  ASK_SLACK_MS = 350,
+  /* A reader without an answer is passed over so long: it restarts in about a
+     second.  */
+  BAD_MS = 3000,
+  /* Askers of a reader must not find its confirmation old.  */
+  READER_WAIT_MS = 800,
+  /* Removed rows are remembered for askers that did not hear of them; who
+     asks later reads the whole table.  */
+  TOMBSTONE_MS = 30000
+};
+
+typedef struct
+{
+  char *key;
+  buf_t value;
+  uint64_t version;
+  bool deleted;
+  uint64_t deleted_ms;
+} cached_t;
+
+typedef struct
+{
+  map_t *rows; /* Key to cached_t.  */
+  bool complete;
+  bool down; /* The last direct call failed.  */
+  uint64_t version;
+  uint64_t read_version; /* Of the first page of a read.  */
+  uint64_t floor;        /* Askers below it must read the whole.  */
+  uint64_t confirmed_ms; /* By boot time.  */
+  uint64_t now_ms;       /* The store's clock, at NOW_SEEN_MS.  */
+  uint64_t now_seen_ms;
+} cache_t;
+
+typedef struct
+{
+  char *name;
+  char *zone;
+  char *address;
+  uint64_t rank;
+  uint64_t bad_till_ms;
+  rpc_peer_t *peer; /* Made when first asked.  */
+} entry_t;
+
+/* A call of this entry, to a reader or to the store.  */
+typedef struct
+{
+  list_t link;
+  share_t *share;
+  rows_table_t table;
+  bool is_read;
+  bool first_page;
+  uint64_t after;
+  uint64_t wait_ms;
+  uint64_t timeout_ms;
+  uint64_t asked_ms; /* By boot time.  */
+  char *reader;      /* Name of the entry asked.  */
+  rpc_call_t *call;
+  rows_cb_t cb;
+  void *arg;
+} pending_t;
+
+/* A call of another entry that waits for news.  */
+typedef struct
+{
+  list_t link;
+  rpc_request_t *request;
+  rows_table_t table;
+  uint64_t after;
+  uint64_t due_ms;
+} waiter_t;
+
+struct share
+{
+  rows_t base;
+  clock_iface_t *clock;
+  rows_t *store;
+  char *name;
+  char *zone;
+  rpc_node_t *node;
+  rpc_server_t *server;
+  map_t *entries;
+  cache_t caches[TABLES];
+  list_t pending;
+  list_t waiters;
+  uv_timer_t tick;
+  bool leaving;
+};
+
+static uint64_t
+boot_ms (const share_t *share)
+{
+  return clock_boot_ms (share->clock);
+}
+
+/* The cache.  */
+
+static void
+cached_free (cached_t *cached)
+{
+  free (cached->key);
+  buf_free (&cached->value);
+  free (cached);
+}
+
+static void
+cache_clear (cache_t *cache)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (cache->rows, &cursor, &key, &value))
+    cached_free (value);
+  map_destroy (cache->rows);
+  cache->rows = map_create ();
+}
+
+static void
+cache_put (share_t *share, cache_t *cache, const rows_row_t *row)
+{
+  cached_t *cached = map_get (cache->rows, row->key);
+
+  if (cached == NULL)
+    {
+      cached = mem_zalloc (sizeof *cached);
+      cached->key = str_dup (row->key);
+      map_put (cache->rows, row->key, cached);
+    }
+  cached->value.len = 0;
+  buf_append_str (&cached->value, row->value);
+  cached->version = row->version;
+  cached->deleted = row->deleted;
+  cached->deleted_ms = boot_ms (share);
+}
+
+/* Forget removed rows whose time is over.  */
+static void
+cache_prune (share_t *share, cache_t *cache)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (cache->rows, &cursor, &key, &value))
+    {
+      cached_t *cached = value;
+      if (!cached->deleted
+          || boot_ms (share) - cached->deleted_ms < TOMBSTONE_MS)
+        continue;
+      if (cached->version > cache->floor)
+        cache->floor = cached->version;
+      map_remove (cache->rows, key);
+      cached_free (cached);
+      cursor = 0;
+    }
+}
+
+static void answer_waiters (share_t *share, rows_table_t table);
+
+/* Take in an answer to PENDING, by the store or by a reader.  */
+static void
+cache_take (share_t *share, const pending_t *pending,
+            const rows_result_t *result)
+{
+  cache_t *cache = &share->caches[pending->table];
+
+  if (pending->is_read && pending->first_page)
+    {
+      cache_clear (cache);
+      cache->complete = false;
+      cache->read_version = result->version;
+      cache->floor = result->version;
+    }
+  else if (!pending->is_read && result->version < cache->version)
+    return;
+  for (size_t i = 0; i < result->count; i++)
+    cache_put (share, cache, &result->rows[i]);
+  if (pending->is_read && !result->more)
+    cache->complete = true;
+  cache->version = pending->is_read ? cache->read_version : result->version;
+  cache->confirmed_ms = pending->asked_ms > result->age_ms
+                            ? pending->asked_ms - result->age_ms
+                            : 0;
+  cache->now_ms = result->now_ms;
+  cache->now_seen_ms = boot_ms (share);
+  cache->down = false;
+  cache_prune (share, cache);
+  if (cache->complete)
+    answer_waiters (share, pending->table);
+}
+
+/* Who reads.  */
+
+static uint64_t
+rank_of (str_t name)
+{
+  return str_hash (name, 5);
+}
+
+/* The entry of this zone that reads, or NULL when that is this one.  */
+static entry_t *
+reader (share_t *share)
+{
+  uint64_t now_ms = clock_ms (share->clock);
+  uint64_t best = rank_of (str_from (share->name));
+  entry_t *found = NULL;
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (share->entries, &cursor, &key, &value))
+    {
+      entry_t *entry = value;
+      if (now_ms < entry->bad_till_ms
+          || !str_eq (str_from (entry->zone), str_from (share->zone)))
+        continue;
+      if (entry->rank < best || (share->leaving && found == NULL))
+        {
+          best = entry->rank;
+          found = entry;
+        }
+    }
+  return found;
+}
+
+bool
+share_reads (share_t *share)
+{
+  return !share->leaving && reader (share) == NULL;
+}
+
+/* Serving.  */
+
+/* Tell ASKER of the rows after AFTER, or of all live ones.  */
+static void
+reply_rows (share_t *share, rpc_request_t *request, rows_table_t table,
+            uint64_t after, bool whole)
+{
+  cache_t *cache = &share->caches[table];
+  wire_row_t *rows = mem_zalloc ((map_size (cache->rows) + 1) * sizeof *rows);
+  wire_rows_res_t result
+      = { .code = VH_OK,
+          .newest = cache->version,
+          .now_ms = cache->now_ms + boot_ms (share) - cache->now_seen_ms,
+          .age_ms = (u_int)(boot_ms (share) - cache->confirmed_ms) };
+  size_t cursor = 0;
+  u_int count = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (cache->rows, &cursor, &key, &value)
+         && count < WIRE_ROWS_MAX)
+    {
+      cached_t *cached = value;
+      if (whole ? cached->deleted : cached->version <= after)
+        continue;
+      rows[count].key = cached->key;
+      rows[count].value.value_val = cached->value.ptr;
+      rows[count].value.value_len = (u_int)cached->value.len;
+      rows[count].row_version = cached->version;
+      rows[count++].deleted = cached->deleted;
+    }
+  result.rows.rows_val = rows;
+  result.rows.rows_len = count;
+  rpc_reply (request, &result);
+  free (rows);
+}
+
+static void
+reply_code (rpc_request_t *request, vh_code_t code)
+{
+  wire_rows_res_t result = { .code = code };
+
+  rpc_reply (request, &result);
+}
+
+static bool
+has_news (const cache_t *cache, uint64_t after)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  if (cache->version <= after)
+    return false;
+  while (map_next (cache->rows, &cursor, &key, &value))
+    if (((cached_t *)value)->version > after)
+      return true;
+  return false;
+}
+
+static void
+waiter_end (share_t *share, waiter_t *waiter)
+{
+  const cache_t *cache = &share->caches[waiter->table];
+
+  list_remove (&waiter->link);
+  if (cache->down || share->leaving)
+    reply_code (waiter->request, VH_E_STORE_DOWN);
+  else if (waiter->after < cache->floor)
+    reply_code (waiter->request, VH_E_NOT_FOUND);
+  else
+    reply_rows (share, waiter->request, waiter->table, waiter->after, false);
+  free (waiter);
+}
+
+static void
+answer_waiters (share_t *share, rows_table_t table)
+{
+  LIST_EACH (at, &share->waiters)
+    {
+      waiter_t *waiter = CONTAINER_OF (at, waiter_t, link);
+      if (waiter->table == table
+          && has_news (&share->caches[table], waiter->after))
+        waiter_end (share, waiter);
+    }
+}
+
+static void
+on_request (void *arg, rpc_request_t *request, uint32_t proc, void *args)
+{
+  share_t *share = arg;
+  const wire_rows_args_t *ask = args;
+
+  if (proc != WIRE_ROWS || ask->table >= TABLES)
+    {
+      rpc_drop (request);
+      return;
+    }
+  cache_t *cache = &share->caches[ask->table];
+  /* Only one that asks the store itself answers others: beliefs must not age
+     from hand to hand.  */
+  if (!cache->complete || cache->down || !share_reads (share))
+    reply_code (request, VH_E_STORE_DOWN);
+  else if (ask->whole)
+    reply_rows (share, request, ask->table, 0, true);
+  else if (ask->after < cache->floor)
+    reply_code (request, VH_E_NOT_FOUND);
+  else if (ask->wait_ms == 0 || has_news (cache, ask->after))
+    reply_rows (share, request, ask->table, ask->after, false);
+  else
+    {
+      waiter_t *waiter = mem_zalloc (sizeof *waiter);
+      waiter->request = request;
+      waiter->table = (rows_table_t)ask->table;
+      waiter->after = ask->after;
+      waiter->due_ms = clock_ms (share->clock) + ask->wait_ms;
+      list_append (&share->waiters, &waiter->link);
+    }
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  share_t *share = timer->data;
+  uint64_t now_ms = clock_ms (share->clock);
+
+  LIST_EACH (at, &share->waiters)
+    {
+      waiter_t *waiter = CONTAINER_OF (at, waiter_t, link);
+      if (now_ms >= waiter->due_ms || share->leaving
+          || share->caches[waiter->table].down)
+        waiter_end (share, waiter);
+    }
+}
+
+/* Asking.  */
+
+static void
+pending_end (pending_t *pending, vh_code_t code, const rows_result_t *result)
+{
+  rows_cb_t cb = pending->cb;
+  void *arg = pending->arg;
+
+  list_remove (&pending->link);
+  free (pending->reader);
+  free (pending);
+  cb (arg, code, result);
+}
+
+static void
+on_stored (void *arg, vh_code_t code, const rows_result_t *result)
+{
+  pending_t *pending = arg;
+  cache_t *cache = &pending->share->caches[pending->table];
+
+  if (code == VH_OK)
+    cache_take (pending->share, pending, result);
+  else if (code == VH_E_NOT_FOUND)
+    cache->complete = false;
+  else
+    cache->down = true;
+  pending_end (pending, code, result);
+}
+
+/* Ask the store itself.  */
+static void
+ask_store (pending_t *pending, str_t from)
+{
+  share_t *share = pending->share;
+  uint64_t wait_ms = pending->wait_ms;
+
+  if (pending->table == ROWS_ORDERS && map_size (share->entries) > 0
+      && wait_ms > READER_WAIT_MS)
+    wait_ms = READER_WAIT_MS;
+  if (pending->is_read)
+    share->store->ops->read (share->store, pending->table, from,
+                             pending->timeout_ms, on_stored, pending);
+  else
+    share->store->ops->watch (
+        share->store, pending->table, pending->after, wait_ms,
+        pending->timeout_ms - (pending->wait_ms - wait_ms), on_stored,
+        pending);
+}
+
+/* Tell the caller of PENDING what a reader answered.  */
+static void
+take_answer (pending_t *pending, const wire_rows_res_t *answer)
+{
+  u_int count = answer->rows.rows_len;
+  rows_row_t *rows = mem_zalloc ((count + 1) * sizeof *rows);
+  rows_result_t result = { .rows = rows,
+                           .count = count,
+                           .version = answer->newest,
+                           .now_ms = answer->now_ms,
+                           .age_ms = answer->age_ms };
+
+  for (u_int i = 0; i < count; i++)
+    {
+      const wire_row_t *row = &answer->rows.rows_val[i];
+      rows[i] = (rows_row_t){
+        .key = str_from (row->key),
+        .value = str_make (row->value.value_val, row->value.value_len),
+        .version = row->row_version,
+        .deleted = row->deleted,
+      };
+    }
+  cache_take (pending->share, pending, &result);
+  pending_end (pending, VH_OK, &result);
+  free (rows);
+}
+
+static void
+on_answer (void *arg, vh_code_t code, void *result, unsigned sent)
+{
+  pending_t *pending = arg;
+  share_t *share = pending->share;
+  const wire_rows_res_t *answer = result;
+
+  (void)sent;
+  pending->call = NULL;
+  if (code == VH_OK)
+    code = (vh_code_t)answer->code;
+  if (code == VH_OK)
+    {
+      take_answer (pending, answer);
+      return;
+    }
+  if (code == VH_E_NOT_FOUND)
+    {
+      pending_end (pending, code, NULL);
+      return;
+    }
+  entry_t *entry = map_get (share->entries, str_from (pending->reader));
+  if (entry != NULL)
+    entry->bad_till_ms = clock_ms (share->clock) + BAD_MS;
+  pending->asked_ms = boot_ms (share);
+  ask_store (pending, STR (""));
+}
+
+/* Ask the reader of the zone.  */
+static void
+ask_reader (pending_t *pending, entry_t *entry)
+{
+  static const rpc_peer_events_t none = { NULL, NULL };
+  share_t *share = pending->share;
+  uint64_t wait_ms
+      = pending->wait_ms < ASK_WAIT_MS ? pending->wait_ms : ASK_WAIT_MS;
+  wire_rows_args_t args = { .table = pending->table,
+                            .after = pending->after,
+                            .wait_ms = (u_int)wait_ms,
+                            .whole = pending->is_read };
+
+  if (entry->peer == NULL)
+    entry->peer = rpc_peer_create (share->node, str_from (entry->address),
+                                   &none, entry);
+  if (entry->peer == NULL)
+    {
+      ask_store (pending, STR (""));
+      return;
+    }
+  pending->reader = str_dup (str_from (entry->name));
+  pending->call = rpc_peer_call (entry->peer, WIRE_ROWS, &args,
+                                 wait_ms + ASK_SLACK_MS, on_answer, pending);
+}
+
+static pending_t *
+pending_create (share_t *share, rows_table_t table, uint64_t timeout_ms,
+                rows_cb_t cb, void *arg)
+{
+  pending_t *pending = mem_zalloc (sizeof *pending);
+
+  pending->share = share;
+  pending->table = table;
+  pending->timeout_ms = timeout_ms;
+  pending->asked_ms = boot_ms (share);
+  pending->cb = cb;
+  pending->arg = arg;
+  list_append (&share->pending, &pending->link);
+  return pending;
+}
+
+static void
+share_read (rows_t *rows, rows_table_t table, str_t from, uint64_t timeout_ms,
+            rows_cb_t cb, void *arg)
+{
+  share_t *share = (share_t *)rows;
+  pending_t *pending = pending_create (share, table, timeout_ms, cb, arg);
+  entry_t *entry = reader (share);
+
+  pending->is_read = true;
+  pending->first_page = from.len == 0;
+  if (entry != NULL && pending->first_page)
+    ask_reader (pending, entry);
+  else
+    ask_store (pending, from);
+}
+
+static void
+share_watch (rows_t *rows, rows_table_t table, uint64_t after,
+             uint64_t wait_ms, uint64_t timeout_ms, rows_cb_t cb, void *arg)
+{
+  share_t *share = (share_t *)rows;
+  pending_t *pending = pending_create (share, table, timeout_ms, cb, arg);
+  entry_t *entry = reader (share);
+
+  pending->after = after;
+  pending->wait_ms = wait_ms;
+  if (entry != NULL)
+    ask_reader (pending, entry);
+  else
+    ask_store (pending, STR (""));
+}
+
+static void
+share_commit (rows_t *rows, const rows_write_t *writes, size_t count,
+              uint64_t timeout_ms, rows_cb_t cb, void *arg)
+{
+  share_t *share = (share_t *)rows;
+
+  share->store->ops->commit (share->store, writes, count, timeout_ms, cb, arg);
+}
+
+/* Released with the share.  */
+static void
+share_release (rows_t *rows)
+{
+  (void)rows;
+}
+
+/* Entries.  */
+
+static void
+entry_free (entry_t *entry)
+{
+  rpc_peer_destroy (entry->peer);
+  free (entry->name);
+  free (entry->zone);
+  free (entry->address);
+  free (entry);
+}
+
+void
+share_remove (share_t *share, str_t name)
+{
+  entry_t *entry = map_remove (share->entries, name);
+
+  if (entry != NULL)
+    entry_free (entry);
+}
+
+void
+share_put (share_t *share, str_t name, str_t zone, str_t address)
+{
+  entry_t *entry = map_get (share->entries, name);
+
+  if (str_eq (name, str_from (share->name)))
+    return;
+  if (entry != NULL && str_eq (str_from (entry->address), address))
+    return;
+  share_remove (share, name);
+  entry = mem_zalloc (sizeof *entry);
+  entry->name = str_dup (name);
+  entry->zone = str_dup (zone);
+  entry->address = str_dup (address);
+  entry->rank = rank_of (name);
+  map_put (share->entries, name, entry);
+}
+
+void
+share_leave (share_t *share)
+{
+  share->leaving = true;
+}
+
+rows_t *
+share_rows (share_t *share)
+{
+  return &share->base;
+}
+
+uint16_t
+share_port (const share_t *share)
+{
+  return rpc_server_port (share->server);
+}
+
+/* Nothing rides on these messages.  */
+static void
+on_outgoing (void *arg, wire_context_t *context)
+{
+  (void)arg;
+  (void)context;
+}
+
+static void
+on_incoming (void *arg, rpc_peer_t *peer, const wire_context_t *context)
+{
+  (void)arg;
+  (void)peer;
+  (void)context;
+}
+
+vh_code_t
+share_create (uv_loop_t *loop, clock_iface_t *clock, uint64_t seed,
+              rows_t *store, const share_options_t *options, share_t **out)
+{
+  static const rows_ops_t ops
+      = { share_read, share_watch, share_commit, share_release };
+  static const rpc_hooks_t hooks = { on_outgoing, on_incoming };
+  share_t *share = mem_zalloc (sizeof *share);
+
+  share->base.ops = &ops;
+  share->clock = clock;
+  share->store = store;
+  share->name = str_dup (options->name);
+  share->zone = str_dup (options->zone);
+  share->entries = map_create ();
+  list_init (&share->pending);
+  list_init (&share->waiters);
+  for (size_t i = 0; i < TABLES; i++)
+    share->caches[i].rows = map_create ();
+  uv_timer_init (loop, &share->tick);
+  share->tick.data = share;
+  uv_timer_start (&share->tick, on_tick, TICK_MS, TICK_MS);
+  share->node
+      = rpc_node_create (loop, clock, rng_make (seed), options->name,
+                         options->keys, options->key_count, &hooks, NULL);
+  *out = share;
+  return rpc_server_create (share->node, options->listen, on_request, share,
+                            &share->server);
+}
+
+static void
+on_tick_closed (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+void
+share_destroy (share_t *share)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  if (share == NULL)
+    return;
+  LIST_EACH (at, &share->waiters)
+    {
+      waiter_t *waiter = CONTAINER_OF (at, waiter_t, link);
+      rpc_drop (waiter->request);
+      free (waiter);
+    }
+  LIST_EACH (at, &share->pending)
+    {
+      pending_t *pending = CONTAINER_OF (at, pending_t, link);
+      rpc_cancel (pending->call);
+      free (pending->reader);
+      free (pending);
+    }
+  while (map_next (share->entries, &cursor, &key, &value))
+    entry_free (value);
+  map_destroy (share->entries);
+  if (share->server != NULL)
+    rpc_server_destroy (share->server);
+  rpc_node_destroy (share->node);
+  for (size_t i = 0; i < TABLES; i++)
+    {
+      cache_clear (&share->caches[i]);
+      map_destroy (share->caches[i].rows);
+    }
+  free (share->name);
+  free (share->zone);
+  uv_close ((uv_handle_t *)&share->tick, on_tick_closed);
+}
--- a/packages/wire/proto/wire.h
+++ b/packages/wire/proto/wire.h
@@ -22,6 +22,7 @@
 #define WIRE_HEADERS_MAX 64
 #define WIRE_BILLS_MAX 1000
 #define WIRE_SUSPECTS_MAX 256
+#define WIRE_ROWS_MAX 20000
 #define WIRE_MAC_LEN 16
 
 typedef char *wire_name_t;
@@ -281,6 +282,37 @@
 };
 typedef struct wire_status_res_t wire_status_res_t;
 
+struct wire_rows_args_t {
+	u_int table;
+	u_quad_t after;
+	u_int wait_ms;
+	bool_t whole;
+};
+typedef struct wire_rows_args_t wire_rows_args_t;
+
+struct wire_row_t {
+	wire_name_t key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+	u_quad_t row_version;
+	bool_t deleted;
+};
+typedef struct wire_row_t wire_row_t;
+
+struct wire_rows_res_t {
+	int code;
+	u_quad_t newest;
+	u_quad_t now_ms;
+	u_int age_ms;
+	struct {
+		u_int rows_len;
+		wire_row_t *rows_val;
+	} rows;
+};
+typedef struct wire_rows_res_t wire_rows_res_t;
+
 #define VANILLAHOOK_PROGRAM 0x20564801
 #define VANILLAHOOK_V1 1
 
@@ -327,6 +359,9 @@
 #define WIRE_STATUS 13
 extern  wire_status_res_t * wire_status_1(wire_attempt_args_t , CLIENT *);
 extern  wire_status_res_t * wire_status_1_svc(wire_attempt_args_t , struct svc_req *);
+#define WIRE_ROWS 15
+extern  wire_rows_res_t * wire_rows_1(wire_rows_args_t , CLIENT *);
+extern  wire_rows_res_t * wire_rows_1_svc(wire_rows_args_t , struct svc_req *);
 extern int vanillahook_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -372,6 +407,9 @@
 #define WIRE_STATUS 13
 extern  wire_status_res_t * wire_status_1();
 extern  wire_status_res_t * wire_status_1_svc();
+#define WIRE_ROWS 15
+extern  wire_rows_res_t * wire_rows_1();
+extern  wire_rows_res_t * wire_rows_1_svc();
 extern int vanillahook_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -407,6 +445,9 @@
 extern  bool_t xdr_wire_evidence_res_t (XDR *, wire_evidence_res_t*);
 extern  bool_t xdr_wire_order_args_t (XDR *, wire_order_args_t*);
 extern  bool_t xdr_wire_status_res_t (XDR *, wire_status_res_t*);
+extern  bool_t xdr_wire_rows_args_t (XDR *, wire_rows_args_t*);
+extern  bool_t xdr_wire_row_t (XDR *, wire_row_t*);
+extern  bool_t xdr_wire_rows_res_t (XDR *, wire_rows_res_t*);
 
 #else /* K&R C */
 extern bool_t xdr_wire_name_t ();
@@ -438,6 +479,9 @@
 extern bool_t xdr_wire_evidence_res_t ();
 extern bool_t xdr_wire_order_args_t ();
 extern bool_t xdr_wire_status_res_t ();
+extern bool_t xdr_wire_rows_args_t ();
+extern bool_t xdr_wire_row_t ();
+extern bool_t xdr_wire_rows_res_t ();
 
 #endif /* K&R C */
 
--- a/packages/wire/proto/wire.x
+++ b/packages/wire/proto/wire.x
@@ -14,6 +14,7 @@
 const WIRE_HEADERS_MAX = 64;
 const WIRE_BILLS_MAX = 1000;
 const WIRE_SUSPECTS_MAX = 256;
+const WIRE_ROWS_MAX = 20000;
 const WIRE_MAC_LEN = 16;
 
 typedef string wire_name_t<WIRE_NAME_MAX>;
@@ -249,6 +250,32 @@
   opaque json<WIRE_TEXT_MAX>;
 };
 
+/* Rows of a table of the platform's store, as the asked process knows them.  */
+struct wire_rows_args_t
+{
+  unsigned int table;      /* Rows_table_t of gateway/rows.h.  */
+  unsigned hyper after;    /* Store version that the asker knows.  */
+  unsigned int wait_ms;    /* Longest wait for news.  */
+  bool whole;              /* All live rows, whatever AFTER is.  */
+};
+
+struct wire_row_t
+{
+  wire_name_t key;
+  opaque value<WIRE_BODY_MAX>;
+  unsigned hyper row_version;
+  bool deleted;
+};
+
+struct wire_rows_res_t
+{
+  int code;                /* Vh_code_t; rows are valid for VH_OK alone.  */
+  unsigned hyper newest;   /* Version of the store that is known.  */
+  unsigned hyper now_ms;   /* The store's clock.  */
+  unsigned int age_ms;     /* Since the store confirmed NEWEST.  */
+  wire_row_t rows<WIRE_ROWS_MAX>;
+};
+
 program VANILLAHOOK_PROGRAM
 {
   version VANILLAHOOK_V1
@@ -267,5 +294,6 @@
     wire_code_res_t WIRE_ORDER (wire_order_args_t) = 12;
     wire_bills_take_res_t WIRE_BILLS_TAKE (wire_bills_take_args_t) = 14;
     wire_status_res_t WIRE_STATUS (wire_attempt_args_t) = 13;
+    wire_rows_res_t WIRE_ROWS (wire_rows_args_t) = 15;
   } = 1;
 } = 0x20564801;
--- a/packages/wire/proto/wire_xdr.c
+++ b/packages/wire/proto/wire_xdr.c
@@ -711,3 +711,54 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_wire_rows_args_t (XDR *xdrs, wire_rows_args_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->table))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->after))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_row_t (XDR *xdrs, wire_row_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, WIRE_BODY_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->row_version))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->deleted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_rows_res_t (XDR *xdrs, wire_rows_res_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->now_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, WIRE_ROWS_MAX,
+		sizeof (wire_row_t), (xdrproc_t) xdr_wire_row_t))
+		 return FALSE;
+	return TRUE;
+}
--- a/packages/wire/rpc.h
+++ b/packages/wire/rpc.h
@@ -36,7 +36,8 @@
   X (WIRE_BILLS_TAKE, wire_bills_take_args_t, wire_bills_take_res_t)          \
   X (WIRE_EVIDENCE, wire_evidence_args_t, wire_evidence_res_t)                \
   X (WIRE_ORDER, wire_order_args_t, wire_code_res_t)                          \
-  X (WIRE_STATUS, wire_attempt_args_t, wire_status_res_t)
+  X (WIRE_STATUS, wire_attempt_args_t, wire_status_res_t)                     \
+  X (WIRE_ROWS, wire_rows_args_t, wire_rows_res_t)
 
 typedef struct rpc_node rpc_node_t;
 typedef struct rpc_server rpc_server_t;
