gateway: tests of the shared reading; a dead engine is told from a slow one

(2) At start all entries took each other for unfit for 3 s, and a share or follower that ended left calls behind with its address (found by test_share). Change: an engine that says nothing to any of its requests for 0.5 s, and the time that its prompts take to be read, is dead; one that is alive is waited for up to two objectives. Rows can be forgotten by their caller. Steps of a roll-out are taken by quarter seconds; listings are read in batches of 0.3 s.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -14,7 +14,10 @@
 
 enum
 {
-  TICK_MS = 1000,
+  /* Steps of a roll-out are taken on time to a quarter of a second: a good
+     version has some seconds to spare in all.  */
+  TICK_MS = 250,
+  TICKS_PER_S = 4,
   /* A key that was taken away must be unusable within seconds, and the age of
      a confirmation is at most two waits and a timeout.  */
   ORDERS_WAIT_MS = 1500,
@@ -22,11 +25,13 @@
   /* A departure is told at once; the wait only bounds a silent connection.  */
   INSTANCES_WAIT_MS = 2500,
   INSTANCES_SLACK_MS = 600,
-  /* Entries and evidence: news may be a second old, and are read in one
-     call.  */
+  /* Listings come in bursts; a departure may be acted on within 2 s.  */
+  INSTANCES_GAP_MS = 300,
+  /* Entries and evidence: news of half a second are read in one call, and
+     are at every entry before a step holds.  */
   OWN_WAIT_MS = 8000,
   OWN_SLACK_MS = 1000,
-  OWN_GAP_MS = 1000,
+  OWN_GAP_MS = 500,
   COMMIT_TIMEOUT_MS = 2000
 };
 
@@ -38,6 +43,7 @@
   follow_t *instances;
   follow_t *own;
   uv_timer_t tick;
+  uint64_t ticks;
   bool own_read; /* The shared rows were read once.  */
   bool instances_read;
   bool node_written;
@@ -502,7 +508,8 @@
     }
   if (trial_phase (trial) == TRIAL_RUNNING)
     {
-      trial_fade (trial);
+      if (duties->ticks % TICKS_PER_S == 0)
+        trial_fade (trial);
       trial_old_running (trial,
                          count_old (duties, service, trial_version (trial)));
       judge_trial (duties, service, trial);
@@ -511,7 +518,8 @@
   if (trial_phase (trial) != TRIAL_RUNNING && !trial_written (trial))
     write_rollout (duties, service, trial, trial_start (trial),
                    trial_step (trial), trial_from (trial));
-  else if (trial_phase (trial) == TRIAL_RUNNING && trial_step (trial) > 0
+  else if (duties->ticks % TICKS_PER_S == 0
+           && trial_phase (trial) == TRIAL_RUNNING && trial_step (trial) > 0
            && trial_dirty (trial))
     write_evidence (duties, service, trial);
 }
@@ -525,6 +533,7 @@
   str_t service;
   void *value;
 
+  duties->ticks++;
   if (belief->stopping_ms != 0 || !duties->own_read)
     return;
   if (!duties->node_written && !duties->node_pending)
@@ -542,6 +551,7 @@
 {
   static const follow_options_t instances = { .table = ROWS_INSTANCES,
                                               .name = "instances",
+                                              .gap_ms = INSTANCES_GAP_MS,
                                               .wait_ms = INSTANCES_WAIT_MS,
                                               .slack_ms = INSTANCES_SLACK_MS };
   static const follow_options_t own = { .table = ROWS_OWN,
@@ -628,5 +638,6 @@
   duties->belief->orders = NULL;
   follow_destroy (duties->instances);
   follow_destroy (duties->own);
+  duties->rows->ops->forget (duties->rows, duties);
   uv_close ((uv_handle_t *)&duties->tick, on_tick_closed);
 }
--- a/packages/gateway/follow.c
+++ b/packages/gateway/follow.c
@@ -270,6 +270,7 @@
 {
   if (follow == NULL)
     return;
+  follow->rows->ops->forget (follow->rows, follow);
   uv_close ((uv_handle_t *)&follow->timer, on_timer_closed);
 }
 
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -30,9 +30,10 @@
   uint64_t out_till;
   uint64_t out_ms; /* Length of the last time out.  */
   unsigned failures;
-  uint32_t running; /* Of this entry.  */
-  uint64_t prompts; /* Tokens of this entry not yet read.  */
-  double others;    /* Running or waiting there, not from here.  */
+  uint64_t heard_ms; /* Something came, or it became busy.  */
+  uint32_t running;  /* Of this entry.  */
+  uint64_t prompts;  /* Tokens of this entry not yet read.  */
+  double others;     /* Running or waiting there, not from here.  */
   uint64_t reported_ms;
   uint64_t sends[POOL_RATE_MAX]; /* Times of the last ones, a ring.  */
   size_t send_at;
@@ -401,6 +402,8 @@
 void
 pool_started (pool_t *pool, upstream_t *upstream, uint32_t prompt)
 {
+  if (upstream->running == 0)
+    upstream->heard_ms = clock_ms (pool->clock);
   upstream->refs++;
   upstream->running++;
   upstream->prompts += prompt;
@@ -408,6 +411,19 @@
   upstream->send_at = (upstream->send_at + 1) % POOL_RATE_MAX;
 }
 
+void
+pool_heard (pool_t *pool, upstream_t *upstream)
+{
+  upstream->heard_ms = clock_ms (pool->clock);
+}
+
+uint64_t
+pool_silence_due (const upstream_t *upstream)
+{
+  return upstream->heard_ms + POOL_SILENCE_MS
+         + upstream->prompts / POOL_READ_PER_MS;
+}
+
 void
 pool_first (pool_t *pool, upstream_t *upstream, uint32_t prompt,
             uint64_t wait_ms)
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -45,7 +45,14 @@
   /* Prompt tokens not yet read that weigh as much as one running request: a
      chunk of prefill delays all tokens of a batch by as much as tens of
      further members.  */
-  POOL_PROMPT_UNIT = 1000
+  POOL_PROMPT_UNIT = 1000,
+  /* An engine makes a token for each of its requests some dozens of times a
+     second, so one that has requests and says nothing for so long is no
+     longer there, whatever each of them waits for.  */
+  POOL_SILENCE_MS = 500,
+  /* Prompt tokens that a slow, cold engine reads in a millisecond while it
+     makes none; a third of what a warm one reads with its largest model.  */
+  POOL_READ_PER_MS = 12
 };
 
 typedef struct pool pool_t;
@@ -137,6 +144,12 @@
 /* It is over; PROMPT unless pool_first was told.  */
 void pool_finished (pool_t *pool, upstream_t *upstream, uint32_t prompt,
                     send_outcome_t outcome);
+/* Something came from UPSTREAM.  */
+void pool_heard (pool_t *pool, upstream_t *upstream);
+/* When UPSTREAM, which has requests of this entry, is to be taken for dead
+   unless it is heard before: POOL_SILENCE_MS after the last sign of it, and
+   the time that the prompts sent to it take to be read.  */
+uint64_t pool_silence_due (const upstream_t *upstream);
 /* What an answer said.  */
 void pool_load (pool_t *pool, upstream_t *upstream, uint32_t running,
                 uint32_t waiting, uint32_t slots);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -19,10 +19,9 @@
   /* A SYN that was lost is sent again by the kernel after a second; another
      upstream is asked long before.  Links have at most some milliseconds.  */
   CONNECT_MS = 250,
-  /* An upstream that is busy with a long prompt is silent for hundreds of
-     milliseconds; sooner than this none is given up.  */
-  FIRST_EVENT_MS_MIN = 400,
-  PAUSE_MS_MIN = 400,
+  /* Objectives after which a first event is no longer waited for: callers
+     leave at about four.  */
+  PATIENCE = 2,
   /* Bytes kept for a slow caller before its upstream is held back.  */
   BUFFER_HIGH = 65536,
   /* Callers may not ask for more than this with one request.  */
@@ -40,11 +39,9 @@
   LINE_BYTES = 256
 };
 
-/* Part of the objective after which a silent upstream is given up for
-   another, if the request may run twice.  */
-static const double first_event_part = 0.7;
-/* Part of the longest pause on time.  */
-static const double pause_part = 0.8;
+/* Part of the objective after which a plain service that has not answered is
+   given up for another, if the request may run twice.  */
+static const double first_answer_part = 0.7;
 
 /* Confidence below which the answer of a smaller model is dropped.  */
 enum
@@ -502,6 +499,7 @@
   const header_names_t *names = relay->belief->names;
 
   relay->last_ms = clock_ms (relay->belief->clock);
+  pool_heard (relay->belief->pool, relay->upstream);
   if (!is_own_answer (relay, head))
     {
       send_failed (relay, "foreign-answer", true);
@@ -576,6 +574,7 @@
   relay_t *relay = arg;
 
   relay->last_ms = clock_ms (relay->belief->clock);
+  pool_heard (relay->belief->pool, relay->upstream);
   if (relay->started)
     take_events (relay, bytes);
   else if (relay->body.len + bytes.len > WHOLE_BYTES_MAX)
@@ -830,26 +829,28 @@
 
 /* Time.  */
 
-/* When a silent upstream is given up for another; UINT64_MAX: never.  */
+/* When a silent upstream is given up for another; UINT64_MAX: never.
+
+   A stream waits for an engine that is alive, however long its own first event
+   takes: the work that the engine has done for it would be done again
+   elsewhere, by engines that are as full.  An engine that says nothing to any
+   of its requests is dead, and each of them moves at once.  */
 static uint64_t
 silence_due (const relay_t *relay)
 {
   const route_t *route = relay->route;
 
-  if (!may_send_again (relay) || relay->runs + 1 >= route->attempts_max)
-    return UINT64_MAX;
-  if (relay->phase == PHASE_SENT || relay->event_count == 0)
-    {
-      uint64_t wait_ms
-          = (uint64_t)((double)route->objective_ms * first_event_part);
-      if (route->kind == ROUTE_STREAM && wait_ms < FIRST_EVENT_MS_MIN)
-        wait_ms = FIRST_EVENT_MS_MIN;
-      return relay->sent_ms + wait_ms;
-    }
-  if (route->kind != ROUTE_STREAM || route->pause_ms == 0 || relay->paused)
+  if (!may_send_again (relay) || relay->runs + 1 >= route->attempts_max
+      || relay->paused)
     return UINT64_MAX;
-  uint64_t pause_ms = (uint64_t)((double)route->pause_ms * pause_part);
-  return relay->last_ms + (pause_ms > PAUSE_MS_MIN ? pause_ms : PAUSE_MS_MIN);
+  if (route->kind != ROUTE_STREAM)
+    return relay->sent_ms
+           + (uint64_t)((double)route->objective_ms * first_answer_part);
+  uint64_t dead_ms = pool_silence_due (relay->upstream);
+  uint64_t own_ms = relay->event_count == 0
+                        ? relay->sent_ms + route->objective_ms * PATIENCE
+                        : relay->last_ms + route->pause_ms;
+  return dead_ms < own_ms ? dead_ms : own_ms;
 }
 
 static void
@@ -878,6 +879,7 @@
       /* Nothing may be sent again now: wait on for this upstream.  */
       relay->last_ms = now_ms;
       relay->sent_ms = now_ms;
+      pool_heard (relay->belief->pool, relay->upstream);
     }
   arm_timer (relay, now_ms);
 }
--- a/packages/gateway/rows.h
+++ b/packages/gateway/rows.h
@@ -2,7 +2,7 @@
    a whole table, a wait for changes, and conditional writes.
 
    Calls are asynchronous and complete on a later turn, exactly once, unless
-   the store is destroyed.  Results are borrowed for the callback.  Codes:
+   they are forgotten or the store is destroyed.  Results are borrowed for the callback.  Codes:
    VH_OK; VH_E_CONFLICT a condition did not hold; VH_E_NOT_FOUND the history
    asked for is gone; VH_E_STORE_BUSY and VH_E_STORE_DOWN nothing was done;
    VH_E_STORE_LATE a write may have been done, or may still be.  */
@@ -66,6 +66,9 @@
   /* Apply all writes or none.  */
   void (*commit) (rows_t *rows, const rows_write_t *writes, size_t count,
                   uint64_t timeout_ms, rows_cb_t cb, void *arg);
+  /* Drop the calls made with ARG that are pending, without their
+     callbacks.  */
+  void (*forget) (rows_t *rows, const void *arg);
   /* Drop what is pending without its callbacks, and release ROWS.  */
   void (*destroy) (rows_t *rows);
 } rows_ops_t;
--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -19,6 +19,9 @@
   /* A reader without an answer is passed over so long: it restarts in about a
      second.  */
   BAD_MS = 3000,
+  /* One that answers that it cannot read now, so long: it has just started,
+     or lost the store for a moment.  */
+  UNFIT_MS = 500,
   /* Askers of a reader must not find its confirmation old.  */
   READER_WAIT_MS = 800,
   /* Removed rows are remembered for askers that did not hear of them; who
@@ -466,6 +469,7 @@
 
   (void)sent;
   pending->call = NULL;
+  uint64_t bad_ms = code == VH_OK ? UNFIT_MS : BAD_MS;
   if (code == VH_OK)
     code = (vh_code_t)answer->code;
   if (code == VH_OK)
@@ -480,7 +484,7 @@
     }
   entry_t *entry = map_get (share->entries, str_from (pending->reader));
   if (entry != NULL)
-    entry->bad_till_ms = clock_ms (share->clock) + BAD_MS;
+    entry->bad_till_ms = clock_ms (share->clock) + bad_ms;
   pending->asked_ms = boot_ms (share);
   ask_store (pending, STR (""));
 }
@@ -568,6 +572,31 @@
   share->store->ops->commit (share->store, writes, count, timeout_ms, cb, arg);
 }
 
+static void
+pending_free (pending_t *pending)
+{
+  rpc_cancel (pending->call);
+  if (pending->call == NULL)
+    pending->share->store->ops->forget (pending->share->store, pending);
+  list_remove (&pending->link);
+  free (pending->reader);
+  free (pending);
+}
+
+static void
+share_forget (rows_t *rows, const void *arg)
+{
+  share_t *share = (share_t *)rows;
+
+  LIST_EACH (at, &share->pending)
+    {
+      pending_t *pending = CONTAINER_OF (at, pending_t, link);
+      if (pending->arg == arg)
+        pending_free (pending);
+    }
+  share->store->ops->forget (share->store, arg);
+}
+
 /* Released with the share.  */
 static void
 share_release (rows_t *rows)
@@ -653,7 +682,7 @@
               rows_t *store, const share_options_t *options, share_t **out)
 {
   static const rows_ops_t ops
-      = { share_read, share_watch, share_commit, share_release };
+      = { share_read, share_watch, share_commit, share_forget, share_release };
   static const rpc_hooks_t hooks = { on_outgoing, on_incoming };
   share_t *share = mem_zalloc (sizeof *share);
 
@@ -700,12 +729,7 @@
       free (waiter);
     }
   LIST_EACH (at, &share->pending)
-    {
-      pending_t *pending = CONTAINER_OF (at, pending_t, link);
-      rpc_cancel (pending->call);
-      free (pending->reader);
-      free (pending);
-    }
+    pending_free (CONTAINER_OF (at, pending_t, link));
   while (map_next (share->entries, &cursor, &key, &value))
     entry_free (value);
   map_destroy (share->entries);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -221,6 +221,19 @@
                writes[i].remove);
 }
 
+static void
+fake_forget (rows_t *rows, const void *arg)
+{
+  fake_rows_t *fake = (fake_rows_t *)rows;
+
+  LIST_EACH (at, &fake->pending)
+    {
+      fake_call_t *call = CONTAINER_OF (at, fake_call_t, link);
+      if (call->arg == arg)
+        call_over (call);
+    }
+}
+
 static void
 fake_destroy (rows_t *rows)
 {
@@ -240,7 +253,7 @@
 fake_rows_create (uv_loop_t *loop)
 {
   static const rows_ops_t ops
-      = { fake_read, fake_watch, fake_commit, fake_destroy };
+      = { fake_read, fake_watch, fake_commit, fake_forget, fake_destroy };
   fake_rows_t *fake = mem_zalloc (sizeof *fake);
 
   fake->base.ops = &ops;
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -220,6 +220,29 @@
 }
 END_TEST
 
+/* An engine with requests says nothing to any of them: it is taken for dead
+   half a second after its last sign, later while it reads a long prompt, and
+   not at all while one of its requests gets tokens.  */
+START_TEST (a_dead_engine_is_told_from_a_slow_one)
+{
+  fixture_t f;
+
+  setup (&f, 1);
+  upstream_t *engine = choose (&f);
+  uint64_t now_ms = clock_ms (f.clock);
+  pool_started (f.pool, engine, 0);
+  ck_assert_uint_eq (pool_silence_due (engine), now_ms + POOL_SILENCE_MS);
+  pool_started (f.pool, engine, 12000);
+  ck_assert_uint_ge (pool_silence_due (engine), now_ms + 1400);
+  clock_manual_advance_us (f.clock, 400000);
+  pool_heard (f.pool, engine);
+  pool_first (f.pool, engine, 12000, 400);
+  ck_assert_uint_eq (pool_silence_due (engine),
+                     now_ms + 400 + POOL_SILENCE_MS);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -232,6 +255,7 @@
   tcase_add_test (tcase, versions_zones_and_tried_ones_are_told_apart);
   tcase_add_test (tcase, a_removed_instance_ends_its_requests);
   tcase_add_test (tcase, long_prompts_keep_others_away);
+  tcase_add_test (tcase, a_dead_engine_is_told_from_a_slow_one);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- /dev/null
+++ b/tests/test_share.c
@@ -0,0 +1,294 @@
+/* Entries that read the store for each other, on real RPC and a store in
+   memory: who asks it, what becomes of the others when the reader is lost, and
+   how old what they believe is.  */
+
+#include "gateway/follow.h"
+#include "gateway/share.h"
+#include "gateway_fixture.h"
+#include "suite.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+enum
+{
+  ENTRIES = 3,
+  LIMIT_MS = 8000
+};
+
+typedef struct
+{
+  share_t *share;
+  follow_t *follow;
+  char value[64]; /* Of row `a', as this entry knows it.  */
+  size_t puts;
+  bool removed;
+} member_t;
+
+typedef struct
+{
+  uv_loop_t loop;
+  fake_rows_t *store;
+  member_t members[ENTRIES];
+  uv_timer_t deadline;
+  bool expired;
+} fixture_t;
+
+static void
+on_put (void *arg, const rows_row_t *row)
+{
+  member_t *member = arg;
+
+  member->puts++;
+  snprintf (member->value, sizeof member->value, "%.*s", STR_ARG (row->value));
+}
+
+static void
+on_removed (void *arg, str_t key)
+{
+  (void)key;
+  ((member_t *)arg)->removed = true;
+}
+
+static void
+on_caught_up (void *arg, bool full)
+{
+  (void)arg;
+  (void)full;
+}
+
+static void
+on_deadline (uv_timer_t *timer)
+{
+  ((fixture_t *)timer->data)->expired = true;
+}
+
+#define wait_for(f, cond)                                                     \
+  do                                                                          \
+    {                                                                         \
+      (f)->expired = false;                                                   \
+      uv_timer_start (&(f)->deadline, on_deadline, LIMIT_MS, 0);              \
+      while (!(cond) && !(f)->expired)                                        \
+        uv_run (&(f)->loop, UV_RUN_ONCE);                                     \
+      ck_assert_msg (!(f)->expired, "waited in vain for " #cond);             \
+    }                                                                         \
+  while (0)
+
+static void
+pass (fixture_t *f, uint64_t ms)
+{
+  uint64_t till = uv_now (&f->loop) + ms;
+
+  wait_for (f, uv_now (&f->loop) >= till);
+}
+
+static void
+member_start (fixture_t *f, int index)
+{
+  static const follow_options_t options = {
+    .table = ROWS_ORDERS, .name = "orders", .wait_ms = 1500, .slack_ms = 500
+  };
+  static const follow_events_t events
+      = { on_put, on_removed, on_caught_up, NULL };
+  member_t *member = &f->members[index];
+  char name[16];
+
+  snprintf (name, sizeof name, "entry-%d", index);
+  const share_options_t share = { .name = str_from (name),
+                                  .zone = STR ("zone-a"),
+                                  .listen = STR ("127.0.0.1:0") };
+  ck_assert_int_eq (
+      share_create (&f->loop, clock_system (), (uint64_t)index + 1,
+                    fake_rows_iface (f->store), &share, &member->share),
+      VH_OK);
+  member->follow
+      = follow_create (&f->loop, clock_system (), share_rows (member->share),
+                       1, &options, &events, member);
+}
+
+static void
+introduce (fixture_t *f)
+{
+  char name[16];
+  char address[32];
+
+  for (int i = 0; i < ENTRIES; i++)
+    for (int j = 0; j < ENTRIES; j++)
+      {
+        snprintf (name, sizeof name, "entry-%d", j);
+        snprintf (address, sizeof address, "127.0.0.1:%u",
+                  share_port (f->members[j].share));
+        share_put (f->members[i].share, str_from (name), STR ("zone-a"),
+                   str_from (address));
+      }
+}
+
+static void
+setup (fixture_t *f)
+{
+  memset (f, 0, sizeof *f);
+  uv_loop_init (&f->loop);
+  uv_timer_init (&f->loop, &f->deadline);
+  f->deadline.data = f;
+  f->store = fake_rows_create (&f->loop);
+  fake_rows_put (f->store, ROWS_ORDERS, "a", "one");
+  for (int i = 0; i < ENTRIES; i++)
+    member_start (f, i);
+  introduce (f);
+  for (int i = 0; i < ENTRIES; i++)
+    wait_for (f, strcmp (f->members[i].value, "one") == 0);
+}
+
+static void
+member_stop (member_t *member)
+{
+  follow_destroy (member->follow);
+  share_destroy (member->share);
+  member->follow = NULL;
+  member->share = NULL;
+}
+
+static void
+teardown (fixture_t *f)
+{
+  for (int i = 0; i < ENTRIES; i++)
+    if (f->members[i].share != NULL)
+      member_stop (&f->members[i]);
+  rows_t *rows = fake_rows_iface (f->store);
+  rows->ops->destroy (rows);
+  uv_close ((uv_handle_t *)&f->deadline, NULL);
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&f->loop), 0);
+}
+
+static int
+count_readers (const fixture_t *f)
+{
+  int count = 0;
+
+  for (int i = 0; i < ENTRIES; i++)
+    count += f->members[i].share != NULL && share_reads (f->members[i].share);
+  return count;
+}
+
+/* Wait until one entry alone reads; return which.  */
+static int
+the_reader (fixture_t *f)
+{
+  wait_for (f, count_readers (f) == 1);
+  for (int i = 0; i < ENTRIES; i++)
+    if (f->members[i].share != NULL && share_reads (f->members[i].share))
+      return i;
+  return -1;
+}
+
+/* One entry asks the store for all three, and a change is at each of them in
+   a moment.  */
+START_TEST (one_entry_reads_for_all)
+{
+  fixture_t f;
+
+  setup (&f);
+  the_reader (&f);
+  pass (&f, 2000);
+  size_t before = fake_rows_calls (f.store);
+  pass (&f, 3000);
+  ck_assert_uint_le (fake_rows_calls (f.store) - before, 5);
+  fake_rows_put (f.store, ROWS_ORDERS, "a", "two");
+  uint64_t start_ms = uv_now (&f.loop);
+  for (int i = 0; i < ENTRIES; i++)
+    wait_for (&f, strcmp (f.members[i].value, "two") == 0);
+  ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 500);
+  fake_rows_remove (f.store, ROWS_ORDERS, "a");
+  for (int i = 0; i < ENTRIES; i++)
+    wait_for (&f, f.members[i].removed);
+  teardown (&f);
+}
+END_TEST
+
+/* The reader dies without a word.  Its zone goes on after a timeout, with
+   another reader, and no confirmation grows old meanwhile.  */
+START_TEST (a_lost_reader_is_replaced)
+{
+  fixture_t f;
+
+  setup (&f);
+  pass (&f, 500);
+  int lost = the_reader (&f);
+  member_stop (&f.members[lost]);
+  fake_rows_put (f.store, ROWS_ORDERS, "a", "two");
+  uint64_t start_ms = uv_now (&f.loop);
+  for (int i = 0; i < ENTRIES; i++)
+    if (i != lost)
+      wait_for (&f, strcmp (f.members[i].value, "two") == 0);
+  ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 2500);
+  for (int ms = 0; ms < 4000; ms += 100)
+    {
+      pass (&f, 100);
+      for (int i = 0; i < ENTRIES; i++)
+        if (i != lost)
+          ck_assert_uint_lt (follow_age_ms (f.members[i].follow), 4000);
+    }
+  teardown (&f);
+}
+END_TEST
+
+/* The store goes away for all.  No entry's belief looks younger than the last
+   answer of the store, through whomever it came.  */
+START_TEST (an_age_counts_from_the_store)
+{
+  fixture_t f;
+
+  setup (&f);
+  pass (&f, 2000);
+  for (int i = 0; i < ENTRIES; i++)
+    ck_assert_uint_lt (follow_age_ms (f.members[i].follow), 3500);
+  fake_rows_down (f.store, true);
+  uint64_t down_ms = uv_now (&f.loop);
+  for (int ms = 0; ms < 3000; ms += 200)
+    {
+      pass (&f, 200);
+      for (int i = 0; i < ENTRIES; i++)
+        ck_assert_uint_ge (follow_age_ms (f.members[i].follow) + 30,
+                           uv_now (&f.loop) - down_ms);
+    }
+  fake_rows_down (f.store, false);
+  for (int i = 0; i < ENTRIES; i++)
+    wait_for (&f, follow_age_ms (f.members[i].follow) < 2000);
+  teardown (&f);
+}
+END_TEST
+
+/* A reader that stops as planned leaves at once: nobody waits for it.  */
+START_TEST (a_leaving_reader_hands_over)
+{
+  fixture_t f;
+
+  setup (&f);
+  pass (&f, 500);
+  int left = the_reader (&f);
+  share_leave (f.members[left].share);
+  fake_rows_put (f.store, ROWS_ORDERS, "a", "two");
+  uint64_t start_ms = uv_now (&f.loop);
+  for (int i = 0; i < ENTRIES; i++)
+    wait_for (&f, strcmp (f.members[i].value, "two") == 0);
+  ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 1500);
+  teardown (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  Suite *suite = suite_create ("share");
+  TCase *tcase = tcase_create ("share");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, one_entry_reads_for_all);
+  tcase_add_test (tcase, a_lost_reader_is_replaced);
+  tcase_add_test (tcase, an_age_counts_from_the_store);
+  tcase_add_test (tcase, a_leaving_reader_hands_over);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
