--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -1044,7 +1044,7 @@
     .cold_slack = 5,
   };
   static const act_t answer[] = { ACT_ANSWER };
-  char id[16];
+  char id[32];
 
   memset (f, 0, sizeof *f);
   uv_loop_init (&f->loop);
