--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	@scripts/lint $(BUILD)
 	@scripts/cppcheck
 	@scripts/check-dependencies
+	@scripts/check-platform
 
 docs-check: build
 	@scripts/check-docs $(BUILD)
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -32,7 +32,10 @@
   OWN_WAIT_MS = 8000,
   OWN_SLACK_MS = 1000,
   OWN_GAP_MS = 500,
-  COMMIT_TIMEOUT_MS = 2000
+  COMMIT_TIMEOUT_MS = 2000,
+  /* An entry that is no longer listed may still send for the length of a
+     planned stop, and one that restarts is not listed yet.  */
+  ENTRIES_KEEP_MS = 15000
 };
 
 struct duties
@@ -48,6 +51,7 @@
   bool instances_read;
   bool node_written;
   bool node_pending;
+  uint64_t peak_ms;     /* When so many entries were last listed.  */
   map_t *nodes;         /* Names of listed entries.  */
   uint64_t returned_ms; /* When the store came back, monotonic.  */
   bool commit_pending;  /* Of a roll-out's row.  */
@@ -303,16 +307,24 @@
     }
 }
 
+/* Share what all entries may use among those listed, and for a while among
+   those that were.  */
 static void
-set_entries (belief_t *belief, uint32_t entries)
+set_entries (duties_t *duties, uint32_t entries)
 {
+  belief_t *belief = duties->belief;
+  uint64_t now_ms = clock_ms (belief->clock);
   size_t cursor = 0;
   str_t key;
   void *value;
 
   if (entries == 0)
     entries = 1;
-  if (entries == belief->entries)
+  if (entries >= belief->entries)
+    duties->peak_ms = now_ms;
+  if (entries == belief->entries
+      || (entries < belief->entries
+          && now_ms - duties->peak_ms < ENTRIES_KEEP_MS))
     return;
   log_event (EVENT_ENTRIES, field_number (FIELD_COUNT, entries),
              field_number (FIELD_BEFORE, belief->entries));
@@ -329,7 +341,7 @@
 
   (void)full;
   duties->own_read = true;
-  set_entries (duties->belief, (uint32_t)map_size (duties->nodes));
+  set_entries (duties, (uint32_t)map_size (duties->nodes));
 }
 
 /* Writing.  */
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -63,7 +63,7 @@
   ((fixture_t *)timer->data)->expired = true;
 }
 
-#define wait_for(f, cond)                                                     \
+#define WAIT_FOR(f, cond)                                                     \
   do                                                                          \
     {                                                                         \
       (f)->expired = false;                                                   \
@@ -79,7 +79,7 @@
 {
   uint64_t till = uv_now (&f->loop) + ms;
 
-  wait_for (f, uv_now (&f->loop) >= till);
+  WAIT_FOR (f, uv_now (&f->loop) >= till);
 }
 
 static void
@@ -136,7 +136,7 @@
     member_start (f, i);
   introduce (f);
   for (int i = 0; i < ENTRIES; i++)
-    wait_for (f, strcmp (f->members[i].value, "one") == 0);
+    WAIT_FOR (f, strcmp (f->members[i].value, "one") == 0);
 }
 
 static void
@@ -175,7 +175,7 @@
 static int
 the_reader (fixture_t *f)
 {
-  wait_for (f, count_readers (f) == 1);
+  WAIT_FOR (f, count_readers (f) == 1);
   for (int i = 0; i < ENTRIES; i++)
     if (f->members[i].share != NULL && share_reads (f->members[i].share))
       return i;
@@ -197,11 +197,11 @@
   fake_rows_put (f.store, ROWS_ORDERS, "a", "two");
   uint64_t start_ms = uv_now (&f.loop);
   for (int i = 0; i < ENTRIES; i++)
-    wait_for (&f, strcmp (f.members[i].value, "two") == 0);
+    WAIT_FOR (&f, strcmp (f.members[i].value, "two") == 0);
   ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 500);
   fake_rows_remove (f.store, ROWS_ORDERS, "a");
   for (int i = 0; i < ENTRIES; i++)
-    wait_for (&f, f.members[i].removed);
+    WAIT_FOR (&f, f.members[i].removed);
   teardown (&f);
 }
 END_TEST
@@ -220,7 +220,7 @@
   uint64_t start_ms = uv_now (&f.loop);
   for (int i = 0; i < ENTRIES; i++)
     if (i != lost)
-      wait_for (&f, strcmp (f.members[i].value, "two") == 0);
+      WAIT_FOR (&f, strcmp (f.members[i].value, "two") == 0);
   ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 2500);
   for (int ms = 0; ms < 4000; ms += 100)
     {
@@ -254,7 +254,7 @@
     }
   fake_rows_down (f.store, false);
   for (int i = 0; i < ENTRIES; i++)
-    wait_for (&f, follow_age_ms (f.members[i].follow) < 2000);
+    WAIT_FOR (&f, follow_age_ms (f.members[i].follow) < 2000);
   teardown (&f);
 }
 END_TEST
@@ -271,7 +271,7 @@
   fake_rows_put (f.store, ROWS_ORDERS, "a", "two");
   uint64_t start_ms = uv_now (&f.loop);
   for (int i = 0; i < ENTRIES; i++)
-    wait_for (&f, strcmp (f.members[i].value, "two") == 0);
+    WAIT_FOR (&f, strcmp (f.members[i].value, "two") == 0);
   ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 1500);
   teardown (&f);
 }
