gateway: a pressed service keeps answers that it would drop when calm

Change: the bar for a small model's confidence sinks with the part of their objectives that first events take.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -43,12 +43,6 @@
    given up for another, if the request may run twice.  */
 static const double first_answer_part = 0.7;
 
-/* Confidence below which the answer of a smaller model is dropped.  */
-enum
-{
-  CONFIDENCE_MIN = 58
-};
-
 typedef enum
 {
   PHASE_SENT,     /* No head yet.  */
@@ -477,7 +471,8 @@
 
   if (relay->started || relay->route->model_count == 0
       || relay->model + 1 >= relay->route->model_count || text.ptr == NULL
-      || !str_to_u64 (text, &confidence) || confidence >= CONFIDENCE_MIN
+      || !str_to_u64 (text, &confidence)
+      || confidence >= doubt_bar (&relay->belief->doubt)
       || relay->runs + 1 >= relay->route->attempts_max || !take_extra (relay))
     return false;
   counter_add (relay->belief->counters.escalations, 1);
@@ -506,6 +501,9 @@
       return;
     }
   learn_from_head (relay, head);
+  if (relay->route->model_count > 0 && !relay->started)
+    doubt_observe (&relay->belief->doubt, relay->last_ms - relay->sent_ms,
+                   relay->route->objective_ms);
   if (head->status == 421 || call_header (head, names->not_run).ptr != NULL)
     {
       send_failed (relay, head->status == 421 ? "misdirected" : "shed", false);
