--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -315,14 +315,50 @@
   return load;
 }
 
+/* The closest instances to a subject so far.  */
+typedef struct
+{
+  upstream_t *own; /* In this entry's zone.  */
+  uint64_t own_rank;
+  upstream_t *any;
+  uint64_t any_rank;
+  bool own_zone; /* This zone has an instance that fits.  */
+} home_t;
+
+/* Take UPSTREAM as a home of WANT's subject where it is closer.  A subject has
+   a home in each zone: bytes between zones cost more than a prompt's shared
+   parts read once more (jabaldrift quiet-1: 0.025 and 0.006 of a day's worth
+   with one home for all zones, 0.004 and 0.012 with one in each).  */
+static void
+consider_home (const pool_t *pool, upstream_t *upstream,
+               const pool_want_t *want, double hot, uint64_t now_ms,
+               home_t *home)
+{
+  bool own = str_eq (str_from (upstream->zone), str_from (pool->zone));
+  uint64_t rank = affinity (upstream, want->key);
+
+  home->own_zone = home->own_zone || own;
+  if (want->key == 0 || load_of (upstream, now_ms) > hot)
+    return;
+  if (home->any == NULL || rank > home->any_rank)
+    {
+      home->any = upstream;
+      home->any_rank = rank;
+    }
+  if (own && (home->own == NULL || rank > home->own_rank))
+    {
+      home->own = upstream;
+      home->own_rank = rank;
+    }
+}
+
 /* The best of those that fit; with OUT_TOO also those that are out.  */
 static upstream_t *
 best (pool_t *pool, const pool_want_t *want, bool out_too, uint64_t now_ms,
       bool *any)
 {
   double hot = mean_load (pool, want, now_ms) * POOL_HOT + POOL_HOT_FLOOR;
-  upstream_t *home = NULL;
-  uint64_t home_rank = 0;
+  home_t home = { 0 };
   upstream_t *idlest = NULL;
   double idlest_badness = 0;
   unsigned ties = 0;
@@ -336,13 +372,7 @@
       *any = true;
       if (!has_room (pool, upstream, want, now_ms))
         continue;
-      uint64_t rank = affinity (upstream, want->key);
-      if (want->key != 0 && load_of (upstream, now_ms) <= hot
-          && (home == NULL || rank > home_rank))
-        {
-          home = upstream;
-          home_rank = rank;
-        }
+      consider_home (pool, upstream, want, hot, now_ms, &home);
       double bad = badness (pool, upstream, now_ms);
       if (idlest != NULL && bad > idlest_badness)
         continue;
@@ -351,7 +381,9 @@
         idlest = upstream;
       idlest_badness = bad;
     }
-  return home != NULL ? home : idlest;
+  if (home.own != NULL)
+    return home.own;
+  return home.any != NULL ? home.any : idlest;
 }
 
 vh_code_t
