--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -66,6 +66,10 @@
      "A roll-out is decided")                                                 \
   X (EVENT_ROLLOUT_WRITE, "rollout", "write-failed", WARNING, 10,             \
      "A step or evidence could not be written")                               \
+  X (EVENT_BILLS_WRITE, "bills", "write-failed", WARNING, 5,                  \
+     "Bills could not be written and wait")                                   \
+  X (EVENT_BILLS_DROPPED, "bills", "dropped", ERR, 5,                         \
+     "Bills were dropped for want of room")                                   \
   X (EVENT_SENT, "request", "sent", INFO, 40, "Sent to an upstream")          \
   X (EVENT_SEND_FAILED, "request", "send-failed", INFO, 200, "A send failed") \
   X (EVENT_LARGER, "request", "larger-model", INFO, 20,                       \
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -130,6 +130,12 @@
   set_gauge (gateway, "vanillahook_gateway_ready", "",
              "1: the balancer is told to send callers here.",
              gateway_ready (gateway));
+  set_gauge (gateway, "vanillahook_gateway_bills_waiting", "",
+             "Bills not yet written.",
+             (double)billing_waiting (belief->bills));
+  set_gauge (gateway, "vanillahook_gateway_bills_dropped", "",
+             "Bills dropped for want of room.",
+             (double)billing_dropped (belief->bills));
   set_gauge (gateway, "vanillahook_log_dropped_lines", "",
              "Log lines left out for want of budget or room.",
              (double)eventlog_dropped ());
@@ -289,6 +295,7 @@
   httpd_destroy (gateway->front);
   httpd_destroy (gateway->ready);
   httpd_destroy (gateway->admin);
+  billing_destroy (gateway->belief.bills);
   duties_destroy (gateway->duties);
   share_destroy (gateway->share);
   free_beliefs (&gateway->belief);
@@ -308,6 +315,12 @@
     gateway->cut = relay_cut_all (belief);
   else if (ms < NOTICE_MS || httpd_unwritten (gateway->front) > 0)
     return;
+  else if (billing_waiting (belief->bills) > 0)
+    {
+      /* Nothing is billed any more; the last bills go out.  */
+      billing_flush (belief->bills);
+      return;
+    }
   log_event (EVENT_STOPPED, field_number (FIELD_MS, ms),
              field_number (FIELD_CUT, gateway->cut));
   uv_timer_stop (timer);
@@ -379,6 +392,8 @@
   if (code == VH_OK)
     code = start_sharing (gateway, &rows);
   gateway->duties = duties_create (belief, rows, gateway->share);
+  belief->bills = billing_create (loop, rows, belief->options.name,
+                                  rng_u64 (&belief->rng));
   if (code != VH_OK)
     {
       log_err ("gateway", "An address cannot be listened on. listen=%.*s",
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -8,6 +8,7 @@
 #include "base/mem.h"
 #include "base/rng.h"
 #include "gateway/allowance.h"
+#include "gateway/billing.h"
 #include "gateway/doubt.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
@@ -54,6 +55,7 @@
   gateway_counters_t counters;
   metrics_t *metrics;
   tally_t *tally;
+  billing_t *bills;
   doubt_t doubt;
   list_t relays;
   uint64_t stopping_ms; /* When the planned stop began; 0: it did not.  */
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -167,6 +167,30 @@
   relay->upstream = NULL;
 }
 
+/* Bill what an upstream answered and the caller got, whole or in part.  */
+static void
+bill_answer (const relay_t *relay, log_event_t event)
+{
+  bool whole = event == EVENT_ANSWERED;
+
+  if (!whole && !(relay->started && relay->event_count > 0))
+    return;
+  if (relay->status >= 300 || relay->route == NULL)
+    return;
+  const bill_t bill = {
+    .id = str_from (relay->attempt_id),
+    .team = relay->team != NULL ? relay->team->name : STR (""),
+    .route = relay->route->name,
+    .model = relay->route->model_count > 0 ? relay->route->models[relay->model]
+                                           : STR (""),
+    .prompt = relay->prompt,
+    .events = relay->event_count,
+    .runs = (uint32_t)relay->runs + 1,
+    .whole = whole,
+  };
+  billing_add (relay->belief->bills, &bill);
+}
+
 /* Count the request under its route, team and outcome, and write one line on
    how it ended.  */
 static void
@@ -182,6 +206,7 @@
 
   if (reason == NULL)
     reason = "-";
+  bill_answer (relay, event);
   tally_request (belief->tally, route, team, info->name, reason, ms);
   log_event (
       event, field_text (FIELD_ID, str_from (relay->attempt_id)),
