gateway: a step of a roll-out is left only on evidence

Change: a step is left once the new version has some answers and fails at most a tenth more; an old arm without answers counts as twenty with one failure. The first share is a tenth, and the old version is waited for a tenth of the time. Stand-ins ignore SIGPIPE, as the daemons do: a cut answer is written to a socket that is shut. The list of roles in test_settings has the new one; headers of the gateway and of storage are installed.

--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -4,7 +4,7 @@
 # DESTDIR can be used in place.
 set (embedded)
 set (embedded_libs)
-foreach (package control platform wire policy conf base)
+foreach (package control gateway storage wire policy conf base)
   if (TARGET vh_${package})
     list (APPEND embedded vh_${package})
     string (APPEND embedded_libs " -lvh_${package}")
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -9,7 +9,7 @@
 
 /* Part of the order's time after the last step at which the old version is
    given up though requests still run there.  */
-static const double linger_part = 0.14;
+static const double linger_part = 0.10;
 
 static const struct
 {
@@ -319,6 +319,26 @@
   return all;
 }
 
+/* Share of failures of the old version, by its answers and by twenty imagined
+   ones with one failure: an arm without answers, as when all requests go to
+   the new version, must neither claim certainty nor hide a bad one.  */
+static double
+old_failures (const trial_sums_t *old)
+{
+  return (old->failed + 1) / (old->count + 20);
+}
+
+/* Tell whether the evidence lets a step be left that has lasted IN_STEP_MS of
+   LEAST_MS.  */
+static bool
+is_proven (const trial_sums_t *old, const trial_sums_t *new, double in_step_ms,
+           double least_ms)
+{
+  if (new->count < TRIAL_ENOUGH)
+    return in_step_ms >= TRIAL_PATIENCE * least_ms;
+  return new->failed / new->count - old_failures (old) <= TRIAL_PROVEN;
+}
+
 /* Tell whether the new version fails more than the old one.  */
 static bool
 fails_more (const trial_sums_t *old, const trial_sums_t *new)
@@ -326,9 +346,7 @@
   if (new->count < TRIAL_SAMPLES)
     return false;
   double p_new = new->failed / new->count;
-  /* One imagined failure in twenty keeps an arm without failures from
-     claiming certainty.  */
-  double p_old = (old->failed + 1) / (old->count + 20);
+  double p_old = old_failures (old);
   double pooled
       = (new->failed + old->failed + 1) / (new->count + old->count + 2);
   double error
@@ -400,6 +418,9 @@
       = now_ms > trial->from_ms ? (double)(now_ms - trial->from_ms) : 0;
   if (alone || in_step_ms < least_ms)
     return TRIAL_WAIT;
+  if (trial->step > TRIAL_STEP_HELD
+      && !is_proven (&sums[TRIAL_OLD], &sums[TRIAL_NEW], in_step_ms, least_ms))
+    return TRIAL_WAIT;
   if (trial->step + 1 < TRIAL_STEP_COUNT)
     return TRIAL_ADVANCE;
   return all.old_running == 0 || in_step_ms >= linger_part * within_ms
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -31,13 +31,20 @@
 /* Part of its evidence that a second leaves.  */
 #define TRIAL_KEEP_S 0.85
 
+/* A step is left once the new version has so many answers and fails at most by
+   TRIAL_PROVEN more than the old one; without so many, after TRIAL_PATIENCE
+   times its length.  */
+#define TRIAL_PROVEN 0.1
+#define TRIAL_ENOUGH 4.0
+#define TRIAL_PATIENCE 3
+
 /* X (symbol, share, part of the order's time that the step lasts at least).
    The second gives a dozen answers at 40 requests a second and 24 s, the third
    as many of each route; what is left after the last is for requests that
    still run on the old version.  */
 #define TRIAL_STEPS(X)                                                        \
   X (TRIAL_STEP_HELD, 0.00, 0.50)                                             \
-  X (TRIAL_STEP_FIRST, 0.08, 0.12)                                            \
+  X (TRIAL_STEP_FIRST, 0.10, 0.11)                                            \
   X (TRIAL_STEP_WIDER, 0.35, 0.06)                                            \
   X (TRIAL_STEP_ALL, 1.00, 0.06)
 
--- a/tests/standins/common.c
+++ b/tests/standins/common.c
@@ -48,6 +48,8 @@
   const httpd_options_t options = { .body_limit = BODY_LIMIT };
   httpd_t *server;
 
+  /* A cut answer is written to a socket that is shut.  */
+  signal (SIGPIPE, SIG_IGN);
   if (httpd_create (loop, str_from (address), &options, handler, NULL, &server)
       != VH_OK)
     {
@@ -73,7 +75,6 @@
   static uv_signal_t term;
   static uv_signal_t interrupt;
 
-  signal (SIGPIPE, SIG_IGN);
   uv_signal_init (loop, &term);
   uv_signal_start (&term, on_signal, SIGTERM);
   uv_signal_init (loop, &interrupt);
--- a/tests/standins/standin_platform.c
+++ b/tests/standins/standin_platform.c
@@ -10,6 +10,7 @@
 #include "wire/httpd.h"
 
 #include <getopt.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -714,6 +715,8 @@
   options_result_t result = read_options (&standin, argc, argv, &listen);
   if (result != OPTIONS_OK)
     return result == OPTIONS_EXIT ? EXIT_SUCCESS : 2;
+  /* A cut answer is written to a socket that is shut.  */
+  signal (SIGPIPE, SIG_IGN);
   if (httpd_create (standin.loop, str_from (listen), &options, handle,
                     &standin, &standin.server)
       != VH_OK)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -71,6 +71,11 @@
       httpd_send (req, STR ("half"), false);
       f->held = req;
     }
+  else if (str_eq (path, STR ("/cut-at-head")))
+    {
+      httpd_start (req, 200, NULL, 0);
+      httpd_abort (req);
+    }
   else if (str_eq (path, STR ("/cut-at-chunk")))
     {
       httpd_start (req, 200, NULL, 0);
@@ -229,6 +234,22 @@
 
 /* A caller gives up while its answer is still being made.  The server, which
    does not read meanwhile, must notice and stop the work.  */
+/* The server cuts an answer whose head it has not written yet.  */
+START_TEST (answer_cut_before_its_head_is_seen)
+{
+  fixture_t f;
+
+  setup (&f);
+  for (int i = 0; i < 3; i++)
+    {
+      fetch (&f, STR ("GET"), STR ("/cut-at-head"), STR (""));
+      run_until (&f, &f.done);
+      ck_assert_int_eq (f.code, VH_E_UPSTREAM_CUT);
+    }
+  teardown (&f);
+}
+END_TEST
+
 START_TEST (departure_is_noticed)
 {
   fixture_t f;
@@ -460,6 +481,7 @@
   tcase_add_test (tcase, oversized_body_is_refused);
   tcase_add_test (tcase, cut_answer_is_seen);
   tcase_add_test (tcase, answer_cut_between_chunks_is_seen);
+  tcase_add_test (tcase, answer_cut_before_its_head_is_seen);
   tcase_add_test (tcase, departure_is_noticed);
   tcase_add_test (tcase, callers_leave_in_mid_stream);
   tcase_add_test (tcase, silent_server_times_out);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -328,7 +328,7 @@
   ck_assert_msg (at == 6, "%s", text.ptr);
   ck_assert_msg (strstr (text.ptr, "vanillahookd: a.ini:3: `role' cannot be "
                                    "`clerk' (one of entry, sidecar, "
-                                   "standalone)\n")
+                                   "standalone, gateway)\n")
                      != NULL,
                  "%s", text.ptr);
   buf_free (&text);
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -10,7 +10,8 @@
   WITHIN_MS = 24000,
   START_MS = 100000,
   TICK_MS = 100,
-  PER_TICK = 8 /* Requests: 80 a second.  */
+  PER_TICK = 8, /* Requests: 80 a second.  */
+  FEW_PER_TICK = 2
 };
 
 typedef struct
@@ -20,6 +21,8 @@
   uint64_t bad_from; /* Milliseconds after the order.  */
   uint64_t outage_from;
   uint64_t outage_till;
+  int per_tick;  /* Requests, 0: PER_TICK.  */
+  double noise;  /* Failures of both versions, from half on.  */
   int bad_route; /* Only this one of four; -1: all.  */
 } version_t;
 
@@ -46,14 +49,17 @@
     {
       uint64_t now_ms = START_MS + ms;
       bool away = ms >= version->outage_from && ms < version->outage_till;
-      for (int i = 0; i < PER_TICK; i++)
+      int per_tick = version->per_tick > 0 ? version->per_tick : PER_TICK;
+      for (int i = 0; i < per_tick; i++)
         {
           uint64_t route = rng_below (&rng, TRIAL_CELLS);
           bool is_new = trial_assign (trial, rng_u64 (&rng), now_ms);
           bool is_bad = is_new && ms >= version->bad_from
                         && (version->bad_route < 0
                             || version->bad_route == (int)route);
-          double fails = is_bad ? version->fails : 0.01;
+          double noise = ms >= WITHIN_MS / 2 ? version->noise : 0;
+          double fails
+              = noise + (1 - noise) * (is_bad ? version->fails : 0.01);
           uint64_t wait_ms = 50 + rng_below (&rng, 300);
           outcome.asked++;
           outcome.shown += is_new;
@@ -134,6 +140,31 @@
 }
 END_TEST
 
+/* Answers of both versions are lost while a bad one is on trial, so that it
+   shows late, and it turns bad when no request goes to the old one any more:
+   it is not declared good for want of evidence.  */
+START_TEST (noise_does_not_carry_a_bad_version)
+{
+  static const version_t bad[] = {
+    { .fails = 0.5, .slow = 1, .bad_route = -1, .noise = 0.3 },
+    { .fails = 0.4,
+      .slow = 1,
+      .bad_route = -1,
+      .noise = 0.4,
+      .per_tick = FEW_PER_TICK },
+    { .fails = 0.5, .slow = 1, .bad_route = -1, .bad_from = 20000 },
+  };
+
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    for (uint64_t seed = 1; seed <= 100; seed++)
+      {
+        outcome_t outcome = play (&bad[i], seed);
+        ck_assert_msg (outcome.phase != TRIAL_DONE, "version %zu seed %d", i,
+                       (int)seed);
+      }
+}
+END_TEST
+
 /* The store is away when the steps are due, and evidence stays where it was
    made: no step is taken until it is back, and then one after the other.  */
 START_TEST (an_outage_holds_the_steps)
@@ -194,6 +225,7 @@
 
   tcase_add_test (tcase, a_good_version_is_declared_in_time);
   tcase_add_test (tcase, a_bad_version_is_taken_back);
+  tcase_add_test (tcase, noise_does_not_carry_a_bad_version);
   tcase_add_test (tcase, an_outage_holds_the_steps);
   tcase_add_test (tcase, evidence_travels);
   suite_add_tcase (suite, tcase);
