--- /dev/null
+++ b/tests/fake_rows.c
@@ -0,0 +1,331 @@
+#include "fake_rows.h"
+
+#include "base/mem.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+enum
+{
+  ROWS_MAX = 64,
+  STORE_START_MS = 1000000
+};
+
+typedef struct
+{
+  rows_table_t table;
+  char *key;
+  char *value;
+  uint64_t version;
+  bool deleted;
+} stored_t;
+
+typedef struct
+{
+  list_t link;
+  fake_rows_t *fake;
+  uv_timer_t timer;
+  enum
+  {
+    CALL_READ,
+    CALL_WATCH,
+    CALL_COMMIT
+  } kind;
+  rows_table_t table;
+  uint64_t after;
+  vh_code_t code; /* Of a commit.  */
+  rows_cb_t cb;
+  void *arg;
+} fake_call_t;
+
+struct fake_rows
+{
+  rows_t base;
+  uv_loop_t *loop;
+  stored_t rows[ROWS_MAX];
+  size_t count;
+  uint64_t version;
+  uint64_t stale;
+  uint64_t forgotten; /* Watches after less than this end.  */
+  uint64_t extra_ms;
+  bool down;
+  size_t calls;
+  list_t pending;
+};
+
+static stored_t *
+find_row (const fake_rows_t *fake, rows_table_t table, str_t key)
+{
+  for (size_t i = 0; i < fake->count; i++)
+    if (fake->rows[i].table == table
+        && str_eq (str_from (fake->rows[i].key), key))
+      return (stored_t *)&fake->rows[i];
+  return NULL;
+}
+
+static void
+on_call_closed (uv_handle_t *handle)
+{
+  free (handle->data);
+}
+
+static void
+call_over (fake_call_t *call)
+{
+  list_remove (&call->link);
+  uv_close ((uv_handle_t *)&call->timer, on_call_closed);
+}
+
+/* Answer CALL with the rows of its table that changed after AFTER.  */
+static void
+call_tell (fake_call_t *call)
+{
+  fake_rows_t *fake = call->fake;
+  rows_row_t rows[ROWS_MAX];
+  rows_cb_t cb = call->cb;
+  void *arg = call->arg;
+  uint64_t limit = fake->stale != 0 ? fake->stale : fake->version;
+  rows_result_t result
+      = { .rows = rows,
+          .version = limit,
+          .now_ms = STORE_START_MS + uv_now (fake->loop) + fake->extra_ms };
+  vh_code_t code = fake->down ? VH_E_STORE_DOWN : call->code;
+
+  if (call->kind == CALL_WATCH && call->after < fake->forgotten)
+    code = VH_E_NOT_FOUND;
+  for (size_t i = 0; i < fake->count && call->kind != CALL_COMMIT; i++)
+    {
+      const stored_t *row = &fake->rows[i];
+      if (row->table != call->table || row->version <= call->after
+          || row->version > limit || (call->kind == CALL_READ && row->deleted))
+        continue;
+      rows[result.count++]
+          = (rows_row_t){ str_from (row->key), str_from (row->value),
+                          row->version, row->deleted };
+    }
+  call_over (call);
+  cb (arg, code, code == VH_OK ? &result : NULL);
+}
+
+static void
+on_call_timer (uv_timer_t *timer)
+{
+  call_tell (timer->data);
+}
+
+static fake_call_t *
+call_add (fake_rows_t *fake, int kind, rows_table_t table, uint64_t after,
+          uint64_t wait_ms, rows_cb_t cb, void *arg)
+{
+  fake_call_t *call = mem_zalloc (sizeof *call);
+
+  call->fake = fake;
+  call->kind = kind;
+  call->table = table;
+  call->after = after;
+  call->cb = cb;
+  call->arg = arg;
+  fake->calls++;
+  list_append (&fake->pending, &call->link);
+  uv_timer_init (fake->loop, &call->timer);
+  call->timer.data = call;
+  uv_timer_start (&call->timer, on_call_timer, fake->down ? 1 : wait_ms, 0);
+  return call;
+}
+
+static void
+fake_read (rows_t *rows, rows_table_t table, str_t from, uint64_t timeout_ms,
+           rows_cb_t cb, void *arg)
+{
+  (void)from;
+  (void)timeout_ms;
+  call_add ((fake_rows_t *)rows, CALL_READ, table, 0, 1, cb, arg);
+}
+
+static void
+fake_watch (rows_t *rows, rows_table_t table, uint64_t after, uint64_t wait_ms,
+            uint64_t timeout_ms, rows_cb_t cb, void *arg)
+{
+  fake_rows_t *fake = (fake_rows_t *)rows;
+  bool news = after < fake->forgotten;
+
+  (void)timeout_ms;
+  for (size_t i = 0; i < fake->count; i++)
+    if (fake->rows[i].table == table && fake->rows[i].version > after)
+      news = true;
+  call_add (fake, CALL_WATCH, table, after, news ? 1 : wait_ms, cb, arg);
+}
+
+/* Wake the watches that have news.  */
+static void
+wake (fake_rows_t *fake, rows_table_t table)
+{
+  LIST_EACH (at, &fake->pending)
+    {
+      fake_call_t *call = CONTAINER_OF (at, fake_call_t, link);
+      if (call->kind == CALL_WATCH && call->table == table)
+        uv_timer_start (&call->timer, on_call_timer, 1, 0);
+    }
+}
+
+static void
+store_row (fake_rows_t *fake, rows_table_t table, str_t key, str_t value,
+           bool deleted)
+{
+  stored_t *row = find_row (fake, table, key);
+
+  if (row == NULL)
+    {
+      ck_assert_uint_lt (fake->count, ROWS_MAX);
+      row = &fake->rows[fake->count++];
+      row->table = table;
+      row->key = str_dup (key);
+    }
+  free (row->value);
+  row->value = str_dup (value);
+  row->deleted = deleted;
+  row->version = fake->version;
+  wake (fake, table);
+}
+
+static void
+fake_commit (rows_t *rows, const rows_write_t *writes, size_t count,
+             uint64_t timeout_ms, rows_cb_t cb, void *arg)
+{
+  fake_rows_t *fake = (fake_rows_t *)rows;
+  fake_call_t *call = call_add (fake, CALL_COMMIT, ROWS_OWN, 0, 1, cb, arg);
+
+  (void)timeout_ms;
+  if (fake->down)
+    return;
+  for (size_t i = 0; i < count; i++)
+    {
+      const stored_t *row = find_row (fake, writes[i].table, writes[i].key);
+      uint64_t version = row == NULL || row->deleted ? 0 : row->version;
+      if (writes[i].conditional && version != writes[i].expected)
+        call->code = VH_E_CONFLICT;
+    }
+  if (call->code != VH_OK)
+    return;
+  fake->version++;
+  for (size_t i = 0; i < count; i++)
+    store_row (fake, writes[i].table, writes[i].key, writes[i].value,
+               writes[i].remove);
+}
+
+static void
+fake_forget (rows_t *rows, const void *arg)
+{
+  fake_rows_t *fake = (fake_rows_t *)rows;
+
+  LIST_EACH (at, &fake->pending)
+    {
+      fake_call_t *call = CONTAINER_OF (at, fake_call_t, link);
+      if (call->arg == arg)
+        call_over (call);
+    }
+}
+
+static void
+fake_destroy (rows_t *rows)
+{
+  fake_rows_t *fake = (fake_rows_t *)rows;
+
+  LIST_EACH (at, &fake->pending)
+    call_over (CONTAINER_OF (at, fake_call_t, link));
+  for (size_t i = 0; i < fake->count; i++)
+    {
+      free (fake->rows[i].key);
+      free (fake->rows[i].value);
+    }
+  free (fake);
+}
+
+fake_rows_t *
+fake_rows_create (uv_loop_t *loop)
+{
+  static const rows_ops_t ops
+      = { fake_read, fake_watch, fake_commit, fake_forget, fake_destroy };
+  fake_rows_t *fake = mem_zalloc (sizeof *fake);
+
+  fake->base.ops = &ops;
+  fake->loop = loop;
+  fake->version = 1;
+  list_init (&fake->pending);
+  return fake;
+}
+
+rows_t *
+fake_rows_iface (fake_rows_t *fake)
+{
+  return &fake->base;
+}
+
+void
+fake_rows_put (fake_rows_t *fake, rows_table_t table, const char *key,
+               const char *value)
+{
+  fake->version++;
+  store_row (fake, table, str_from (key), str_from (value), false);
+}
+
+void
+fake_rows_remove (fake_rows_t *fake, rows_table_t table, const char *key)
+{
+  fake->version++;
+  store_row (fake, table, str_from (key), STR (""), true);
+}
+
+const char *
+fake_rows_get (const fake_rows_t *fake, rows_table_t table, const char *key)
+{
+  const stored_t *row = find_row (fake, table, str_from (key));
+
+  return row == NULL || row->deleted ? NULL : row->value;
+}
+
+void
+fake_rows_down (fake_rows_t *fake, bool down)
+{
+  fake->down = down;
+  LIST_EACH (at, &fake->pending)
+    uv_timer_start (&CONTAINER_OF (at, fake_call_t, link)->timer,
+                    on_call_timer, 1, 0);
+}
+
+void
+fake_rows_stale (fake_rows_t *fake, uint64_t version)
+{
+  fake->stale = version;
+  for (rows_table_t table = ROWS_ORDERS; table <= ROWS_OWN; table++)
+    wake (fake, table);
+}
+
+uint64_t
+fake_rows_version (const fake_rows_t *fake)
+{
+  return fake->version;
+}
+
+void
+fake_rows_forget (fake_rows_t *fake)
+{
+  fake->version++;
+  fake->forgotten = fake->version;
+  for (rows_table_t table = ROWS_ORDERS; table <= ROWS_OWN; table++)
+    wake (fake, table);
+}
+
+void
+fake_rows_advance (fake_rows_t *fake, uint64_t ms)
+{
+  fake->extra_ms += ms;
+  for (rows_table_t table = ROWS_ORDERS; table <= ROWS_OWN; table++)
+    wake (fake, table);
+}
+
+size_t
+fake_rows_calls (const fake_rows_t *fake)
+{
+  return fake->calls;
+}
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -2,9 +2,9 @@
    memory: who asks it, what becomes of the others when the reader is lost, and
    how old what they believe is.  */
 
+#include "fake_rows.h"
 #include "gateway/follow.h"
 #include "gateway/share.h"
-#include "gateway_fixture.h"
 #include "suite.h"
 
 #include <signal.h>
