--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -10,6 +10,7 @@
 
 #include "base/eventlog.h"
 #include "gateway/events.h"
+#include "gateway/forward.h"
 #include "wire/call.h"
 
 #include <stdlib.h>
@@ -311,30 +312,6 @@
 
 /* What comes back.  */
 
-/* Tell whether NAME is of one connection only, or set anew by us.  */
-static bool
-is_hop_header (str_t name)
-{
-  static const char *const names[] = { "connection",
-                                       "keep-alive",
-                                       "proxy-connection",
-                                       "proxy-authenticate",
-                                       "proxy-authorization",
-                                       "te",
-                                       "trailer",
-                                       "transfer-encoding",
-                                       "upgrade",
-                                       "content-length",
-                                       "expect",
-                                       "date",
-                                       "server" };
-
-  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
-    if (str_eq_nocase (name, str_from (names[i])))
-      return true;
-  return false;
-}
-
 static bool
 may_send_again (const relay_t *relay)
 {
@@ -417,7 +394,7 @@
   for (size_t i = 0; i < head->header_count; i++)
     {
       const httpc_header_t *header = &head->headers[i];
-      if (header->name.len == 0 || is_hop_header (header->name))
+      if (header->name.len == 0 || forward_is_hop (header->name))
         continue;
       buf_append_str (&relay->head, header->name);
       buf_append_char (&relay->head, '\0');
@@ -436,7 +413,7 @@
        i < head->header_count && count < sizeof headers / sizeof headers[0];
        i++)
     if (head->headers[i].name.len > 0
-        && !is_hop_header (head->headers[i].name))
+        && !forward_is_hop (head->headers[i].name))
       headers[count++] = head->headers[i];
   relay->started = true;
   relay->status = head->status;
@@ -651,97 +628,6 @@
 
 /* Sending.  */
 
-static void
-append_header (buf_t *out, str_t name, str_t value)
-{
-  buf_append_str (out, name);
-  buf_append (out, ": ", 2);
-  buf_append_str (out, value);
-  buf_append (out, "\r\n", 2);
-}
-
-static void
-append_number_header (buf_t *out, str_t name, uint64_t value)
-{
-  buf_append_str (out, name);
-  buf_printf (out, ": %llu\r\n", (unsigned long long)value);
-}
-
-/* Tell whether header NAME of a caller is ours to set, or stays here.  */
-static bool
-is_own_header (const header_names_t *names, str_t name)
-{
-  const str_t own[]
-      = { names->deadline_ms,     names->model,          names->team,
-          names->expect_instance, names->expect_version, names->urgency,
-          names->reservation,     names->pin_ms,         names->kv_backup,
-          names->kv_source,       names->kv_fetch,       names->not_run,
-          STR ("authorization"),  STR ("host") };
-
-  for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
-    if (str_eq_nocase (name, own[i]))
-      return true;
-  return false;
-}
-
-/* Tell whether NAME is listed in the Connection header VALUE.  */
-static bool
-is_listed (str_t value, str_t name)
-{
-  while (value.ptr != NULL)
-    if (str_eq_nocase (str_trim (str_cut (value, ',', &value)), name))
-      return true;
-  return false;
-}
-
-/* Write the request as the present upstream gets it.  */
-static void
-write_request (const relay_t *relay, uint64_t now_ms, buf_t *out)
-{
-  const header_names_t *names = relay->belief->names;
-  const httpd_req_t *req = relay->req;
-  str_t connection = httpd_header (req, STR ("connection"));
-  str_t query = httpd_query (req);
-  str_t body = httpd_body (req);
-  httpc_header_t header;
-  bool resumes = relay->events.has_last;
-
-  buf_reserve (out, 1024 + body.len);
-  buf_append_str (out, httpd_method (req));
-  buf_append_char (out, ' ');
-  buf_append_str (out, httpd_path (req));
-  if (query.ptr != NULL)
-    {
-      buf_append_char (out, '?');
-      buf_append_str (out, query);
-    }
-  buf_append (out, " HTTP/1.1\r\n", 11);
-  append_header (out, STR ("Host"), httpd_authority (req));
-  for (size_t i = 0; httpd_header_at (req, i, &header); i++)
-    {
-      if (is_hop_header (header.name) || is_own_header (names, header.name)
-          || is_listed (connection, header.name)
-          || (resumes && str_eq_nocase (header.name, STR ("last-event-id"))))
-        continue;
-      append_header (out, header.name, header.value);
-    }
-  if (resumes)
-    append_number_header (out, STR ("Last-Event-Id"), relay->events.last_id);
-  append_number_header (out, names->deadline_ms,
-                        relay->due_ms > now_ms ? relay->due_ms - now_ms : 1);
-  append_header (out, names->expect_instance, upstream_id (relay->upstream));
-  if (relay->team != NULL)
-    append_header (out, names->team, relay->team->name);
-  if (relay->route->model_count > 0)
-    append_header (out, names->model, relay->route->models[relay->model]);
-  else if (httpd_header (req, names->model).ptr != NULL)
-    append_header (out, names->model, httpd_header (req, names->model));
-  if (body.len > 0 || !str_eq (httpd_method (req), STR ("GET")))
-    append_number_header (out, STR ("Content-Length"), body.len);
-  buf_append (out, "Connection: close\r\n\r\n", 21);
-  buf_append_str (out, body);
-}
-
 /* Arm the timer for the next moment at which something is due.  */
 static void arm_timer (relay_t *relay, uint64_t now_ms);
 
@@ -838,7 +724,18 @@
   relay->is_ok = false;
   relay->sends++;
   counter_add (belief->counters.sends, 1);
-  write_request (relay, now_ms, &request);
+  const forward_t forward = {
+    .names = belief->names,
+    .upstream = upstream_id (relay->upstream),
+    .team = relay->team != NULL ? relay->team->name : STR_NULL,
+    .model = relay->route->model_count > 0
+                 ? relay->route->models[relay->model]
+                 : httpd_header (relay->req, belief->names->model),
+    .left_ms = relay->due_ms - now_ms,
+    .resumes = relay->events.has_last,
+    .last_id = relay->events.last_id,
+  };
+  forward_write (&forward, relay->req, &request);
   relay->call = call_start (
       belief->loop, upstream_address (relay->upstream), &request, CONNECT_MS,
       str_eq (httpd_method (relay->req), STR ("HEAD")), &events, relay);
