gateway: a request keeps the arm of its first send

Change: the arm is chosen once a request; what failed on the new version goes to the old one. Test: a_request_keeps_its_arm.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -92,9 +92,9 @@
   buf_t head; /* Pairs of NAME NUL VALUE NUL.  */
   buf_t body;
   bool paused;
-  bool shed;          /* The last upstream said that it did not run it.  */
-  bool new_failed;    /* A version under trial failed this request.  */
-  const char *reason; /* Of the last failure, for the log.  */
+  bool shed;             /* The last upstream said that it did not run it.  */
+  trial_sent_t on_trial; /* Its sends while a version is under trial.  */
+  const char *reason;    /* Of the last failure, for the log.  */
 } relay_t;
 
 static void relay_send (relay_t *relay);
@@ -369,7 +369,8 @@
     relay->runs++;
   remember_tried (relay);
   relay->shed = !ran;
-  relay->new_failed = relay->new_failed || (ran && is_on_trial (relay));
+  if (ran && is_on_trial (relay))
+    relay->on_trial.failed = true;
   end_send (relay, ran ? SEND_FAILED : SEND_REFUSED);
   relay->head.len = 0;
   relay->body.len = 0;
@@ -652,10 +653,10 @@
         want->arm = ARM_NEW;
       break;
     case TRIAL_RUNNING:
-      if (!relay->new_failed
-          && pool_has (belief->pool, want->service, ARM_NEW, want->version)
-          && trial_assign (trial, relay->session,
-                           follow_store_ms (belief->orders)))
+      if (trial_choose (trial, relay->session,
+                        follow_store_ms (belief->orders), &relay->on_trial)
+              == TRIAL_NEW
+          && pool_has (belief->pool, want->service, ARM_NEW, want->version))
         want->arm = ARM_NEW;
       else
         want->arm = ARM_OLD;
@@ -716,6 +717,8 @@
              field_number (FIELD_SENDS, relay->sends + 1),
              field_number (FIELD_LEFT_MS, relay->due_ms - now_ms),
              field_number (FIELD_REVISION, catalog_revision (relay->catalog)));
+  relay->on_trial.any = true;
+  relay->on_trial.arm = is_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD;
   relay->prompt_left = relay->prompt;
   pool_started (belief->pool, relay->upstream, relay->prompt);
   relay->phase = PHASE_SENT;
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -166,6 +166,17 @@
   return (double)(key >> 11) * 0x1.0p-53 < trial_share (trial, now_ms);
 }
 
+trial_arm_t
+trial_choose (const trial_t *trial, uint64_t key, uint64_t now_ms,
+              const trial_sent_t *sent)
+{
+  if (sent->failed)
+    return TRIAL_OLD;
+  if (sent->any)
+    return sent->arm;
+  return trial_assign (trial, key, now_ms) ? TRIAL_NEW : TRIAL_OLD;
+}
+
 void
 trial_observe (trial_t *trial, trial_arm_t arm, uint64_t route, bool failed,
                uint64_t wait_ms)
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -121,6 +121,21 @@
    a greater share only adds keys.  */
 bool trial_assign (const trial_t *trial, uint64_t key, uint64_t now_ms);
 
+/* What became of the sends of one request so far.  */
+typedef struct
+{
+  bool any; /* It was sent before, to ARM.  */
+  trial_arm_t arm;
+  bool failed; /* A send to the new version failed.  */
+} trial_sent_t;
+
+/* The arm of a request with hash KEY.  It stays with the arm of its first
+   send: a stream that was broken on the old version must not go on at one
+   that may be bad, where a second failure would end it.  What failed on the
+   new version goes to the old one.  */
+trial_arm_t trial_choose (const trial_t *trial, uint64_t key, uint64_t now_ms,
+                          const trial_sent_t *sent);
+
 /* Take in an answer on a route with hash ROUTE; WAIT_MS until its first event,
    0 when there was none.  */
 void trial_observe (trial_t *trial, trial_arm_t arm, uint64_t route,
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -189,6 +189,29 @@
 }
 END_TEST
 
+/* A draft's upstream of the old version breaks off after the roll-out took a
+   step that would place the draft on the new one.  It goes on at the old
+   version; a request that the new version failed goes there too.  */
+START_TEST (a_request_keeps_its_arm)
+{
+  trial_t *trial = trial_create (STR ("llm"), STR ("v2"), 1, WITHIN_MS);
+  trial_sent_t sent = { 0 };
+  const uint64_t key = 0; /* The first that is placed on a new version.  */
+
+  trial_set_progress (trial, START_MS, TRIAL_STEP_HELD, START_MS);
+  ck_assert_int_eq (trial_choose (trial, key, START_MS, &sent), TRIAL_OLD);
+  sent = (trial_sent_t){ .any = true, .arm = TRIAL_OLD };
+  trial_set_progress (trial, START_MS, TRIAL_STEP_FIRST, START_MS);
+  ck_assert (trial_assign (trial, key, START_MS));
+  ck_assert_int_eq (trial_choose (trial, key, START_MS, &sent), TRIAL_OLD);
+  sent.arm = TRIAL_NEW;
+  ck_assert_int_eq (trial_choose (trial, key, START_MS, &sent), TRIAL_NEW);
+  sent.failed = true;
+  ck_assert_int_eq (trial_choose (trial, key, START_MS, &sent), TRIAL_OLD);
+  trial_destroy (trial);
+}
+END_TEST
+
 /* What one entry writes another one reads, and judges as its own.  */
 START_TEST (evidence_travels)
 {
@@ -227,6 +250,7 @@
   tcase_add_test (tcase, a_bad_version_is_taken_back);
   tcase_add_test (tcase, noise_does_not_carry_a_bad_version);
   tcase_add_test (tcase, an_outage_holds_the_steps);
+  tcase_add_test (tcase, a_request_keeps_its_arm);
   tcase_add_test (tcase, evidence_travels);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
