--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -75,6 +75,7 @@
   X ("listen", VALUE_ADDRESS, true, pub.listen, 0, 0, NULL)                   \
   X ("ready", VALUE_ADDRESS, true, pub.ready, 0, 0, NULL)                     \
   X ("kill-after-s", VALUE_DOUBLE, false, pub.kill_after_s, 2, 3600, NULL)    \
+  X ("revoke-ms", VALUE_U64, false, pub.revoke_ms, 100, DAY_MS, NULL)         \
   X ("confirm-ms", VALUE_U64, false, pub.confirm_ms, 100, DAY_MS, NULL)       \
   X ("lapse-ms", VALUE_U64, false, pub.lapse_ms, 0, DAY_MS, NULL)             \
   X ("extra-ratio", VALUE_DOUBLE, false, pub.extra_ratio, 0, 10, NULL)        \
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -122,6 +122,8 @@
   /* [gateway]; LISTEN is shared with [entry] */
   str_t ready;         /* Asked by the balancer, HOST:PORT.  */
   double kill_after_s; /* A stop is ended by force after this.  */
+  uint64_t revoke_ms;  /* A key that is taken away works no longer than this;
+                          0: not said.  */
   uint64_t confirm_ms; /* Longest age of the configuration's keys.  */
   uint64_t lapse_ms;   /* Use of registrations lapsed in an outage.  */
   double extra_ratio;  /* Extra sends for each request.  */
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -16,6 +16,9 @@
   /* New requests are taken on for as long as the balancer may still send
      them.  */
   GRACE_MS = 3000,
+  /* Of the time in which a key must stop working, a tenth is left for a
+     request on its way and for clocks that differ.  */
+  REVOKE_PARTS = 10,
   MS_PER_S = 1000
 };
 
@@ -83,7 +86,9 @@
     .rpc_key_count = settings->rpc_keys_count,
     .seed = make_seed (settings),
     .drain_bound_ms = kill_ms - KILL_MARGIN_MS,
-    .confirm_ms = settings->confirm_ms,
+    .confirm_ms = settings->revoke_ms > 0
+                      ? settings->revoke_ms / REVOKE_PARTS * (REVOKE_PARTS - 1)
+                      : settings->confirm_ms,
     .lapse_ms = settings->lapse_ms,
     .retry_ratio = settings->extra_ratio,
     .retry_slack = settings->extra_slack,
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -28,6 +28,8 @@
   /* Callers may not ask for more than this with one request.  */
   SENDS_MAX = POOL_TRIED_MAX,
   WHOLE_BYTES_MAX = 8 << 20,
+  /* Of an upstream's answer; more are not passed on.  */
+  HEADERS_MAX = 64,
   /* Time that an answer needs on its way back to the caller.  */
   RETURN_MS = 5,
   /* A refusal for want of room says to return after this, give or take half:
@@ -36,8 +38,7 @@
   /* No configuration, or no instance: these come back within seconds.  */
   RETRY_UNAVAILABLE_MS = 700,
   /* The balancer has named other entries by then.  */
-  RETRY_DRAINING_MS = 50,
-  LINE_BYTES = 256
+  RETRY_DRAINING_MS = 50
 };
 
 /* Part of the objective after which a plain service that has not answered is
@@ -84,8 +85,6 @@
   size_t runs;  /* Sends that may have run.  */
   bool started; /* The caller has the head of an answer.  */
   events_t events;
-  uint64_t first_id; /* Asked for by the caller: the event to go on after.  */
-  bool has_first_id;
   uint64_t event_count;
   /* An answer with a length, until it is whole.  */
   int status;
@@ -283,33 +282,6 @@
                  retry_ms > 0 ? retry_ms : RETRY_FULL_MS);
 }
 
-/* Pass on the whole answer that was gathered.  */
-static void
-pass_whole (relay_t *relay)
-{
-  httpc_header_t headers[64];
-  size_t count = 0;
-  const char *at = relay->head.ptr;
-  const char *end = relay->head.ptr + relay->head.len;
-
-  while (at < end && count < sizeof headers / sizeof headers[0])
-    {
-      headers[count].name = str_from (at);
-      at += headers[count].name.len + 1;
-      headers[count].value = str_from (at);
-      at += headers[count].value.len + 1;
-      count++;
-    }
-  counter_add (relay->belief->counters.answered, 1);
-  tell_end (relay, relay->status >= 500 ? EVENT_PASSED : EVENT_ANSWERED,
-            relay->status, relay->reason, 0);
-  if (relay->belief->stopping_ms != 0)
-    httpd_close_after (relay->req);
-  httpd_reply (relay->req, relay->status, headers, count,
-               buf_str (&relay->body));
-  relay_destroy (relay);
-}
-
 /* What comes back.  */
 
 static bool
@@ -404,23 +376,53 @@
     }
 }
 
-static void
-start_stream (relay_t *relay, const call_head_t *head)
+/* The headers of the remembered head, in LIST of HEADERS_MAX; return how
+   many.  */
+static size_t
+kept_headers (const relay_t *relay, httpc_header_t *list)
 {
-  httpc_header_t headers[64];
+  const char *at = relay->head.ptr;
+  const char *end = relay->head.ptr + relay->head.len;
   size_t count = 0;
 
-  for (size_t i = 0;
-       i < head->header_count && count < sizeof headers / sizeof headers[0];
-       i++)
-    if (head->headers[i].name.len > 0
-        && !forward_is_hop (head->headers[i].name))
-      headers[count++] = head->headers[i];
+  while (at < end && count < HEADERS_MAX)
+    {
+      list[count].name = str_from (at);
+      at += list[count].name.len + 1;
+      list[count].value = str_from (at);
+      at += list[count++].value.len + 1;
+    }
+  return count;
+}
+
+/* Begin the caller's answer with the remembered head.  */
+static void
+start_stream (relay_t *relay)
+{
+  httpc_header_t headers[HEADERS_MAX];
+  size_t count = kept_headers (relay, headers);
+
   relay->started = true;
-  relay->status = head->status;
   if (relay->belief->stopping_ms != 0)
     httpd_close_after (relay->req);
-  httpd_start (relay->req, head->status, headers, count);
+  httpd_start (relay->req, relay->status, headers, count);
+}
+
+/* Pass on the whole answer that was gathered.  */
+static void
+pass_whole (relay_t *relay)
+{
+  httpc_header_t headers[HEADERS_MAX];
+  size_t count = kept_headers (relay, headers);
+
+  counter_add (relay->belief->counters.answered, 1);
+  tell_end (relay, relay->status >= 500 ? EVENT_PASSED : EVENT_ANSWERED,
+            relay->status, relay->reason, 0);
+  if (relay->belief->stopping_ms != 0)
+    httpd_close_after (relay->req);
+  httpd_reply (relay->req, relay->status, headers, count,
+               buf_str (&relay->body));
+  relay_destroy (relay);
 }
 
 /* Take in what the head says of the upstream.  */
@@ -531,13 +533,11 @@
     return;
   relay->phase = PHASE_ANSWERING;
   relay->head_ms = relay->last_ms;
+  if (relay->started)
+    return;
+  keep_head (relay, head);
   if (relay->route->kind == ROUTE_STREAM && relay->is_ok)
-    {
-      if (!relay->started)
-        start_stream (relay, head);
-    }
-  else
-    keep_head (relay, head);
+    start_stream (relay);
 }
 
 static void
