gateway: a silent engine is looked at before its streams leave it

Change: reach.c opens a connection to the silent engine; one that takes it is waited for, up to three pauses between events, and one that does not is out at once and its streams move.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -51,6 +51,8 @@
      "A registration is left out")                                            \
   X (EVENT_OUT, "pool", "out", NOTICE, 50,                                    \
      "A failing instance is left alone for a while")                          \
+  X (EVENT_LOOKED, "pool", "looked", INFO, 50,                                \
+     "A silent instance was looked at")                                       \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
   X (EVENT_ZONE_BACK, "zone", "back", NOTICE, 20, "A zone is taken back")     \
   X (EVENT_ENTRIES, "entries", "count", INFO, 20,                             \
@@ -117,6 +119,7 @@
   X (FIELD_COLD_MS, "cold_ms", "For how much longer it is cold")              \
   X (FIELD_KEEP_MS, "keep_ms", "For how much longer it is used")              \
   X (FIELD_OUT_MS, "out_ms", "For how long it is left alone")                 \
+  X (FIELD_REACHED, "reached", "1: it takes connections, 0: it does not")     \
   X (FIELD_ORDER, "order", "Store version of the order")                      \
   X (FIELD_WITHIN_MS, "within_ms", "Time that the order gives")               \
   X (FIELD_STEP, "step", "Step of the roll-out")                              \
@@ -149,6 +152,7 @@
   X ("foreign-answer", "The upstream's answer was to another request, had "   \
                        "no mac, or was coded.")                               \
   X ("silent", "The upstream sent nothing for too long.")                     \
+  X ("lost", "The upstream sent nothing and took no connection.")             \
   X ("upstream-error", "The upstream answered with a failure of its own.")    \
   X ("resume-failed", "No upstream went on with the stream.")                 \
   X ("events-out-of-order", "An event of the stream was missing.")            \
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -298,6 +298,7 @@
   billing_destroy (gateway->belief.bills);
   duties_destroy (gateway->duties);
   share_destroy (gateway->share);
+  reach_destroy (gateway->belief.reach);
   free_beliefs (&gateway->belief);
   uv_close ((uv_handle_t *)&gateway->watch, on_watch_closed);
   return whole;
@@ -360,6 +361,16 @@
   return gateway->over;
 }
 
+static void
+on_looked (void *arg, str_t id, bool reached)
+{
+  belief_t *belief = arg;
+
+  log_event (EVENT_LOOKED, field_text (FIELD_UPSTREAM, id),
+             field_number (FIELD_REACHED, reached));
+  pool_reached (belief->pool, id, reached);
+}
+
 vh_code_t
 gateway_create (uv_loop_t *loop, clock_iface_t *clock, rows_t *rows,
                 const gateway_dialect_t *dialect,
@@ -379,6 +390,7 @@
   copy_options (gateway, options);
   belief->rng = rng_make (options->seed);
   belief->pool = pool_create (clock, rng_u64 (&belief->rng), &pool);
+  belief->reach = reach_create (loop, on_looked, belief);
   belief->trials = map_create ();
   belief->allowances = map_create ();
   belief->entries = 1;
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -12,6 +12,7 @@
 #include "gateway/doubt.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
+#include "gateway/reach.h"
 #include "gateway/share.h"
 #include "gateway/tally.h"
 #include "gateway/trial.h"
@@ -47,6 +48,7 @@
   gateway_options_t options;
   rng_t rng;
   pool_t *pool;
+  reach_t *reach;     /* Looks at silent instances of POOL.  */
   catalog_t *catalog; /* NULL until one is known.  */
   map_t *trials;      /* Service to trial_t.  */
   map_t *allowances;  /* Service to allowance_t.  */
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -42,10 +42,12 @@
   uint64_t out_till;
   uint64_t out_ms; /* Length of the last time out.  */
   unsigned failures;
-  uint64_t heard_ms; /* Something came, or it became busy.  */
-  uint32_t running;  /* Of this entry.  */
-  uint64_t prompts;  /* Tokens of this entry not yet read.  */
-  double others;     /* Running or waiting there, not from here.  */
+  uint64_t heard_ms;  /* Something came, or it became busy.  */
+  uint64_t looked_ms; /* A look found it last; 0: none did.  */
+  bool lost;          /* A look did not find it.  */
+  uint32_t running;   /* Of this entry.  */
+  uint64_t prompts;   /* Tokens of this entry not yet read.  */
+  double others;      /* Running or waiting there, not from here.  */
   uint64_t reported_ms;
   uint64_t sends[POOL_RATE_MAX]; /* Times of the last ones, a ring.  */
   size_t send_at;
@@ -493,6 +495,7 @@
 {
   if (upstream->running == 0)
     upstream->heard_ms = clock_ms (pool->clock);
+  upstream->lost = false;
   upstream->refs++;
   upstream->running++;
   upstream->prompts += prompt;
@@ -504,13 +507,55 @@
 pool_heard (pool_t *pool, upstream_t *upstream)
 {
   upstream->heard_ms = clock_ms (pool->clock);
+  upstream->lost = false;
 }
 
 uint64_t
 pool_silence_due (const upstream_t *upstream)
 {
-  return upstream->heard_ms + POOL_SILENCE_MS
-         + upstream->prompts / POOL_READ_PER_MS;
+  uint64_t silence_ms = upstream->heard_ms + POOL_SILENCE_MS
+                        + upstream->prompts / POOL_READ_PER_MS;
+  uint64_t again_ms = upstream->looked_ms == 0
+                          ? 0
+                          : upstream->looked_ms + POOL_LOOK_AGAIN_MS;
+
+  if (upstream->lost)
+    return 0;
+  return silence_ms > again_ms ? silence_ms : again_ms;
+}
+
+/* Take UPSTREAM out for a time, longer than the last one.  */
+static void
+take_out (upstream_t *upstream, uint64_t now_ms)
+{
+  upstream->out_ms
+      = upstream->out_ms == 0 ? POOL_OUT_FIRST_MS : upstream->out_ms * 2;
+  if (upstream->out_ms > POOL_OUT_LAST_MS)
+    upstream->out_ms = POOL_OUT_LAST_MS;
+  upstream->out_till = now_ms + upstream->out_ms;
+  /* On its return one failure is enough to take it out again.  */
+  upstream->failures = POOL_FAILURES - 1;
+}
+
+void
+pool_reached (pool_t *pool, str_t id, bool reached)
+{
+  upstream_t *upstream = map_get (pool->by_id, id);
+  uint64_t now_ms = clock_ms (pool->clock);
+
+  if (upstream == NULL)
+    return;
+  upstream->lost = !reached;
+  if (reached)
+    upstream->looked_ms = now_ms;
+  else
+    take_out (upstream, now_ms);
+}
+
+bool
+upstream_lost (const upstream_t *upstream)
+{
+  return upstream->lost;
 }
 
 void
@@ -536,15 +581,7 @@
       upstream->out_ms = 0;
     }
   else if (outcome == SEND_FAILED && ++upstream->failures >= POOL_FAILURES)
-    {
-      upstream->out_ms
-          = upstream->out_ms == 0 ? POOL_OUT_FIRST_MS : upstream->out_ms * 2;
-      if (upstream->out_ms > POOL_OUT_LAST_MS)
-        upstream->out_ms = POOL_OUT_LAST_MS;
-      upstream->out_till = now_ms + upstream->out_ms;
-      /* On its return one failure is enough to take it out again.  */
-      upstream->failures = POOL_FAILURES - 1;
-    }
+    take_out (upstream, now_ms);
   upstream_unref (upstream);
 }
 
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -13,9 +13,11 @@
      entry may send it at most its own part of what all entries together may
      send in a second.  Instances turn cold without warning, so the part holds
      for warm ones too, at the bound that must hold even for a cold one.
-   - An instance that fails or went silent: POOL_FAILURES in a row take it out
-     for POOL_OUT_FIRST_MS, doubled up to POOL_OUT_LAST_MS.  When all are out,
-     all are in: then it is not the instances.  */
+   - An instance that fails: POOL_FAILURES in a row take it out for
+     POOL_OUT_FIRST_MS, doubled up to POOL_OUT_LAST_MS.  When all are out, all
+     are in: then it is not the instances.
+   - An instance that went silent: it is looked at (reach.h), and out at once
+     when it takes no connection.  */
 
 #ifndef GATEWAY_POOL_H
 #define GATEWAY_POOL_H
@@ -47,9 +49,12 @@
      further members.  */
   POOL_PROMPT_UNIT = 1000,
   /* An engine makes a token for each of its requests some dozens of times a
-     second, so one that has requests and says nothing for so long is no
-     longer there, whatever each of them waits for.  */
+     second, so one that has requests and says nothing for so long is full of
+     other entries' prompts, or gone.  */
   POOL_SILENCE_MS = 500,
+  /* After it was found to be there it is looked at again so much later: a
+     connection costs a hundredth of a short answer's worth.  */
+  POOL_LOOK_AGAIN_MS = 1000,
   /* Prompt tokens that a slow, cold engine reads in a millisecond while it
      makes none; a third of what a warm one reads with its largest model.  */
   POOL_READ_PER_MS = 12
@@ -142,10 +147,14 @@
                     send_outcome_t outcome);
 /* Something came from UPSTREAM.  */
 void pool_heard (pool_t *pool, upstream_t *upstream);
-/* When UPSTREAM, which has requests of this entry, is to be taken for dead
-   unless it is heard before: POOL_SILENCE_MS after the last sign of it, and
-   the time that the prompts sent to it take to be read.  */
+/* When UPSTREAM, which has requests of this entry, is to be looked at unless
+   it is heard before: POOL_SILENCE_MS after the last sign of it, and the time
+   that the prompts sent to it take to be read.  0 when it is lost.  */
 uint64_t pool_silence_due (const upstream_t *upstream);
+/* A look at instance ID found that it takes connections, or does not: then it
+   is lost until it is heard or gets a request again.  */
+void pool_reached (pool_t *pool, str_t id, bool reached);
+bool upstream_lost (const upstream_t *upstream);
 /* What an answer said.  */
 void pool_load (pool_t *pool, upstream_t *upstream, uint32_t running,
                 uint32_t waiting, uint32_t slots);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -23,6 +23,14 @@
   /* Objectives after which a first event is no longer waited for: callers
      leave at about four.  */
   PATIENCE = 2,
+  /* Longest pauses between events that are on time after which a stream is no
+     longer waited for, though its engine takes connections: only a connection
+     that has gone silent by itself is left then.  Callers leave at eight.  */
+  PAUSES = 3,
+  /* Time for a look at a silent engine: links have at most some
+     milliseconds, and a busy machine's kernel answers at once.  */
+  LOOK_MS = 250,
+  LOOK_SLACK_MS = 10,
   /* Bytes kept for a slow caller before its upstream is held back.  */
   BUFFER_HIGH = 65536,
   /* Callers may not ask for more than this with one request.  */
@@ -752,28 +760,45 @@
 
 /* Time.  */
 
-/* When a silent upstream is given up for another; UINT64_MAX: never.
+/* Tell whether the present send may be given up for another.  */
+static bool
+may_move (const relay_t *relay)
+{
+  return may_send_again (relay) && relay->runs + 1 < relay->route->attempts_max
+         && !relay->paused;
+}
 
-   A stream waits for an engine that is alive, however long its own first event
-   takes: the work that the engine has done for it would be done again
-   elsewhere, by engines that are as full.  An engine that says nothing to any
-   of its requests is dead, and each of them moves at once.  */
+/* When a silent upstream is given up for another, though it is there.  */
 static uint64_t
-silence_due (const relay_t *relay)
+patience_due (const relay_t *relay)
 {
   const route_t *route = relay->route;
 
-  if (!may_send_again (relay) || relay->runs + 1 >= route->attempts_max
-      || relay->paused)
-    return UINT64_MAX;
   if (route->kind != ROUTE_STREAM)
     return relay->sent_ms
            + (uint64_t)((double)route->objective_ms * first_answer_part);
-  uint64_t dead_ms = pool_silence_due (relay->upstream);
-  uint64_t own_ms = relay->event_count == 0
-                        ? relay->sent_ms + route->objective_ms * PATIENCE
-                        : relay->last_ms + route->pause_ms;
-  return dead_ms < own_ms ? dead_ms : own_ms;
+  return relay->event_count == 0
+             ? relay->sent_ms + route->objective_ms * PATIENCE
+             : relay->last_ms + route->pause_ms * PAUSES;
+}
+
+/* When a silent upstream is to be looked at, or given up for another;
+   UINT64_MAX: never.
+
+   A stream waits for an engine that is there, however long its own events
+   take: the work that the engine has done for it would be done again
+   elsewhere, by engines that are as full.  The streams of one that is not
+   there move at once.  */
+static uint64_t
+silence_due (const relay_t *relay)
+{
+  if (!may_move (relay))
+    return UINT64_MAX;
+  uint64_t patience_ms = patience_due (relay);
+  if (relay->route->kind != ROUTE_STREAM)
+    return patience_ms;
+  uint64_t look_ms = pool_silence_due (relay->upstream);
+  return look_ms < patience_ms ? look_ms : patience_ms;
 }
 
 static void
@@ -791,12 +816,22 @@
     }
   if (now_ms >= silence_due (relay))
     {
+      if (relay->route->kind == ROUTE_STREAM && now_ms < patience_due (relay)
+          && !upstream_lost (relay->upstream))
+        {
+          reach_look (relay->belief->reach, upstream_id (relay->upstream),
+                      upstream_address (relay->upstream), LOOK_MS);
+          uv_timer_start (&relay->timer, on_timer, LOOK_MS + LOOK_SLACK_MS, 0);
+          return;
+        }
       bool allowed = allowance_left (belief_allowance (relay->belief,
                                                        relay->service->name))
                      >= 1;
       if (allowed)
         {
-          send_failed (relay, "silent", true);
+          send_failed (relay,
+                       upstream_lost (relay->upstream) ? "lost" : "silent",
+                       true);
           return;
         }
       /* Nothing may be sent again now: wait on for this upstream.  */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -243,6 +243,50 @@
 }
 END_TEST
 
+/* An engine is full of other entries' prompts: it says nothing for most of a
+   second to the only request that this entry has there, and then goes on.  A
+   second run elsewhere would do its work again.  */
+START_TEST (a_full_engine_keeps_its_streams)
+{
+  static const act_t acts[] = { ACT_STREAM_PAUSE };
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  script_all (&f, acts[0]);
+  gateway_fixture_ask (&f, &caller, "POST", "/chat/", ASK, "{}");
+  ck_assert (caller_has (&caller, "data: e5\n"));
+  ck_assert_uint_eq (requests_of (&f), 1);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* An engine loses its power in the middle of a draft.  No error comes on the
+   open connection; a look at the engine finds nobody, and the draft goes on
+   elsewhere long before a living engine would be given up.  */
+START_TEST (streams_leave_an_engine_that_is_gone)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+  size_t first;
+
+  gateway_fixture_setup (&f, 2);
+  script_all (&f, ACT_STREAM_PAUSE);
+  caller_start (&f, &caller, "POST", "/chat/", ASK, "{}");
+  gateway_fixture_wait (&f, caller_has (&caller, "data: e2\n"));
+  first = fake_upstream_requests (f.upstreams[0]) > 0 ? 0 : 1;
+  fake_upstream_vanish (f.upstreams[first]);
+  uint64_t start_ms = uv_hrtime () / 1000000;
+  gateway_fixture_wait (&f, requests_of (&f) == 2);
+  ck_assert_uint_lt (uv_hrtime () / 1000000 - start_ms, PAUSE_MS + 200);
+  gateway_fixture_wait (&f, caller.closed);
+  ck_assert (caller_has (&caller, "data: e5\n"));
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* Every upstream breaks the stream: the caller must see that the answer is
    not whole, and no byte that is not of an event.  */
 START_TEST (a_stream_that_cannot_go_on_looks_cut)
@@ -657,6 +701,8 @@
   tcase_add_test (tcase, an_idempotent_request_is_sent_again);
   tcase_add_test (tcase, a_broken_stream_goes_on_elsewhere);
   tcase_add_test (tcase, a_silent_stream_goes_on_elsewhere);
+  tcase_add_test (tcase, a_full_engine_keeps_its_streams);
+  tcase_add_test (tcase, streams_leave_an_engine_that_is_gone);
   tcase_add_test (tcase, a_stream_that_cannot_go_on_looks_cut);
   tcase_add_test (tcase, a_doubtful_answer_gives_way_to_a_larger_model);
   tcase_add_test (tcase, an_upstream_is_let_go_when_its_caller_leaves);
