--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -312,17 +312,22 @@
   return oldest == 0 || now_ms - oldest >= POOL_RATE_WINDOW_MS;
 }
 
+/* What others run at UPSTREAM, by a report that counts for nothing after
+   FADE_MS.  */
 static double
-load_of (const upstream_t *upstream, uint64_t now_ms)
+others_of (const upstream_t *upstream, uint64_t fade_ms, uint64_t now_ms)
 {
-  double others = upstream->others;
   uint64_t age_ms = now_ms - upstream->reported_ms;
 
-  others = age_ms >= POOL_REPORT_FADE_MS
-               ? 0
-               : others * (double)(POOL_REPORT_FADE_MS - age_ms)
-                     / POOL_REPORT_FADE_MS;
-  return upstream->running + others
+  return age_ms >= fade_ms
+             ? 0
+             : upstream->others * (double)(fade_ms - age_ms) / (double)fade_ms;
+}
+
+static double
+load_of (const upstream_t *upstream, uint64_t now_ms)
+{
+  return upstream->running + others_of (upstream, POOL_REPORT_FADE_MS, now_ms)
          + (double)upstream->prompts / POOL_PROMPT_UNIT;
 }
 
@@ -347,7 +352,8 @@
           const pool_want_t *want, uint64_t now_ms)
 {
   return rate_allows (pool, upstream, want->cold_per_s, now_ms)
-         && upstream->running + upstream->others < upstream->slots;
+         && upstream->running + others_of (upstream, POOL_FULL_FADE_MS, now_ms)
+                < upstream->slots;
 }
 
 /* Mean load of those that fit.  */
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -13,6 +13,7 @@
      entry may send it at most its own part of what all entries together may
      send in a second.  Instances turn cold without warning, so the part holds
      for warm ones too, at the bound that must hold even for a cold one.
+   - A full instance: its report keeps requests away for POOL_FULL_FADE_MS.
    - An instance that fails: POOL_FAILURES in a row take it out for
      POOL_OUT_FIRST_MS, doubled up to POOL_OUT_LAST_MS.  When all are out, all
      are in: then it is not the instances.
@@ -44,6 +45,10 @@
   POOL_RATE_MAX = 64,
   /* What an instance said of its load says little after this.  */
   POOL_REPORT_FADE_MS = 2000,
+  /* That it is full says nothing after this: a plain service answers in some
+     dozens of milliseconds.  Who is believed full is sent nothing, so nothing
+     would ever tell otherwise.  */
+  POOL_FULL_FADE_MS = 300,
   /* Prompt tokens not yet read that weigh as much as one running request: a
      chunk of prefill delays all tokens of a batch by as much as tens of
      further members.  */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -253,6 +253,29 @@
 }
 END_TEST
 
+/* The last answer of each instance said that all its slots were taken, by
+   requests of other entries.  They were free a moment later, but nothing that
+   was not sent could tell: every request was refused as full until then.  */
+START_TEST (a_full_instance_is_tried_again)
+{
+  fixture_t f;
+  upstream_t *chosen;
+
+  setup (&f, 1);
+  upstream_t *instance = choose (&f);
+  pool_load (f.pool, instance, 64, 3, 64);
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &chosen), VH_E_FULL);
+  clock_manual_advance_us (f.clock, 100000);
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &chosen), VH_OK);
+  pool_load (f.pool, instance, 200, 0, 64);
+  clock_manual_advance_us (f.clock, 100000);
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &chosen), VH_E_FULL);
+  clock_manual_advance_us (f.clock, POOL_FULL_FADE_MS * 1000);
+  ck_assert_int_eq (pool_choose (f.pool, &f.want, &chosen), VH_OK);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -266,6 +289,7 @@
   tcase_add_test (tcase, a_removed_instance_ends_its_requests);
   tcase_add_test (tcase, long_prompts_keep_others_away);
   tcase_add_test (tcase, a_dead_engine_is_told_from_a_slow_one);
+  tcase_add_test (tcase, a_full_instance_is_tried_again);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
