gateway: the age of a confirmation counts from the store's clock

Change: storeclock.c bounds the moment of the answer by the store's steady clock; readers pass the store's moment on.

--- a/packages/gateway/follow.c
+++ b/packages/gateway/follow.c
@@ -3,6 +3,7 @@
 #include "base/eventlog.h"
 #include "base/map.h"
 #include "base/mem.h"
+#include "gateway/storeclock.h"
 
 #include <stdlib.h>
 
@@ -38,6 +39,7 @@
   uint64_t read_sent_ms; /* Of the first page.  */
   bool confirmed;
   uint64_t confirmed_ms; /* By boot time.  */
+  store_clock_t store_clock; /* Against boot time.  */
   uint64_t store_ms;
   uint64_t store_seen_ms; /* When STORE_MS was told, by boot time.  */
   uint64_t retry_ms;
@@ -130,11 +132,21 @@
 static void
 confirm (follow_t *follow, const rows_result_t *result, uint64_t sent_ms)
 {
+  uint64_t now_ms = clock_boot_ms (follow->clock);
+
+  if (result->direct)
+    store_clock_sample (&follow->store_clock, result->said_ms, sent_ms,
+                        now_ms);
+  uint64_t said_ms
+      = store_clock_local (&follow->store_clock, result->said_ms, now_ms);
   follow->confirmed = true;
   follow->confirmed_ms
       = sent_ms > result->age_ms ? sent_ms - result->age_ms : 0;
+  /* Both are moments at which the store had no later word.  */
+  if (said_ms > follow->confirmed_ms)
+    follow->confirmed_ms = said_ms;
   follow->store_ms = result->now_ms;
-  follow->store_seen_ms = clock_boot_ms (follow->clock);
+  follow->store_seen_ms = now_ms;
   follow->retry_ms = RETRY_FIRST_MS;
 }
 
--- a/packages/gateway/rows.h
+++ b/packages/gateway/rows.h
@@ -39,6 +39,8 @@
   uint64_t version; /* The newest in the whole store.  */
   uint64_t now_ms;  /* The store's steady clock.  */
   uint64_t age_ms;  /* Since the store said so; 0 from the store itself.  */
+  bool direct;      /* From the store itself.  */
+  uint64_t said_ms; /* The store's clock when it said so.  */
 } rows_result_t;
 
 typedef void (*rows_cb_t) (void *arg, vh_code_t code,
--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -58,6 +58,7 @@
   uint64_t confirmed_ms; /* By boot time.  */
   uint64_t now_ms;       /* The store's clock, at NOW_SEEN_MS.  */
   uint64_t now_seen_ms;
+  uint64_t said_ms; /* The store's clock at its last answer.  */
 } cache_t;
 
 typedef struct
@@ -214,6 +215,7 @@
                             : 0;
   cache->now_ms = result->now_ms;
   cache->now_seen_ms = boot_ms (share);
+  cache->said_ms = result->said_ms;
   cache->down = false;
   cache_prune (share, cache);
   if (cache->complete)
@@ -281,7 +283,8 @@
       = { .code = VH_OK,
           .newest = cache->version,
           .now_ms = cache->now_ms + boot_ms (share) - cache->now_seen_ms,
-          .age_ms = (u_int)(boot_ms (share) - cache->confirmed_ms) };
+          .age_ms = (u_int)(boot_ms (share) - cache->confirmed_ms),
+          .said_ms = cache->said_ms };
   size_t cursor = 0;
   u_int count = 0;
   str_t key;
@@ -466,7 +469,8 @@
                            .count = count,
                            .version = answer->newest,
                            .now_ms = answer->now_ms,
-                           .age_ms = answer->age_ms };
+                           .age_ms = answer->age_ms,
+                           .said_ms = answer->said_ms };
 
   for (u_int i = 0; i < count; i++)
     {
--- a/packages/wire/proto/wire.h
+++ b/packages/wire/proto/wire.h
@@ -306,6 +306,7 @@
 	u_quad_t newest;
 	u_quad_t now_ms;
 	u_int age_ms;
+	u_quad_t said_ms;
 	struct {
 		u_int rows_len;
 		wire_row_t *rows_val;
--- a/packages/wire/proto/wire.x
+++ b/packages/wire/proto/wire.x
@@ -273,6 +273,7 @@
   unsigned hyper newest;   /* Version of the store that is known.  */
   unsigned hyper now_ms;   /* The store's clock.  */
   unsigned int age_ms;     /* Since the store confirmed NEWEST.  */
+  unsigned hyper said_ms;  /* The store's clock when it did.  */
   wire_row_t rows<WIRE_ROWS_MAX>;
 };
 
--- a/packages/wire/proto/wire_xdr.c
+++ b/packages/wire/proto/wire_xdr.c
@@ -757,6 +757,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->said_ms))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, WIRE_ROWS_MAX,
 		sizeof (wire_row_t), (xdrproc_t) xdr_wire_row_t))
 		 return FALSE;
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -88,7 +88,9 @@
   rows_result_t result
       = { .rows = rows,
           .version = limit,
-          .now_ms = STORE_START_MS + uv_now (fake->loop) + fake->extra_ms };
+          .now_ms = STORE_START_MS + uv_now (fake->loop) + fake->extra_ms,
+          .direct = true,
+          .said_ms = STORE_START_MS + uv_now (fake->loop) + fake->extra_ms };
   vh_code_t code = fake->down ? VH_E_STORE_DOWN : call->code;
 
   if (call->kind == CALL_WATCH && call->after < fake->forgotten)
