--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -91,7 +91,9 @@
   uint64_t head_ms; /* Of the answer's head.  */
   uint64_t last_ms; /* Something came.  */
   uint32_t prompt_left;
-  bool is_ok; /* The head said 2xx.  */
+  bool is_ok;  /* The head said 2xx.  */
+  bool broke;  /* Its connection ended early or the upstream is lost.  */
+  bool unsent; /* No connection could be made.  */
   /* All sends.  */
   const upstream_t *tried[POOL_TRIED_MAX];
   size_t tried_count;
@@ -150,19 +152,24 @@
          && str_eq (upstream_version (relay->upstream), trial_version (trial));
 }
 
-/* Tell the trial of the service what became of the present send.  */
+/* Tell the trial of the service what became of the present send.  An instance
+   that takes no connection says nothing of its version: it may be down for any
+   cause, and each entry runs into it again and again.  */
 static void
 tell_trial (relay_t *relay, send_outcome_t outcome)
 {
   trial_t *trial = relay_trial (relay);
 
   if (trial == NULL || trial_phase (trial) != TRIAL_RUNNING
-      || (outcome != SEND_OK && outcome != SEND_FAILED))
+      || (outcome != SEND_OK && outcome != SEND_FAILED) || relay->unsent)
     return;
   uint64_t wait_ms
       = relay->phase == PHASE_ANSWERING ? relay->head_ms - relay->sent_ms : 0;
   trial_observe (trial, is_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD,
-                 str_hash (relay->route->name, 0), outcome == SEND_FAILED,
+                 str_hash (relay->route->name, 0),
+                 outcome == SEND_OK ? TRIAL_ANSWERED
+                 : relay->broke     ? TRIAL_BROKE
+                                    : TRIAL_FAILED,
                  wait_ms);
 }
 
@@ -608,6 +615,7 @@
     {
       /* Nothing left, so it costs no extra send.  */
       relay->reason = "connect";
+      relay->unsent = true;
       remember_tried (relay);
       relay->sends--;
       end_send (relay, SEND_FAILED);
@@ -620,6 +628,7 @@
     }
   if (code == VH_OK && relay->started && !events_at_border (&relay->events))
     code = VH_E_UPSTREAM_CUT;
+  relay->broke = code == VH_E_UPSTREAM_CUT;
   if (code != VH_OK)
     {
       send_failed (relay, code == VH_E_PROTOCOL ? "garbled" : "cut", true);
@@ -754,6 +763,8 @@
   relay->sent_ms = now_ms;
   relay->last_ms = now_ms;
   relay->is_ok = false;
+  relay->broke = false;
+  relay->unsent = false;
   relay->sends++;
   counter_add (belief->counters.sends, 1);
   const forward_t forward = {
@@ -851,9 +862,8 @@
                      >= 1;
       if (allowed)
         {
-          send_failed (relay,
-                       upstream_lost (relay->upstream) ? "lost" : "silent",
-                       true);
+          relay->broke = upstream_lost (relay->upstream);
+          send_failed (relay, relay->broke ? "lost" : "silent", true);
           return;
         }
       /* Nothing may be sent again now: wait on for this upstream.  */
