gateway: an outage of the store is probed with one table

Change: the orders are asked for on behalf of all; the other tables wait up to 4 s and are read as soon as the orders are back; an entry lists itself again after 2 s.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -32,6 +32,11 @@
   OWN_WAIT_MS = 8000,
   OWN_SLACK_MS = 1000,
   OWN_GAP_MS = 500,
+  /* In an outage the orders are asked for on behalf of all tables: 22 entries
+     that asked for three each made 120 calls a second.  */
+  RETRY_LAST_MS = 4000,
+  /* An entry that is not listed yet only lacks its part of what is shared.  */
+  NODE_RETRY_MS = 2000,
   COMMIT_TIMEOUT_MS = 2000,
   /* Who reads the store for others writes the steps of roll-outs too; the
      others do when a step is so late that this one is lost.  */
@@ -54,12 +59,13 @@
   bool instances_read;
   bool node_written;
   bool node_pending;
-  uint64_t peak_ms;     /* When so many entries were last listed.  */
-  map_t *nodes;         /* Names of listed entries.  */
-  uint64_t returned_ms; /* When the store came back, monotonic.  */
-  bool commit_pending;  /* Of a roll-out's row.  */
-  uint64_t want_ms;     /* Since when a row is to be written; 0: none is.  */
-  map_t *rollout_rows;  /* Service to the version of its shared row.  */
+  uint64_t node_again_ms; /* Not before this, after a write that failed.  */
+  uint64_t peak_ms;       /* When so many entries were last listed.  */
+  map_t *nodes;           /* Names of listed entries.  */
+  uint64_t returned_ms;   /* When the store came back, monotonic.  */
+  bool commit_pending;    /* Of a roll-out's row.  */
+  uint64_t want_ms;       /* Since when a row is to be written; 0: none is.  */
+  map_t *rollout_rows;    /* Service to the version of its shared row.  */
 };
 
 static void drop_trial (belief_t *belief, str_t service);
@@ -371,8 +377,10 @@
   (void)result;
   duties->node_pending = false;
   duties->node_written = code == VH_OK;
-  if (code != VH_OK)
-    log_event (EVENT_ENTRY_WRITE, field_number (FIELD_CODE, code));
+  if (code == VH_OK)
+    return;
+  duties->node_again_ms = clock_ms (duties->belief->clock) + NODE_RETRY_MS;
+  log_event (EVENT_ENTRY_WRITE, field_number (FIELD_CODE, code));
 }
 
 /* Tell the others that there is one more to share with, or one less.  */
@@ -579,7 +587,8 @@
   duties->ticks++;
   if (belief->stopping_ms != 0 || !duties->own_read)
     return;
-  if (!duties->node_written && !duties->node_pending)
+  if (!duties->node_written && !duties->node_pending
+      && clock_ms (belief->clock) >= duties->node_again_ms)
     write_node (duties, false);
   while (map_next (belief->trials, &cursor, &service, &value))
     step_trial (duties, service, value);
@@ -596,10 +605,12 @@
                                               .name = "instances",
                                               .gap_ms = INSTANCES_GAP_MS,
                                               .wait_ms = INSTANCES_WAIT_MS,
+                                              .retry_last_ms = RETRY_LAST_MS,
                                               .slack_ms = INSTANCES_SLACK_MS };
   static const follow_options_t own = { .table = ROWS_OWN,
                                         .name = "own",
                                         .wait_ms = OWN_WAIT_MS,
+                                        .retry_last_ms = RETRY_LAST_MS,
                                         .slack_ms = OWN_SLACK_MS,
                                         .gap_ms = OWN_GAP_MS };
   static const follow_events_t instance_events
@@ -621,6 +632,18 @@
                                      &instance_events, duties);
 }
 
+/* The store is back: the other tables are read at once.  */
+static void
+on_orders_reach (void *arg, bool down)
+{
+  duties_t *duties = arg;
+
+  if (down || duties->instances == NULL)
+    return;
+  follow_retry (duties->instances);
+  follow_retry (duties->own);
+}
+
 duties_t *
 duties_create (belief_t *belief, rows_t *rows, share_t *share)
 {
@@ -629,7 +652,8 @@
                                            .wait_ms = ORDERS_WAIT_MS,
                                            .slack_ms = ORDERS_SLACK_MS };
   static const follow_events_t order_events
-      = { on_order_put, on_order_removed, on_orders_caught_up, NULL };
+      = { on_order_put, on_order_removed, on_orders_caught_up,
+          on_orders_reach };
   duties_t *duties = mem_zalloc (sizeof *duties);
 
   duties->belief = belief;
--- a/packages/gateway/follow.c
+++ b/packages/gateway/follow.c
@@ -9,11 +9,8 @@
 
 enum
 {
-  /* A first retry soon enough for a lost reply, the last one slow enough that
-     a store that is down is not pressed: calls are priced, refused ones
-     too.  */
+  /* A first retry soon enough for a lost reply.  */
   RETRY_FIRST_MS = 100,
-  RETRY_LAST_MS = 800,
   READ_TIMEOUT_MS = 1500,
   /* A watch without news that is answered at once must not become a loop.  */
   WATCH_GAP_MS = 20
@@ -92,9 +89,9 @@
   if (follow->reading)
     follow->next.len = 0;
   step_after (follow, rng_jitter (&follow->rng, follow->retry_ms));
-  follow->retry_ms = follow->retry_ms * 2 < RETRY_LAST_MS
+  follow->retry_ms = follow->retry_ms * 2 < follow->options.retry_last_ms
                          ? follow->retry_ms * 2
-                         : RETRY_LAST_MS;
+                         : follow->options.retry_last_ms;
 }
 
 static void
@@ -215,7 +212,7 @@
                  field_number (FIELD_ORDER, result->version),
                  field_number (FIELD_SEEN, follow->version));
       follow->next.len = 0;
-      step_after (follow, rng_jitter (&follow->rng, RETRY_LAST_MS));
+      step_after (follow, rng_jitter (&follow->rng, FOLLOW_RETRY_LAST_MS));
       return;
     }
   /* Before the rows: what an outage means for them must be known.  */
@@ -255,6 +252,8 @@
   follow->clock = clock;
   follow->rows = rows;
   follow->options = *options;
+  if (follow->options.retry_last_ms == 0)
+    follow->options.retry_last_ms = FOLLOW_RETRY_LAST_MS;
   follow->events = *events;
   follow->arg = arg;
   follow->rng = rng_make (seed);
@@ -267,6 +266,13 @@
   return follow;
 }
 
+void
+follow_retry (follow_t *follow)
+{
+  if (follow->down && uv_is_active ((uv_handle_t *)&follow->timer))
+    step_after (follow, 0);
+}
+
 static void
 on_timer_closed (uv_handle_t *handle)
 {
--- a/packages/gateway/follow.h
+++ b/packages/gateway/follow.h
@@ -22,6 +22,13 @@
 
 typedef struct follow follow_t;
 
+enum
+{
+  /* Slow enough that a store that is down is not pressed: calls are priced,
+     refused ones too.  */
+  FOLLOW_RETRY_LAST_MS = 800
+};
+
 typedef struct
 {
   rows_table_t table;
@@ -29,6 +36,9 @@
   uint64_t wait_ms;  /* Longest wait of one call for changes.  */
   uint64_t slack_ms; /* More than that, and the call is given up.  */
   uint64_t gap_ms;   /* Between calls; news come together.  0: at once.  */
+  /* Longest pause between calls while the store does not answer; 0: that of
+     FOLLOW_RETRY_LAST_MS.  */
+  uint64_t retry_last_ms;
 } follow_options_t;
 
 typedef struct
@@ -48,6 +58,8 @@
                          const follow_events_t *events, void *arg);
 /* NULL is accepted.  */
 void follow_destroy (follow_t *follow);
+/* The store answers others: do not wait longer before the next call.  */
+void follow_retry (follow_t *follow);
 
 /* Milliseconds since the last confirmation, by a clock that counts while the
    machine is suspended; UINT64_MAX before the first.  */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -540,6 +540,34 @@
 }
 END_TEST
 
+/* The store is away for some seconds.  An entry asks for one of its tables to
+   learn when it is back, and then has all of them at once: with more, many
+   entries press a store that is coming up.  */
+START_TEST (an_outage_is_probed_with_one_table)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  fake_rows_down (f.rows, true);
+  pass (&f, 4000);
+  size_t before = fake_rows_calls (f.rows);
+  pass (&f, 3000);
+  ck_assert_uint_le (fake_rows_calls (f.rows) - before, 11);
+  gateway_fixture_list (&f, 0, "v1", "draining");
+  fake_rows_down (f.rows, false);
+  gateway_fixture_wait (&f, gateway_fixture_ready (&f) == 200);
+  pass (&f, 200);
+  for (int i = 0; i < 4; i++)
+    {
+      gateway_fixture_ask (&f, &caller, "GET", "/read/", ASK, "");
+      ck_assert (caller_has (&caller, "by up-1"));
+      caller_free (&f, &caller);
+    }
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* An upstream says that it is leaving, or its registration goes: no request is
    sent there any more, also when the news came with a dropped history.  */
 START_TEST (a_leaving_upstream_gets_nothing_new)
@@ -778,6 +806,7 @@
   tcase_add_test (tcase, a_key_that_is_taken_away_lets_nobody_in);
   tcase_add_test (tcase, a_stale_answer_takes_nothing_back);
   tcase_add_test (tcase, an_old_confirmation_lets_no_key_in);
+  tcase_add_test (tcase, an_outage_is_probed_with_one_table);
   tcase_add_test (tcase, a_leaving_upstream_gets_nothing_new);
   tcase_add_test (tcase, lapsed_registrations_outlive_an_outage_for_a_moment);
   tcase_add_test (tcase, a_zone_that_is_out_gets_nothing);
