--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -49,8 +49,6 @@
      "An instance is no longer listed")                                       \
   X (EVENT_LISTING_BAD, "pool", "unreadable", WARNING, 20,                    \
      "A registration is left out")                                            \
-  X (EVENT_OUT, "pool", "out", NOTICE, 50,                                    \
-     "A failing instance is left alone for a while")                          \
   X (EVENT_LOOKED, "pool", "looked", INFO, 50,                                \
      "A silent instance was looked at")                                       \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
@@ -118,7 +116,6 @@
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
   X (FIELD_COLD_MS, "cold_ms", "For how much longer it is cold")              \
   X (FIELD_KEEP_MS, "keep_ms", "For how much longer it is used")              \
-  X (FIELD_OUT_MS, "out_ms", "For how long it is left alone")                 \
   X (FIELD_REACHED, "reached", "1: it takes connections, 0: it does not")     \
   X (FIELD_ORDER, "order", "Store version of the order")                      \
   X (FIELD_WITHIN_MS, "within_ms", "Time that the order gives")               \
