--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -11,6 +11,7 @@
 #include "base/eventlog.h"
 #include "gateway/events.h"
 #include "gateway/forward.h"
+#include "gateway/terms.h"
 #include "wire/call.h"
 
 #include <stdlib.h>
@@ -70,17 +71,8 @@
   list_t link;
   belief_t *belief;
   httpd_req_t *req;
-  catalog_t *catalog;
-  const route_t *route;
-  const service_t *service;
-  const team_t *team;
+  terms_t terms;
   char *attempt_id;
-  uint64_t arrived_ms;
-  uint64_t due_ms;  /* The last moment for an answer.  */
-  uint64_t key;     /* Hash of the shared prompt parts; 0: none.  */
-  uint64_t session; /* Hash of the session, or of the attempt's id.  */
-  uint32_t prompt;  /* Tokens.  */
-  bool may_repeat;
   size_t model; /* Index into the route's models.  */
   uv_timer_t timer;
   /* The present send.  */
@@ -124,7 +116,7 @@
   events_free (&relay->events);
   buf_free (&relay->head);
   buf_free (&relay->body);
-  catalog_unref (relay->catalog);
+  terms_free (&relay->terms);
   free (relay->attempt_id);
   free (relay);
 }
@@ -139,7 +131,7 @@
 static trial_t *
 relay_trial (const relay_t *relay)
 {
-  return map_get (relay->belief->trials, relay->service->name);
+  return map_get (relay->belief->trials, relay->terms.service->name);
 }
 
 /* Tell whether the present send is to a version under trial.  */
@@ -166,7 +158,7 @@
   uint64_t wait_ms
       = relay->phase == PHASE_ANSWERING ? relay->head_ms - relay->sent_ms : 0;
   trial_observe (trial, is_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD,
-                 str_hash (relay->route->name, 0),
+                 str_hash (relay->terms.route->name, 0),
                  outcome == SEND_OK ? TRIAL_ANSWERED
                  : relay->broke     ? TRIAL_BROKE
                                     : TRIAL_FAILED,
@@ -196,15 +188,16 @@
 
   if (!whole && !(relay->started && relay->event_count > 0))
     return;
-  if (relay->status >= 300 || relay->route == NULL)
+  if (relay->status >= 300 || relay->terms.route == NULL)
     return;
   const bill_t bill = {
     .id = str_from (relay->attempt_id),
-    .team = relay->team != NULL ? relay->team->name : STR (""),
-    .route = relay->route->name,
-    .model = relay->route->model_count > 0 ? relay->route->models[relay->model]
-                                           : STR (""),
-    .prompt = relay->prompt,
+    .team = relay->terms.team != NULL ? relay->terms.team->name : STR (""),
+    .route = relay->terms.route->name,
+    .model = relay->terms.route->model_count > 0
+                 ? relay->terms.route->models[relay->model]
+                 : STR (""),
+    .prompt = relay->terms.prompt,
     .events = relay->event_count,
     .runs = (uint32_t)relay->runs + 1,
     .whole = whole,
@@ -221,27 +214,29 @@
   belief_t *belief = relay->belief;
   const log_event_info_t *info = log_event_info (event);
   uint64_t age_ms = follow_age_ms (belief->orders);
-  str_t route = relay->route != NULL ? relay->route->name : STR ("-");
-  str_t team = relay->team != NULL ? relay->team->name : STR ("-");
-  uint64_t ms = clock_ms (belief->clock) - relay->arrived_ms;
+  str_t route
+      = relay->terms.route != NULL ? relay->terms.route->name : STR ("-");
+  str_t team = relay->terms.team != NULL ? relay->terms.team->name : STR ("-");
+  uint64_t ms = clock_ms (belief->clock) - relay->terms.arrived_ms;
 
   if (reason == NULL)
     reason = "-";
   bill_answer (relay, event);
   tally_request (belief->tally, route, team, info->name, reason, ms);
-  log_event (
-      event, field_text (FIELD_ID, str_from (relay->attempt_id)),
-      field_text (FIELD_ROUTE, route), field_text (FIELD_TEAM, team),
-      field_number (FIELD_STATUS, (uint64_t)status),
-      field_text (FIELD_REASON, str_from (reason)),
-      field_number (FIELD_SENDS, relay->sends),
-      field_number (FIELD_RUNS, relay->runs),
-      field_number (FIELD_EVENTS, relay->event_count),
-      field_number (FIELD_MS, ms), field_number (FIELD_RETRY_MS, retry_ms),
-      field_number (FIELD_AGE_MS, age_ms),
-      field_number (FIELD_REVISION, relay->catalog != NULL
-                                        ? catalog_revision (relay->catalog)
-                                        : 0));
+  log_event (event, field_text (FIELD_ID, str_from (relay->attempt_id)),
+             field_text (FIELD_ROUTE, route), field_text (FIELD_TEAM, team),
+             field_number (FIELD_STATUS, (uint64_t)status),
+             field_text (FIELD_REASON, str_from (reason)),
+             field_number (FIELD_SENDS, relay->sends),
+             field_number (FIELD_RUNS, relay->runs),
+             field_number (FIELD_EVENTS, relay->event_count),
+             field_number (FIELD_MS, ms),
+             field_number (FIELD_RETRY_MS, retry_ms),
+             field_number (FIELD_AGE_MS, age_ms),
+             field_number (FIELD_REVISION,
+                           relay->terms.catalog != NULL
+                               ? catalog_revision (relay->terms.catalog)
+                               : 0));
 }
 
 /* Answer with an error of our own and end.  RETRY_MS 0: no Retry-After.  */
@@ -308,7 +303,8 @@
 static bool
 may_send_again (const relay_t *relay)
 {
-  return relay->may_repeat && relay->runs < relay->route->attempts_max
+  return relay->terms.may_repeat
+         && relay->runs < relay->terms.route->attempts_max
          && relay->sends < SENDS_MAX;
 }
 
@@ -317,7 +313,7 @@
 take_extra (relay_t *relay)
 {
   allowance_t *allowance
-      = belief_allowance (relay->belief, relay->service->name);
+      = belief_allowance (relay->belief, relay->terms.service->name);
 
   if (!allowance_take (allowance, 0))
     return false;
@@ -330,7 +326,7 @@
 extra_left (const relay_t *relay)
 {
   double left = allowance_left (
-      belief_allowance (relay->belief, relay->service->name));
+      belief_allowance (relay->belief, relay->terms.service->name));
 
   return left > 0 ? (uint64_t)left : 0;
 }
@@ -355,7 +351,7 @@
              field_text (FIELD_REASON, str_from (reason)),
              field_number (FIELD_RAN, ran),
              field_number (FIELD_EVENTS, relay->event_count),
-             field_number (FIELD_MS, now_ms - relay->arrived_ms),
+             field_number (FIELD_MS, now_ms - relay->terms.arrived_ms),
              field_number (FIELD_EXTRA, extra_left (relay)));
   relay->reason = reason;
   if (ran)
@@ -495,11 +491,12 @@
   str_t text = call_header (head, relay->belief->names->confidence);
   uint64_t confidence;
 
-  if (relay->started || relay->route->model_count == 0
-      || relay->model + 1 >= relay->route->model_count || text.ptr == NULL
-      || !str_to_u64 (text, &confidence)
+  if (relay->started || relay->terms.route->model_count == 0
+      || relay->model + 1 >= relay->terms.route->model_count
+      || text.ptr == NULL || !str_to_u64 (text, &confidence)
       || confidence >= doubt_bar (&relay->belief->doubt)
-      || relay->runs + 1 >= relay->route->attempts_max || !take_extra (relay))
+      || relay->runs + 1 >= relay->terms.route->attempts_max
+      || !take_extra (relay))
     return false;
   counter_add (relay->belief->counters.escalations, 1);
   log_event (EVENT_LARGER, field_text (FIELD_ID, str_from (relay->attempt_id)),
@@ -507,7 +504,7 @@
              field_number (FIELD_CONFIDENCE, confidence),
              field_number (FIELD_EXTRA, extra_left (relay)));
   relay->runs++;
-  relay->model = relay->route->model_count - 1;
+  relay->model = relay->terms.route->model_count - 1;
   end_send (relay, SEND_DROPPED);
   relay_send (relay);
   return true;
@@ -527,9 +524,9 @@
       return;
     }
   learn_from_head (relay, head);
-  if (relay->route->model_count > 0 && !relay->started)
+  if (relay->terms.route->model_count > 0 && !relay->started)
     doubt_observe (&relay->belief->doubt, relay->last_ms - relay->sent_ms,
-                   relay->route->objective_ms);
+                   relay->terms.route->objective_ms);
   if (head->status == 421 || call_header (head, names->not_run).ptr != NULL)
     {
       send_failed (relay, head->status == 421 ? "misdirected" : "shed", false);
@@ -538,7 +535,7 @@
   relay->is_ok = head->status < 300;
   if (!relay->is_ok && head->status >= 500 && may_send_again (relay)
       && allowance_left (
-             belief_allowance (relay->belief, relay->service->name))
+             belief_allowance (relay->belief, relay->terms.service->name))
              >= 1)
     {
       send_failed (relay, "upstream-error", true);
@@ -557,7 +554,7 @@
   if (relay->started)
     return;
   keep_head (relay, head);
-  if (relay->route->kind == ROUTE_STREAM && relay->is_ok)
+  if (relay->terms.route->kind == ROUTE_STREAM && relay->is_ok)
     start_stream (relay);
 }
 
@@ -676,7 +673,7 @@
         want->arm = ARM_NEW;
       break;
     case TRIAL_RUNNING:
-      if (trial_choose (trial, relay->session,
+      if (trial_choose (trial, relay->terms.session,
                         follow_store_ms (belief->orders), &relay->on_trial)
               == TRIAL_NEW
           && pool_has (belief->pool, want->service, ARM_NEW, want->version))
@@ -694,10 +691,7 @@
 static uint32_t
 urgency_of (const relay_t *relay)
 {
-  uint32_t rank = relay->team != NULL && relay->team->has_priority
-                      ? relay->team->priority
-                      : relay->route->priority;
-  uint32_t urgency = URGENCY_FIRST + rank;
+  uint32_t urgency = URGENCY_FIRST + relay->terms.rank;
 
   return urgency < FORWARD_URGENCY_MAX ? urgency : FORWARD_URGENCY_MAX;
 }
@@ -710,14 +704,15 @@
   belief_t *belief = relay->belief;
   uint64_t now_ms = clock_ms (belief->clock);
   pool_want_t want
-      = { .service = relay->service->name,
-          .cold_per_s = relay->service->cold_per_s,
-          .key = relay->key != 0 ? relay->key ^ (relay->model + 1) : 0,
+      = { .service = relay->terms.service->name,
+          .cold_per_s = relay->terms.service->cold_per_s,
+          .key
+          = relay->terms.key != 0 ? relay->terms.key ^ (relay->model + 1) : 0,
           .tried = relay->tried,
           .tried_count = relay->tried_count };
   buf_t request = BUF_NULL;
 
-  if (now_ms + RETURN_MS >= relay->due_ms)
+  if (now_ms + RETURN_MS >= relay->terms.due_ms)
     {
       relay_give_up (relay, VH_E_DEADLINE, "deadline", 0);
       return;
@@ -744,21 +739,22 @@
                      code == VH_E_FULL ? RETRY_FULL_MS : RETRY_UNAVAILABLE_MS);
       return;
     }
-  log_event (EVENT_SENT, field_text (FIELD_ID, str_from (relay->attempt_id)),
-             field_text (FIELD_ROUTE, relay->route->name),
-             field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
-             field_text (FIELD_VERSION, upstream_version (relay->upstream)),
-             field_text (FIELD_MODEL, relay->route->model_count > 0
-                                          ? relay->route->models[relay->model]
-                                          : STR ("-")),
-             field_number (FIELD_RUNNING, upstream_running (relay->upstream)),
-             field_number (FIELD_SENDS, relay->sends + 1),
-             field_number (FIELD_LEFT_MS, relay->due_ms - now_ms),
-             field_number (FIELD_REVISION, catalog_revision (relay->catalog)));
+  log_event (
+      EVENT_SENT, field_text (FIELD_ID, str_from (relay->attempt_id)),
+      field_text (FIELD_ROUTE, relay->terms.route->name),
+      field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
+      field_text (FIELD_VERSION, upstream_version (relay->upstream)),
+      field_text (FIELD_MODEL, relay->terms.route->model_count > 0
+                                   ? relay->terms.route->models[relay->model]
+                                   : STR ("-")),
+      field_number (FIELD_RUNNING, upstream_running (relay->upstream)),
+      field_number (FIELD_SENDS, relay->sends + 1),
+      field_number (FIELD_LEFT_MS, relay->terms.due_ms - now_ms),
+      field_number (FIELD_REVISION, catalog_revision (relay->terms.catalog)));
   relay->on_trial.any = true;
   relay->on_trial.arm = is_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD;
-  relay->prompt_left = relay->prompt;
-  pool_started (belief->pool, relay->upstream, relay->prompt);
+  relay->prompt_left = relay->terms.prompt;
+  pool_started (belief->pool, relay->upstream, relay->terms.prompt);
   relay->phase = PHASE_SENT;
   relay->sent_ms = now_ms;
   relay->last_ms = now_ms;
@@ -770,11 +766,11 @@
   const forward_t forward = {
     .names = belief->names,
     .upstream = upstream_id (relay->upstream),
-    .team = relay->team != NULL ? relay->team->name : STR_NULL,
-    .model = relay->route->model_count > 0
-                 ? relay->route->models[relay->model]
+    .team = relay->terms.team != NULL ? relay->terms.team->name : STR_NULL,
+    .model = relay->terms.route->model_count > 0
+                 ? relay->terms.route->models[relay->model]
                  : httpd_header (relay->req, belief->names->model),
-    .left_ms = relay->due_ms - now_ms,
+    .left_ms = relay->terms.due_ms - now_ms,
     .urgency = urgency_of (relay),
     .resumes = relay->events.has_last,
     .last_id = relay->events.last_id,
@@ -797,7 +793,8 @@
 static bool
 may_move (const relay_t *relay)
 {
-  return may_send_again (relay) && relay->runs + 1 < relay->route->attempts_max
+  return may_send_again (relay)
+         && relay->runs + 1 < relay->terms.route->attempts_max
          && !relay->paused;
 }
 
@@ -805,7 +802,7 @@
 static uint64_t
 patience_due (const relay_t *relay)
 {
-  const route_t *route = relay->route;
+  const route_t *route = relay->terms.route;
 
   if (route->kind != ROUTE_STREAM)
     return relay->sent_ms
@@ -828,7 +825,7 @@
   if (!may_move (relay))
     return UINT64_MAX;
   uint64_t patience_ms = patience_due (relay);
-  if (relay->route->kind != ROUTE_STREAM)
+  if (relay->terms.route->kind != ROUTE_STREAM)
     return patience_ms;
   uint64_t look_ms = pool_silence_due (relay->upstream);
   return look_ms < patience_ms ? look_ms : patience_ms;
@@ -840,7 +837,7 @@
   relay_t *relay = timer->data;
   uint64_t now_ms = clock_ms (relay->belief->clock);
 
-  if (now_ms >= relay->due_ms)
+  if (now_ms >= relay->terms.due_ms)
     {
       if (relay->call != NULL && call_sent (relay->call))
         relay->runs++;
@@ -849,16 +846,16 @@
     }
   if (now_ms >= silence_due (relay))
     {
-      if (relay->route->kind == ROUTE_STREAM && now_ms < patience_due (relay)
-          && !upstream_lost (relay->upstream))
+      if (relay->terms.route->kind == ROUTE_STREAM
+          && now_ms < patience_due (relay) && !upstream_lost (relay->upstream))
         {
           reach_look (relay->belief->reach, upstream_id (relay->upstream),
                       upstream_address (relay->upstream), LOOK_MS);
           uv_timer_start (&relay->timer, on_timer, LOOK_MS + LOOK_SLACK_MS, 0);
           return;
         }
-      bool allowed = allowance_left (belief_allowance (relay->belief,
-                                                       relay->service->name))
+      bool allowed = allowance_left (belief_allowance (
+                         relay->belief, relay->terms.service->name))
                      >= 1;
       if (allowed)
         {
@@ -879,8 +876,8 @@
 {
   uint64_t due_ms = silence_due (relay);
 
-  if (due_ms > relay->due_ms)
-    due_ms = relay->due_ms;
+  if (due_ms > relay->terms.due_ms)
+    due_ms = relay->terms.due_ms;
   uv_timer_start (&relay->timer, on_timer,
                   due_ms > now_ms ? due_ms - now_ms : 0, 0);
 }
@@ -913,117 +910,6 @@
 
 /* Arrival.  */
 
-/* Hash of the parts of the prompt but the last, which no other request
-   shares; 0 when there are none.  */
-static uint64_t
-shared_key (str_t parts)
-{
-  size_t end = parts.len;
-
-  if (parts.ptr == NULL)
-    return 0;
-  while (end > 0 && parts.ptr[end - 1] != ',')
-    end--;
-  return end == 0 ? 0 : str_hash (str_make (parts.ptr, end - 1), 1);
-}
-
-/* Find who asks for what.  Return VH_OK, or the reason why not.  */
-static vh_code_t
-identify (relay_t *relay)
-{
-  belief_t *belief = relay->belief;
-  const httpd_req_t *req = relay->req;
-  str_t bearer = httpd_header (req, STR ("authorization"));
-
-  if (belief->catalog == NULL)
-    return VH_E_STORE_DOWN;
-  relay->catalog = belief->catalog;
-  catalog_ref (relay->catalog);
-  relay->route = catalog_route (relay->catalog, httpd_authority (req),
-                                httpd_path (req));
-  if (relay->route == NULL)
-    return belief_confirmed (belief) ? VH_E_NO_ROUTE : VH_E_STORE_DOWN;
-  if (!relay->route->is_public && catalog_has_teams (relay->catalog))
-    {
-      /* A key that was taken away must not be used by an entry that cannot
-         see it: a confirmation that is too old lets no key in.  */
-      if (!belief_confirmed (belief))
-        return VH_E_STORE_DOWN;
-      if (!str_starts (bearer, STR ("Bearer ")))
-        return VH_E_NO_AUTH;
-      relay->team = catalog_team (
-          relay->catalog,
-          str_trim (str_make (bearer.ptr + 7, bearer.len - 7)));
-      if (relay->team == NULL)
-        return VH_E_BAD_KEY;
-    }
-  return VH_OK;
-}
-
-/* Choose the service by the route's weights.  */
-static void
-choose_service (relay_t *relay)
-{
-  const route_t *route = relay->route;
-  uint64_t total = 0;
-  size_t at = 0;
-
-  for (size_t i = 0; i < route->split_count; i++)
-    total += route->splits[i].weight;
-  if (total > 0)
-    {
-      uint64_t point = relay->session % total;
-      while (point >= route->splits[at].weight)
-        point -= route->splits[at++].weight;
-    }
-  relay->service
-      = route->split_count > 0
-            ? catalog_service (relay->catalog, route->splits[at].service)
-            : NULL;
-}
-
-/* Read the numbers of the request.  Return VH_OK or VH_E_BAD_HEADER.  */
-static vh_code_t
-read_terms (relay_t *relay)
-{
-  const header_names_t *names = relay->belief->names;
-  const httpd_req_t *req = relay->req;
-  str_t deadline = httpd_header (req, names->deadline_ms);
-  str_t tokens = httpd_header (req, names->token_counts);
-  str_t last_id = httpd_header (req, STR ("last-event-id"));
-  str_t session = httpd_header (req, names->session);
-  uint64_t wait_ms = relay->route->timeout_ms;
-  uint64_t prompt = 0;
-  uint64_t given;
-  str_t rest;
-
-  if (deadline.ptr != NULL)
-    {
-      if (!str_to_u64 (str_trim (deadline), &given))
-        return VH_E_BAD_HEADER;
-      if (given < wait_ms || wait_ms == 0)
-        wait_ms = given;
-    }
-  relay->due_ms = relay->arrived_ms + wait_ms;
-  if (tokens.ptr != NULL
-      && str_to_u64 (str_trim (str_cut (tokens, ',', &rest)), &prompt))
-    relay->prompt = prompt < UINT32_MAX ? (uint32_t)prompt : UINT32_MAX;
-  relay->key = shared_key (httpd_header (req, names->prompt_parts));
-  relay->session = session.ptr != NULL
-                       ? str_hash (session, 2)
-                       : str_hash (str_from (relay->attempt_id), 2);
-  if (relay->route->kind == ROUTE_STREAM && last_id.ptr != NULL
-      && str_to_u64 (str_trim (last_id), &given))
-    {
-      relay->events.has_last = true;
-      relay->events.last_id = given;
-    }
-  relay->may_repeat
-      = relay->route->kind == ROUTE_IDEMPOTENT
-        || (relay->route->kind == ROUTE_STREAM && relay->route->resumable);
-  return VH_OK;
-}
-
 static void
 refuse (relay_t *relay, vh_code_t code)
 {
@@ -1038,12 +924,12 @@
 admit (relay_t *relay)
 {
   belief_t *belief = relay->belief;
+  terms_t *terms = &relay->terms;
+  vh_code_t code
+      = terms_read (terms, belief, relay->req, str_from (relay->attempt_id));
 
-  vh_code_t code = identify (relay);
-  if (code == VH_OK)
-    code = read_terms (relay);
   if (code == VH_OK && belief->stopping_ms != 0
-      && relay->arrived_ms - belief->stopping_ms
+      && terms->arrived_ms - belief->stopping_ms
              >= belief->options.drain_grace_ms)
     {
       relay_reply (relay, 503, VH_E_DRAINING, "draining", RETRY_DRAINING_MS);
@@ -1054,13 +940,9 @@
       refuse (relay, code);
       return;
     }
-  choose_service (relay);
-  if (relay->service == NULL)
-    {
-      refuse (relay, VH_E_NO_UPSTREAM);
-      return;
-    }
-  allowance_request (belief_allowance (belief, relay->service->name));
+  relay->events.has_last = terms->resumes;
+  relay->events.last_id = terms->last_id;
+  allowance_request (belief_allowance (belief, terms->service->name));
   relay_send (relay);
 }
 
@@ -1099,7 +981,7 @@
   list_append (&belief->relays, &relay->link);
   relay->belief = belief;
   relay->req = req;
-  relay->arrived_ms = clock_ms (belief->clock);
+  relay->terms.arrived_ms = clock_ms (belief->clock);
   relay->attempt_id = str_dup (id.ptr != NULL ? id : STR ("-"));
   uv_timer_init (belief->loop, &relay->timer);
   relay->timer.data = relay;
