gateway: a look at a silent engine does not outlast the deadline

Cause: while a silent engine was looked at, the request's timer was set for the end of the look, up to 0.26 s past its deadline (read in the diff). Change: it is set for whichever is first.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -851,7 +851,10 @@
         {
           reach_look (relay->belief->reach, upstream_id (relay->upstream),
                       upstream_address (relay->upstream), LOOK_MS);
-          uv_timer_start (&relay->timer, on_timer, LOOK_MS + LOOK_SLACK_MS, 0);
+          uint64_t look_ms = LOOK_MS + LOOK_SLACK_MS;
+          uint64_t left_ms = relay->terms.due_ms - now_ms;
+          uv_timer_start (&relay->timer, on_timer,
+                          look_ms < left_ms ? look_ms : left_ms, 0);
           return;
         }
       bool allowed = allowance_left (belief_allowance (
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -287,6 +287,25 @@
 }
 END_TEST
 
+/* A silent engine is being looked at when the caller's deadline passes.  The
+   caller is told then, not when the look is over.  */
+START_TEST (a_look_does_not_outlast_the_deadline)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  script_all (&f, ACT_SILENT);
+  uint64_t start_ms = uv_now (&f.loop);
+  gateway_fixture_ask (&f, &caller, "POST", "/chat/",
+                       ASK "vanillahook-deadline-ms: 560\r\n", "{}");
+  ck_assert_int_eq (caller_status (&caller), 504);
+  ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 700);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* Every upstream breaks the stream: the caller must see that the answer is
    not whole, and no byte that is not of an event.  */
 START_TEST (a_stream_that_cannot_go_on_looks_cut)
@@ -797,6 +816,7 @@
   tcase_add_test (tcase, streams_leave_an_engine_that_is_gone);
   tcase_add_test (tcase, a_stream_that_cannot_go_on_looks_cut);
   tcase_add_test (tcase, a_doubtful_answer_gives_way_to_a_larger_model);
+  tcase_add_test (tcase, a_look_does_not_outlast_the_deadline);
   tcase_add_test (tcase, urgency_follows_the_route);
   tcase_add_test (tcase, a_caller_waits_for_the_first_configuration);
   tcase_add_test (tcase, a_start_without_the_store_refuses_soon);
