--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -11,7 +11,7 @@
 #include "base/eventlog.h"
 #include "gateway/events.h"
 #include "gateway/forward.h"
-#include "gateway/terms.h"
+#include "gateway/termsint.h"
 #include "wire/call.h"
 
 #include <stdlib.h>
--- a/packages/gateway/terms.c
+++ b/packages/gateway/terms.c
@@ -1,4 +1,4 @@
-#include "gateway/terms.h"
+#include "gateway/termsint.h"
 
 /* Hash of the parts of the prompt but the last, which no other request
    shares; 0 when there are none.  */
--- a/packages/gateway/terms.h
+++ b/packages/gateway/termsint.h
@@ -1,8 +1,8 @@
 /* What a request asks for and may have: read once on its arrival, from its
    head and the configuration in force then.  */
 
-#ifndef GATEWAY_TERMS_H
-#define GATEWAY_TERMS_H
+#ifndef GATEWAY_TERMSINT_H
+#define GATEWAY_TERMSINT_H
 
 #include "gateway/gatewayint.h"
 
