gateway: a version that was taken back gets nothing during the next order

Cause: a version was taken back and the next one ordered 0.1 s later, before the instances of the first were gone. Change: versions that were taken back are kept out of a service until they are ordered again; the shared row of a roll-out names them, so that an entry that starts later knows them too.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -115,6 +115,12 @@
   trial_t *trial = map_get (belief->trials, order.service);
   if (trial == NULL || trial_order (trial) != row->version)
     {
+      /* The instances of a version that was taken back are there for a while:
+         they must not pass for the old version of the next order.  */
+      if (trial != NULL && trial_phase (trial) == TRIAL_ROLLED_BACK)
+        pool_withdraw (belief->pool, order.service, trial_version (trial),
+                       true);
+      pool_withdraw (belief->pool, order.service, order.version, false);
       drop_trial (belief, order.service);
       trial = trial_create (order.service, order.version, row->version,
                             order.within_ms);
@@ -253,7 +259,23 @@
   return kind;
 }
 
-/* A roll-out's shared row: ORDER START STEP FROM PHASE.  */
+/* Take in the versions that were taken back before, as words of TEXT: this
+   entry may have started after that.  */
+static void
+take_withdrawn (duties_t *duties, str_t service, str_t text)
+{
+  const trial_t *trial = map_get (duties->belief->trials, service);
+
+  while (text.ptr != NULL && text.len > 0)
+    {
+      str_t version = str_cut (text, ' ', &text);
+      if (trial == NULL || !str_eq (version, trial_version (trial)))
+        pool_withdraw (duties->belief->pool, service, version, true);
+    }
+}
+
+/* A roll-out's shared row: ORDER START STEP FROM PHASE VERSION..., the
+   versions that were taken back before.  */
 static void
 take_rollout_row (duties_t *duties, str_t service, const rows_row_t *row)
 {
@@ -267,18 +289,21 @@
     if (rest.ptr == NULL
         || !str_to_u64 (str_cut (rest, ' ', &rest), &numbers[i]))
       return;
-  if (trial == NULL || rest.ptr == NULL || numbers[0] != trial_order (trial))
+  str_t phase_name = str_cut (rest, ' ', &rest);
+  take_withdrawn (duties, service, rest);
+  if (trial == NULL || phase_name.ptr == NULL
+      || numbers[0] != trial_order (trial))
     return;
   trial_set_progress (trial, numbers[1], (uint32_t)numbers[2], numbers[3]);
   log_event (EVENT_ROLLOUT_STEP, field_text (FIELD_SERVICE, service),
              field_text (FIELD_VERSION, trial_version (trial)),
              field_number (FIELD_STEP, numbers[2]),
              field_number (FIELD_FROM, numbers[3]),
-             field_text (FIELD_PHASE, rest));
+             field_text (FIELD_PHASE, phase_name));
   /* A decision made here and not yet written stays over `running'.  */
   bool final = false;
   for (trial_phase_t phase = TRIAL_DONE; phase <= TRIAL_ROLLED_BACK; phase++)
-    if (str_eq (rest, str_from (trial_phase_name (phase))))
+    if (str_eq (phase_name, str_from (trial_phase_name (phase))))
       {
         trial_set_phase (trial, phase);
         final = true;
@@ -453,6 +478,7 @@
               (unsigned long long)trial_order (trial),
               (unsigned long long)start_ms, step, (unsigned long long)from_ms,
               trial_phase_name (phase));
+  pool_write_withdrawn (duties->belief->pool, service, &value);
   duties->belief->dialect->write_rollout_status (
       service, trial_version (trial), states[phase], &status_key, &status);
   writes[0].table = ROWS_OWN;
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -33,6 +33,7 @@
   uint64_t version_hash;
   bool is_own_zone;
   bool is_zone_out;
+  bool is_withdrawn;
   uint64_t born;
   uint32_t slots;
   bool draining;
@@ -66,6 +67,7 @@
   map_t *by_id;
   map_t *groups; /* Service to group_t.  */
   map_t *zones_out;
+  map_t *withdrawn; /* SERVICE SPACE VERSION.  */
 };
 
 pool_t *
@@ -84,6 +86,7 @@
   pool->by_id = map_create ();
   pool->groups = map_create ();
   pool->zones_out = map_create ();
+  pool->withdrawn = map_create ();
   return pool;
 }
 
@@ -147,6 +150,7 @@
   map_destroy (pool->groups);
   map_destroy (pool->by_id);
   map_destroy (pool->zones_out);
+  map_destroy (pool->withdrawn);
   free (pool->zone);
   free (pool);
 }
@@ -201,6 +205,62 @@
   return group;
 }
 
+static void
+write_withdrawn_key (str_t service, str_t version, buf_t *out)
+{
+  buf_append_str (out, service);
+  buf_append_char (out, ' ');
+  buf_append_str (out, version);
+}
+
+static bool
+is_withdrawn (const pool_t *pool, str_t service, str_t version)
+{
+  buf_t key = BUF_NULL;
+
+  write_withdrawn_key (service, version, &key);
+  bool found = map_get (pool->withdrawn, buf_str (&key)) != NULL;
+  buf_free (&key);
+  return found;
+}
+
+void
+pool_withdraw (pool_t *pool, str_t service, str_t version, bool withdrawn)
+{
+  buf_t key = BUF_NULL;
+
+  write_withdrawn_key (service, version, &key);
+  if (withdrawn)
+    map_put (pool->withdrawn, buf_str (&key), pool);
+  else
+    map_remove (pool->withdrawn, buf_str (&key));
+  buf_free (&key);
+  LIST_EACH (at, &pool->upstreams)
+    {
+      upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
+      if (str_eq (str_from (upstream->service), service)
+          && str_eq (str_from (upstream->version), version))
+        upstream->is_withdrawn = withdrawn;
+    }
+}
+
+void
+pool_write_withdrawn (const pool_t *pool, str_t service, buf_t *out)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (pool->withdrawn, &cursor, &key, &value))
+    {
+      str_t version;
+      if (!str_eq (str_cut (key, ' ', &version), service))
+        continue;
+      buf_append_char (out, ' ');
+      buf_append_str (out, version);
+    }
+}
+
 void
 pool_put (pool_t *pool, const upstream_info_t *info)
 {
@@ -234,6 +294,7 @@
   upstream->version_hash = str_hash (info->version, 0);
   upstream->is_own_zone = str_eq (info->zone, str_from (pool->zone));
   upstream->is_zone_out = map_get (pool->zones_out, info->zone) != NULL;
+  upstream->is_withdrawn = is_withdrawn (pool, info->service, info->version);
   upstream->slots = info->slots;
   upstream->draining = info->draining;
   if (upstream->gone)
@@ -335,7 +396,7 @@
 fits (const upstream_t *upstream, const pool_want_t *want,
       uint64_t version_hash, uint64_t now_ms)
 {
-  if (upstream->draining || upstream->is_zone_out
+  if (upstream->draining || upstream->is_zone_out || upstream->is_withdrawn
       || (upstream->gone && now_ms >= upstream->usable_till))
     return false;
   if (want->arm != ARM_ANY
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -131,6 +131,12 @@
 /* Its registration is gone.  KEEP_MS: it may still be used for so long, as
    registrations lapse while the store is away.  */
 void pool_remove (pool_t *pool, str_t id, uint64_t keep_ms);
+/* VERSION of SERVICE was taken back, or is ordered again: then WITHDRAWN is
+   false.  One that was taken back gets nothing, whatever else is on trial.  */
+void pool_withdraw (pool_t *pool, str_t service, str_t version,
+                    bool withdrawn);
+/* Append the withdrawn versions of SERVICE, a space before each.  */
+void pool_write_withdrawn (const pool_t *pool, str_t service, buf_t *out);
 void pool_zone_out (pool_t *pool, str_t zone, bool out);
 /* How many entries share what a cold instance bears; at least 1.  */
 void pool_set_entries (pool_t *pool, uint32_t entries);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -253,6 +253,37 @@
 }
 END_TEST
 
+/* A version was taken back and the next one is ordered before its instances
+   are gone.  They must not pass for the old version: a session would go from
+   the old one to one that is known to be bad.  Ordered again, it is one like
+   any other.  */
+START_TEST (a_version_that_was_taken_back_gets_nothing)
+{
+  fixture_t f;
+  upstream_t *chosen;
+  buf_t text = BUF_NULL;
+
+  setup (&f, 1);
+  put (&f, 1, "v2", "a", 0);
+  pool_withdraw (f.pool, STR ("llm"), STR ("v2"), true);
+  put (&f, 2, "v2", "a", 0);
+  f.want.arm = ARM_OLD;
+  f.want.version = STR ("v3");
+  for (int i = 0; i < 20; i++)
+    {
+      chosen = choose (&f);
+      ck_assert (str_eq (upstream_version (chosen), STR ("v1")));
+      pool_started (f.pool, chosen, 100);
+    }
+  pool_write_withdrawn (f.pool, STR ("llm"), &text);
+  ck_assert (str_eq (buf_str (&text), STR (" v2")));
+  buf_free (&text);
+  pool_withdraw (f.pool, STR ("llm"), STR ("v2"), false);
+  ck_assert (!str_eq (upstream_version (choose (&f)), STR ("v1")));
+  teardown (&f);
+}
+END_TEST
+
 /* The last answer of each instance said that all its slots were taken, by
    requests of other entries.  They were free a moment later, but nothing that
    was not sent could tell: every request was refused as full until then.  */
@@ -289,6 +320,7 @@
   tcase_add_test (tcase, a_removed_instance_ends_its_requests);
   tcase_add_test (tcase, long_prompts_keep_others_away);
   tcase_add_test (tcase, a_dead_engine_is_told_from_a_slow_one);
+  tcase_add_test (tcase, a_version_that_was_taken_back_gets_nothing);
   tcase_add_test (tcase, a_full_instance_is_tried_again);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
