gateway: one walk to count old runs, one name for each repeated question

In relay.c three copies of the model's name and several of the service's allowance are one function each, and the look at a silent upstream is out of the timer's nest. pool_first loses two arguments that it did not use; share.c asks in one place whether an entry is of its own zone. No behaviour, bound or assertion is changed.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -527,21 +527,6 @@
   buf_free (&value);
 }
 
-/* Requests of this entry on instances of SERVICE of another version.  */
-static uint32_t
-count_old (duties_t *duties, str_t service, str_t version)
-{
-  size_t cursor = 0;
-  uint32_t running = 0;
-  upstream_t *upstream;
-
-  while ((upstream = pool_next (duties->belief->pool, &cursor)) != NULL)
-    if (str_eq (upstream_service (upstream), service)
-        && !str_eq (upstream_version (upstream), version))
-      running += upstream_running (upstream);
-  return running;
-}
-
 /* Carry out what the evidence says of a running TRIAL.  */
 static void
 judge_trial (duties_t *duties, str_t service, trial_t *trial)
@@ -587,8 +572,9 @@
     {
       if (duties->ticks % TICKS_PER_S == 0)
         trial_fade (trial);
-      trial_old_running (trial,
-                         count_old (duties, service, trial_version (trial)));
+      trial_old_running (
+          trial, pool_running_other_versions (duties->belief->pool, service,
+                                              trial_version (trial)));
       judge_trial (duties, service, trial);
     }
   /* A decision is written again until the shared row has it or another.  */
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -626,11 +626,8 @@
 }
 
 void
-pool_first (pool_t *pool, upstream_t *upstream, uint32_t prompt,
-            uint64_t wait_ms)
+pool_first (upstream_t *upstream, uint32_t prompt)
 {
-  (void)pool;
-  (void)wait_ms;
   upstream->prompts -= prompt;
 }
 
@@ -688,34 +685,23 @@
   return str_from (upstream->version);
 }
 
-str_t
-upstream_zone (const upstream_t *upstream)
-{
-  return str_from (upstream->zone);
-}
-
-str_t
-upstream_service (const upstream_t *upstream)
-{
-  return str_from (upstream->service);
-}
-
 uint32_t
 upstream_running (const upstream_t *upstream)
 {
   return upstream->running;
 }
 
-upstream_t *
-pool_next (pool_t *pool, size_t *cursor)
+uint32_t
+pool_running_other_versions (const pool_t *pool, str_t service, str_t version)
 {
-  size_t index = 0;
+  uint32_t running = 0;
 
   LIST_EACH (at, &pool->upstreams)
-    if (index++ == *cursor)
-      {
-        (*cursor)++;
-        return CONTAINER_OF (at, upstream_t, link);
-      }
-  return NULL;
+    {
+      const upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
+      if (str_eq (str_from (upstream->service), service)
+          && !str_eq (str_from (upstream->version), version))
+        running += upstream->running;
+    }
+  return running;
 }
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -147,12 +147,15 @@
                        upstream_t **out);
 /* Tell whether ARM of SERVICE has an instance in service.  */
 bool pool_has (pool_t *pool, str_t service, version_arm_t arm, str_t version);
+/* Requests of this entry that run at instances of SERVICE of any version but
+   VERSION, also at those that are no longer listed.  */
+uint32_t pool_running_other_versions (const pool_t *pool, str_t service,
+                                      str_t version);
 /* A request with PROMPT tokens left for UPSTREAM, which the sender holds
    until pool_finished.  */
 void pool_started (pool_t *pool, upstream_t *upstream, uint32_t prompt);
-/* Its first event came after WAIT_MS: the prompt has been read.  */
-void pool_first (pool_t *pool, upstream_t *upstream, uint32_t prompt,
-                 uint64_t wait_ms);
+/* Its first event came: the prompt has been read.  */
+void pool_first (upstream_t *upstream, uint32_t prompt);
 /* It is over; PROMPT unless pool_first was told.  */
 void pool_finished (pool_t *pool, upstream_t *upstream, uint32_t prompt,
                     send_outcome_t outcome);
@@ -174,11 +177,7 @@
 str_t upstream_id (const upstream_t *upstream);
 str_t upstream_address (const upstream_t *upstream);
 str_t upstream_version (const upstream_t *upstream);
-str_t upstream_zone (const upstream_t *upstream);
 /* Requests of this entry that run there.  */
 uint32_t upstream_running (const upstream_t *upstream);
-/* Step through all instances: start with *CURSOR 0; NULL at the end.  */
-upstream_t *pool_next (pool_t *pool, size_t *cursor);
-str_t upstream_service (const upstream_t *upstream);
 
 #endif
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -180,6 +180,15 @@
   relay->upstream = NULL;
 }
 
+/* The model that is chosen here, or NONE where the route leaves no choice.  */
+static str_t
+model_or (const relay_t *relay, str_t none)
+{
+  const route_t *route = relay->terms.route;
+
+  return route->model_count > 0 ? route->models[relay->model] : none;
+}
+
 /* Bill what an upstream answered and the caller got, whole or in part.  */
 static void
 bill_answer (const relay_t *relay, log_event_t event)
@@ -194,9 +203,7 @@
     .id = str_from (relay->attempt_id),
     .team = relay->terms.team != NULL ? relay->terms.team->name : STR (""),
     .route = relay->terms.route->name,
-    .model = relay->terms.route->model_count > 0
-                 ? relay->terms.route->models[relay->model]
-                 : STR (""),
+    .model = model_or (relay, STR ("")),
     .prompt = relay->terms.prompt,
     .events = relay->event_count,
     .runs = (uint32_t)relay->runs + 1,
@@ -308,12 +315,24 @@
          && relay->sends < SENDS_MAX;
 }
 
+/* The extra sends of the request's service.  */
+static allowance_t *
+allowance_of (const relay_t *relay)
+{
+  return belief_allowance (relay->belief, relay->terms.service->name);
+}
+
+static bool
+may_take_extra (const relay_t *relay)
+{
+  return allowance_left (allowance_of (relay)) >= 1;
+}
+
 /* Take one of the extra sends, or tell why not.  */
 static bool
 take_extra (relay_t *relay)
 {
-  allowance_t *allowance
-      = belief_allowance (relay->belief, relay->terms.service->name);
+  allowance_t *allowance = allowance_of (relay);
 
   if (!allowance_take (allowance, 0))
     return false;
@@ -325,8 +344,7 @@
 static uint64_t
 extra_left (const relay_t *relay)
 {
-  double left = allowance_left (
-      belief_allowance (relay->belief, relay->terms.service->name));
+  double left = allowance_left (allowance_of (relay));
 
   return left > 0 ? (uint64_t)left : 0;
 }
@@ -534,9 +552,7 @@
     }
   relay->is_ok = head->status < 300;
   if (!relay->is_ok && head->status >= 500 && may_send_again (relay)
-      && allowance_left (
-             belief_allowance (relay->belief, relay->terms.service->name))
-             >= 1)
+      && may_take_extra (relay))
     {
       send_failed (relay, "upstream-error", true);
       return;
@@ -569,8 +585,7 @@
     {
       if (relay->prompt_left > 0)
         {
-          pool_first (relay->belief->pool, relay->upstream, relay->prompt_left,
-                      relay->last_ms - relay->sent_ms);
+          pool_first (relay->upstream, relay->prompt_left);
           relay->prompt_left = 0;
         }
       relay->event_count += count;
@@ -744,9 +759,7 @@
       field_text (FIELD_ROUTE, relay->terms.route->name),
       field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
       field_text (FIELD_VERSION, upstream_version (relay->upstream)),
-      field_text (FIELD_MODEL, relay->terms.route->model_count > 0
-                                   ? relay->terms.route->models[relay->model]
-                                   : STR ("-")),
+      field_text (FIELD_MODEL, model_or (relay, STR ("-"))),
       field_number (FIELD_RUNNING, upstream_running (relay->upstream)),
       field_number (FIELD_SENDS, relay->sends + 1),
       field_number (FIELD_LEFT_MS, relay->terms.due_ms - now_ms),
@@ -767,9 +780,7 @@
     .names = belief->names,
     .upstream = upstream_id (relay->upstream),
     .team = relay->terms.team != NULL ? relay->terms.team->name : STR_NULL,
-    .model = relay->terms.route->model_count > 0
-                 ? relay->terms.route->models[relay->model]
-                 : httpd_header (relay->req, belief->names->model),
+    .model = model_or (relay, httpd_header (relay->req, belief->names->model)),
     .left_ms = relay->terms.due_ms - now_ms,
     .urgency = urgency_of (relay),
     .resumes = relay->events.has_last,
@@ -831,6 +842,29 @@
   return look_ms < patience_ms ? look_ms : patience_ms;
 }
 
+/* Tell whether the silent upstream is looked at before anything else.  */
+static bool
+should_look (const relay_t *relay, uint64_t now_ms)
+{
+  return relay->terms.route->kind == ROUTE_STREAM
+         && now_ms < patience_due (relay) && !upstream_lost (relay->upstream);
+}
+
+static void on_timer (uv_timer_t *timer);
+
+/* Look at the upstream and go on when that is over, or the deadline comes.  */
+static void
+look_at_upstream (relay_t *relay, uint64_t now_ms)
+{
+  uint64_t look_ms = LOOK_MS + LOOK_SLACK_MS;
+  uint64_t left_ms = relay->terms.due_ms - now_ms;
+
+  reach_look (relay->belief->reach, upstream_id (relay->upstream),
+              upstream_address (relay->upstream), LOOK_MS);
+  uv_timer_start (&relay->timer, on_timer,
+                  look_ms < left_ms ? look_ms : left_ms, 0);
+}
+
 static void
 on_timer (uv_timer_t *timer)
 {
@@ -846,21 +880,12 @@
     }
   if (now_ms >= silence_due (relay))
     {
-      if (relay->terms.route->kind == ROUTE_STREAM
-          && now_ms < patience_due (relay) && !upstream_lost (relay->upstream))
+      if (should_look (relay, now_ms))
         {
-          reach_look (relay->belief->reach, upstream_id (relay->upstream),
-                      upstream_address (relay->upstream), LOOK_MS);
-          uint64_t look_ms = LOOK_MS + LOOK_SLACK_MS;
-          uint64_t left_ms = relay->terms.due_ms - now_ms;
-          uv_timer_start (&relay->timer, on_timer,
-                          look_ms < left_ms ? look_ms : left_ms, 0);
+          look_at_upstream (relay, now_ms);
           return;
         }
-      bool allowed = allowance_left (belief_allowance (
-                         relay->belief, relay->terms.service->name))
-                     >= 1;
-      if (allowed)
+      if (may_take_extra (relay))
         {
           relay->broke = upstream_lost (relay->upstream);
           send_failed (relay, relay->broke ? "lost" : "silent", true);
--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -230,6 +230,12 @@
   return str_hash (name, 5);
 }
 
+static bool
+is_home (const share_t *share, const entry_t *entry)
+{
+  return str_eq (str_from (entry->zone), str_from (share->zone));
+}
+
 /* Tell whether ENTRY may be asked now.  */
 static bool
 may_ask (const share_t *share, const entry_t *entry, uint64_t now_ms)
@@ -237,8 +243,7 @@
   bool home
       = now_ms < share->home_till_ms || map_size (share->entries) >= FLEET_MAX;
 
-  return now_ms >= entry->bad_till_ms
-         && (!home || str_eq (str_from (entry->zone), str_from (share->zone)));
+  return now_ms >= entry->bad_till_ms && (!home || is_home (share, entry));
 }
 
 /* The entry that reads for this one, or NULL when it reads itself.  */
@@ -494,7 +499,7 @@
   uint64_t now_ms = clock_ms (share->clock);
 
   entry->bad_till_ms = now_ms + (silent ? BAD_MS : UNFIT_MS);
-  if (silent && !str_eq (str_from (entry->zone), str_from (share->zone)))
+  if (silent && !is_home (share, entry))
     share->home_till_ms = now_ms + HOME_MS;
 }
 
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -214,7 +214,7 @@
       ck_assert_ptr_ne (next, busy);
       pool_started (f.pool, next, 200);
     }
-  pool_first (f.pool, busy, 12000, 100);
+  pool_first (busy, 12000);
   ck_assert_ptr_eq (choose (&f), busy);
   teardown (&f);
 }
@@ -237,7 +237,7 @@
   ck_assert_uint_ge (pool_silence_due (engine), now_ms + 1400);
   clock_manual_advance_us (f.clock, 400000);
   pool_heard (f.pool, engine);
-  pool_first (f.pool, engine, 12000, 400);
+  pool_first (engine, 12000);
   ck_assert_uint_eq (pool_silence_due (engine),
                      now_ms + 400 + POOL_SILENCE_MS);
   clock_manual_advance_us (f.clock, 600000);
