gateway: the grace for lapsed registrations counts from the store's return

Change: the grace counts from the first sign of the store; what is read again on that sign gives up a call that is out. Test: a_late_read_gives_no_new_grace, 200 before, 503 now.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -62,6 +62,7 @@
   uint64_t node_again_ms; /* Not before this, after a write that failed.  */
   uint64_t peak_ms;       /* When so many entries were last listed.  */
   map_t *nodes;           /* Names of listed entries.  */
+  bool away;              /* Some table could not be read.  */
   uint64_t returned_ms;   /* When the store came back, monotonic.  */
   bool commit_pending;    /* Of a roll-out's row.  */
   uint64_t want_ms;       /* Since when a row is to be written; 0: none is.  */
@@ -237,13 +238,22 @@
   set_prepared (duties);
 }
 
+/* Registrations that lapsed in an outage count from the first sign that the
+   store is back, whichever table it is on.  The instances may be read seconds
+   after the orders, when their call hung on a connection that was cut: counted
+   from there, an instance that had left 13 s before got a request.  */
 static void
-on_instances_reach (void *arg, bool down)
+note_reach (duties_t *duties, bool down)
 {
-  duties_t *duties = arg;
-
-  if (!down)
+  if (!down && duties->away)
     duties->returned_ms = clock_ms (duties->belief->clock);
+  duties->away = down;
+}
+
+static void
+on_instances_reach (void *arg, bool down)
+{
+  note_reach (arg, down);
 }
 
 /* Shared rows.  */
@@ -666,6 +676,7 @@
 {
   duties_t *duties = arg;
 
+  note_reach (duties, down);
   if (down || duties->instances == NULL)
     return;
   follow_retry (duties->instances);
--- a/packages/gateway/follow.c
+++ b/packages/gateway/follow.c
@@ -269,8 +269,13 @@
 void
 follow_retry (follow_t *follow)
 {
-  if (follow->down && uv_is_active ((uv_handle_t *)&follow->timer))
-    step_after (follow, 0);
+  if (!follow->down)
+    return;
+  /* A call that is out may hang on a connection that was cut.  */
+  follow->rows->ops->forget (follow->rows, follow);
+  if (follow->reading)
+    follow->next.len = 0;
+  step_after (follow, 0);
 }
 
 static void
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -49,6 +49,7 @@
   uint64_t forgotten; /* Watches after less than this end.  */
   uint64_t extra_ms;
   bool down;
+  bool held[ROWS_OWN + 1];
   size_t calls;
   list_t pending;
 };
@@ -112,7 +113,10 @@
 static void
 on_call_timer (uv_timer_t *timer)
 {
-  call_tell (timer->data);
+  fake_call_t *call = timer->data;
+
+  if (!call->fake->held[call->table])
+    call_tell (call);
 }
 
 static fake_call_t *
@@ -295,6 +299,13 @@
                     on_call_timer, 1, 0);
 }
 
+void
+fake_rows_hold (fake_rows_t *fake, rows_table_t table, bool hold)
+{
+  fake->held[table] = hold;
+  wake (fake, table);
+}
+
 void
 fake_rows_stale (fake_rows_t *fake, uint64_t version)
 {
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -20,6 +20,9 @@
                            const char *key);
 /* From now on all calls fail, or are answered again.  */
 void fake_rows_down (fake_rows_t *fake, bool down);
+/* Calls on TABLE are not answered, as on a connection that is cut, or are
+   again.  */
+void fake_rows_hold (fake_rows_t *fake, rows_table_t table, bool hold);
 /* Reads and watches are answered as of version VERSION (0: of now).  */
 void fake_rows_stale (fake_rows_t *fake, uint64_t version);
 uint64_t fake_rows_version (const fake_rows_t *fake);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -674,6 +674,33 @@
 }
 END_TEST
 
+/* An entry was cut off from the store, and an instance left meanwhile.  The
+   orders are read again at once, the instances a second and a half later, as
+   their call hung on a connection that was cut.  The grace for registrations
+   that lapsed counts from the store's return, not from that call: the instance
+   gets nothing any more.  */
+START_TEST (a_late_read_gives_no_new_grace)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 1);
+  fake_rows_down (f.rows, true);
+  pass (&f, 300);
+  fake_rows_remove (f.rows, ROWS_INSTANCES, "app-0");
+  fake_rows_hold (f.rows, ROWS_INSTANCES, true);
+  fake_rows_down (f.rows, false);
+  gateway_fixture_wait (&f, gateway_fixture_ready (&f) == 200);
+  pass (&f, 1500);
+  fake_rows_hold (f.rows, ROWS_INSTANCES, false);
+  pass (&f, 1000);
+  gateway_fixture_ask (&f, &caller, "GET", "/read/", ASK, "");
+  ck_assert_int_eq (caller_status (&caller), 503);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 START_TEST (a_zone_that_is_out_gets_nothing)
 {
   gateway_fixture_t f;
@@ -868,6 +895,7 @@
   tcase_add_test (tcase, an_outage_is_probed_with_one_table);
   tcase_add_test (tcase, a_leaving_upstream_gets_nothing_new);
   tcase_add_test (tcase, lapsed_registrations_outlive_an_outage_for_a_moment);
+  tcase_add_test (tcase, a_late_read_gives_no_new_grace);
   tcase_add_test (tcase, a_zone_that_is_out_gets_nothing);
   tcase_add_test (tcase, rows_that_cannot_be_read_are_left_out);
   tcase_add_test (tcase, a_planned_stop_cuts_nothing);
