--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -84,7 +84,12 @@
      NULL)                                                                    \
   X ("cold-factor", VALUE_DOUBLE, false, pub.cold_factor, 0.1, 100, NULL)     \
   X ("cold-slack", VALUE_DOUBLE, false, pub.cold_slack, 0, 100000, NULL)      \
-  X ("link-mbps", VALUE_DOUBLE, false, pub.link_mbps, 0, 10000000, NULL)
+  X ("link-mbps", VALUE_DOUBLE, false, pub.link_mbps, 0, 10000000, NULL)      \
+  X ("answer-worth", VALUE_DOUBLE, false, pub.answer_worth, 0, 1000000, NULL) \
+  X ("rank-part", VALUE_DOUBLE, false, pub.rank_part, 0, 1, NULL)             \
+  X ("late-part", VALUE_DOUBLE, false, pub.late_part, 0, 1, NULL)             \
+  X ("poor-part", VALUE_DOUBLE, false, pub.poor_part, 0, 1, NULL)             \
+  X ("opinion-width", VALUE_DOUBLE, false, pub.opinion_width, 0.1, 100, NULL)
 
 /* Those of [sidecar] and [upstream NAME] alike.  */
 #define UPSTREAM_KEYS(X)                                                      \
@@ -308,6 +313,16 @@
   pub->extra_slack = 10;
   pub->extra_window_s = 10;
   pub->cold_factor = 1;
+  /* What the users pay for a good answer of three kinds, by rank: 0.45 to
+     0.56, 0.25 to 0.28 and 0.14 to 0.17 for 1,000 of its size; three tenths of
+     that when late, a twentieth when poor.  */
+  pub->answer_worth = 0.55;
+  pub->rank_part = 0.5;
+  pub->late_part = 0.3;
+  pub->poor_part = 0.05;
+  /* Mean worth of six days on three fleets with 20, 10 and 5: 0.691, 0.748 and
+     0.741; 0.705, 0.753 and 0.756; 0.708, 0.754 and 0.759.  */
+  pub->opinion_width = 5;
 }
 
 /* Complain that SECTION, in LINE unless 0, has no use in this role.  */
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -96,6 +96,11 @@
     .retry_window_ms = (uint64_t)(settings->extra_window_s * MS_PER_S),
     .cold_factor = settings->cold_factor,
     .cold_slack = settings->cold_slack,
+    .escalation = { .worth = settings->answer_worth,
+                    .rank_part = settings->rank_part,
+                    .late_part = settings->late_part,
+                    .poor_part = settings->poor_part,
+                    .opinion_width = settings->opinion_width },
   };
 
   options.drain_grace_ms = options.drain_bound_ms / 2 < GRACE_MS
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -51,6 +51,18 @@
   return allowance;
 }
 
+escalation_t *
+belief_escalation (belief_t *belief, str_t service)
+{
+  escalation_t *escalation = map_get (belief->escalations, service);
+
+  if (escalation != NULL)
+    return escalation;
+  escalation = escalation_create (&belief->options.escalation);
+  map_put (belief->escalations, service, escalation);
+  return escalation;
+}
+
 bool
 belief_confirmed (const belief_t *belief)
 {
@@ -281,6 +293,10 @@
   while (map_next (belief->allowances, &cursor, &key, &value))
     allowance_destroy (value);
   map_destroy (belief->allowances);
+  cursor = 0;
+  while (map_next (belief->escalations, &cursor, &key, &value))
+    escalation_destroy (value);
+  map_destroy (belief->escalations);
   catalog_unref (belief->catalog);
   tally_destroy (belief->tally);
   metrics_destroy (belief->metrics);
@@ -394,6 +410,7 @@
   belief->reach = reach_create (loop, on_looked, belief);
   belief->trials = map_create ();
   belief->allowances = map_create ();
+  belief->escalations = map_create ();
   belief->entries = 1;
   belief->started_ms = clock_ms (clock);
   belief->metrics = metrics_create ();
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/metric.h"
+#include "policy/escalation.h"
 #include "gateway/catalog.h"
 #include "gateway/names.h"
 #include "gateway/pool.h"
@@ -81,6 +82,7 @@
   double retry_slack;      /* Extra sends in a window besides.  */
   uint64_t retry_window_ms;
   double cold_factor;
+  escalation_options_t escalation;
   double cold_slack;
 } gateway_options_t;
 
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -9,13 +9,13 @@
 #include "base/rng.h"
 #include "gateway/allowance.h"
 #include "gateway/billing.h"
-#include "gateway/doubt.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
 #include "gateway/reach.h"
 #include "gateway/share.h"
 #include "gateway/tally.h"
 #include "gateway/trial.h"
+#include "policy/escalation.h"
 #include "wire/httpd.h"
 
 /* X (field, help): plain counters of a gateway.  */
@@ -52,13 +52,13 @@
   catalog_t *catalog; /* NULL until one is known.  */
   map_t *trials;      /* Service to trial_t.  */
   map_t *allowances;  /* Service to allowance_t.  */
+  map_t *escalations; /* Service to escalation_t.  */
   uint32_t entries;   /* Entries that share what all may use.  */
   follow_t *orders;   /* Tells how old the configuration is.  */
   gateway_counters_t counters;
   metrics_t *metrics;
   tally_t *tally;
   billing_t *bills;
-  doubt_t doubt;
   list_t relays;
   uint64_t started_ms;
   bool is_prepared;     /* All that a request needs was read once.  */
@@ -83,6 +83,8 @@
 
 /* Extra sends of SERVICE; made on first use.  */
 allowance_t *belief_allowance (belief_t *belief, str_t service);
+/* What is weighed of SERVICE's models; made on first use.  */
+escalation_t *belief_escalation (belief_t *belief, str_t service);
 /* Tell whether the configuration is known and confirmed recently enough to
    trust its keys.  */
 bool belief_confirmed (const belief_t *belief);
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -385,10 +385,17 @@
              : upstream->others * (double)(fade_ms - age_ms) / (double)fade_ms;
 }
 
+/* Requests at UPSTREAM, of all entries.  */
+static double
+requests_at (const upstream_t *upstream, uint64_t now_ms)
+{
+  return upstream->running + others_of (upstream, POOL_REPORT_FADE_MS, now_ms);
+}
+
 static double
 load_of (const upstream_t *upstream, uint64_t now_ms)
 {
-  return upstream->running + others_of (upstream, POOL_REPORT_FADE_MS, now_ms)
+  return requests_at (upstream, now_ms)
          + (double)upstream->prompts / POOL_PROMPT_UNIT;
 }
 
@@ -725,6 +732,18 @@
   return str_from (upstream->version);
 }
 
+double
+upstream_load (const pool_t *pool, const upstream_t *upstream)
+{
+  return requests_at (upstream, clock_ms (pool->clock));
+}
+
+uint32_t
+upstream_slots (const upstream_t *upstream)
+{
+  return upstream->slots;
+}
+
 uint32_t
 upstream_running (const upstream_t *upstream)
 {
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -184,6 +184,10 @@
 str_t upstream_id (const upstream_t *upstream);
 str_t upstream_address (const upstream_t *upstream);
 str_t upstream_version (const upstream_t *upstream);
+/* Requests that run or wait there, of all entries as far as it said.  */
+double upstream_load (const pool_t *pool, const upstream_t *upstream);
+/* Requests that it runs at once, by its own word.  */
+uint32_t upstream_slots (const upstream_t *upstream);
 /* Requests of this entry that run there.  */
 uint32_t upstream_running (const upstream_t *upstream);
 
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -555,6 +555,68 @@
          || call_header (head, names->answer_mac).ptr != NULL;
 }
 
+/* Index among the service's models of the route's model at INDEX;
+   SERVICE_MODELS_MAX when the service does not list it.  */
+static size_t
+service_model (const relay_t *relay, size_t index)
+{
+  const service_t *service = relay->terms.service;
+
+  for (size_t i = 0; i < service->model_count; i++)
+    if (str_eq (service->models[i].name, relay->terms.route->models[index]))
+      return i;
+  return SERVICE_MODELS_MAX;
+}
+
+static double
+model_cost (const relay_t *relay, size_t index)
+{
+  return index < SERVICE_MODELS_MAX ? relay->terms.service->models[index].cost
+                                    : 0;
+}
+
+/* Requests at the engine that would read the prompt if it went to the largest
+   model now; all that an engine can carry when none would.  */
+static double
+load_beside (const relay_t *relay)
+{
+  relay_t next = *relay;
+  pool_want_t want;
+  upstream_t *upstream;
+
+  next.model = relay->terms.route->model_count - 1;
+  want_next (&next, &want);
+  if (pool_choose (relay->belief->pool, &want, &upstream) != VH_OK)
+    return upstream_slots (relay->upstream);
+  return upstream_load (relay->belief->pool, upstream);
+}
+
+/* What it is worth to drop the present answer, of which its model has OPINION,
+   for that of the largest model.  */
+static double
+weigh (const relay_t *relay, uint64_t opinion)
+{
+  const terms_t *terms = &relay->terms;
+  size_t model = service_model (relay, relay->model);
+  size_t larger = service_model (relay, terms->route->model_count - 1);
+  const escalation_case_t request
+      = { .model = model,
+          .larger = larger,
+          .cost = model_cost (relay, model),
+          .larger_cost = model_cost (relay, larger),
+          .read = terms->prompt,
+          .generated = terms->generated,
+          .rank = terms->route->priority,
+          .opinion = opinion < 100 ? (uint32_t)opinion : 100,
+          .elapsed_ms = relay->last_ms - terms->arrived_ms,
+          .objective_ms = terms->route->objective_ms,
+          .pause_ms = terms->route->pause_ms,
+          .beside = load_beside (relay) };
+
+  return escalation_gain (
+      belief_escalation (relay->belief, terms->service->name), &request);
+}
+
 /* Drop the answer of a smaller model that doubts itself, while the caller has
    none of it.  Return true when the request went on to a larger one.  */
 static bool
@@ -566,7 +628,7 @@
   if (relay->started || relay->terms.route->model_count == 0
       || relay->model + 1 >= relay->terms.route->model_count
       || text.ptr == NULL || !str_to_u64 (text, &confidence)
-      || confidence >= doubt_bar (&relay->belief->doubt)
+      || weigh (relay, confidence) <= 0
       || relay->runs + 1 >= relay->terms.route->attempts_max
       || !take_extra (relay))
     return false;
@@ -597,8 +659,10 @@
     }
   learn_from_head (relay, head);
   if (relay->terms.route->model_count > 0 && !relay->started)
-    doubt_observe (&relay->belief->doubt, relay->last_ms - relay->sent_ms,
-                   relay->terms.route->objective_ms);
+    escalation_heard (
+        belief_escalation (relay->belief, relay->terms.service->name),
+        service_model (relay, relay->model), relay->terms.prompt,
+        relay->last_ms - relay->sent_ms, relay->terms.route->objective_ms);
   if (head->status == 421 || call_header (head, names->not_run).ptr != NULL)
     {
       send_failed (relay, head->status == 421 ? "misdirected" : "shed", false);
@@ -800,6 +864,21 @@
   return urgency < FORWARD_URGENCY_MAX ? urgency : FORWARD_URGENCY_MAX;
 }
 
+/* Tell whether the request's prompt takes its model so long that it goes to
+   the idlest engine, where it holds up the fewest streams, rather than to the
+   home of its shared parts.  */
+static bool
+reads_long (const relay_t *relay)
+{
+  const terms_t *terms = &relay->terms;
+
+  return terms->route->model_count > 0
+         && escalation_is_long (
+             belief_escalation (relay->belief, terms->service->name),
+             service_model (relay, relay->model), terms->prompt,
+             terms->route->pause_ms);
+}
+
 /* What the next send of RELAY asks of an upstream.  */
 static void
 want_next (const relay_t *relay, pool_want_t *want)
@@ -814,6 +893,8 @@
     .tried_count = relay->tried_count,
   };
   choose_arm (relay, want);
+  if (reads_long (relay))
+    want->key = 0;
 }
 
 /* Send the request to the best upstream, or give it up.  */
--- a/packages/gateway/terms.c
+++ b/packages/gateway/terms.c
@@ -91,7 +91,11 @@
   terms->due_ms = terms->arrived_ms + wait_ms;
   if (tokens.ptr != NULL
       && str_to_u64 (str_trim (str_cut (tokens, ',', &rest)), &prompt))
-    terms->prompt = prompt < UINT32_MAX ? (uint32_t)prompt : UINT32_MAX;
+    {
+      terms->prompt = prompt < UINT32_MAX ? (uint32_t)prompt : UINT32_MAX;
+      if (rest.ptr != NULL && str_to_u64 (str_trim (rest), &given))
+        terms->generated = given < UINT32_MAX ? (uint32_t)given : UINT32_MAX;
+    }
   terms->key = shared_key (httpd_header (req, names->prompt_parts));
   terms->session
       = session.ptr != NULL ? str_hash (session, 2) : str_hash (attempt, 2);
--- a/packages/gateway/termsint.h
+++ b/packages/gateway/termsint.h
@@ -13,11 +13,12 @@
   const service_t *service;
   const team_t *team; /* NULL: the route needs no key.  */
   uint64_t arrived_ms;
-  uint64_t due_ms;  /* The last moment for an answer.  */
-  uint64_t key;     /* Hash of the shared prompt parts; 0: none.  */
-  uint64_t session; /* Hash of the session, or of the attempt's id.  */
-  uint32_t prompt;  /* Tokens.  */
-  uint32_t rank;    /* Of its team or route; 0 is the highest.  */
+  uint64_t due_ms;    /* The last moment for an answer.  */
+  uint64_t key;       /* Hash of the shared prompt parts; 0: none.  */
+  uint64_t session;   /* Hash of the session, or of the attempt's id.  */
+  uint32_t prompt;    /* Tokens.  */
+  uint32_t generated; /* Tokens of the answer at most; 0: not told.  */
+  uint32_t rank;      /* Of its team or route; 0 is the highest.  */
   bool may_repeat;
   bool resumes; /* The caller has the events of a stream up to LAST_ID.  */
   uint64_t last_id;
--- /dev/null
+++ b/packages/policy/escalation.c
@@ -0,0 +1,290 @@
+#include "policy/escalation.h"
+
+#include "base/mem.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+enum
+{
+  TERMS = 3 /* Of a curve: constant, linear, square.  */
+};
+
+/* One stray wait must not move the pressure by itself.  */
+static const double part_max = 2;
+/* Waits beyond so many times what the curve says, and this besides, count as
+   that: a request that was stuck says nothing of reading.  */
+static const double stray_times = 2;
+static const double stray_ms = 200;
+/* Of the means over requests and engines.  */
+static const double keep_mean = 0.98;
+/* Tokens that are counted as one in the curves.  */
+static const double kilo = 1000;
+/* A token that is read costs a quarter of one that is generated.  */
+static const double read_cost_part = 0.25;
+/* A token that is generated counts as ten that are read in a request's size.
+ */
+static const double generated_size = 10;
+
+/* Sums for a square curve of waits over tokens.  */
+typedef struct
+{
+  double count;
+  double powers[2 * TERMS - 1]; /* Sums of x^0 to x^4.  */
+  double waits[TERMS];          /* Sums of y x^0 to y x^2.  */
+} curve_t;
+
+struct escalation
+{
+  escalation_options_t options;
+  double pressure;
+  curve_t curves[ESCALATION_MODELS];
+  double worth; /* Mean, of a request; 0: none came.  */
+};
+
+escalation_t *
+escalation_create (const escalation_options_t *options)
+{
+  escalation_t *escalation = mem_zalloc (sizeof *escalation);
+
+  escalation->options = *options;
+  return escalation;
+}
+
+void
+escalation_destroy (escalation_t *escalation)
+{
+  free (escalation);
+}
+
+/* Solve the first COUNT equations of M X = V in place.  Return false when they
+   say too little.  */
+static bool
+solve (double m[TERMS][TERMS], double v[TERMS], size_t count)
+{
+  static const double least = 1e-9;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (fabs (m[i][i]) < least)
+        return false;
+      for (size_t row = 0; row < count; row++)
+        {
+          double factor = row == i ? 0 : m[row][i] / m[i][i];
+          for (size_t col = i; col < count; col++)
+            m[row][col] -= factor * m[i][col];
+          v[row] -= factor * v[i];
+        }
+    }
+  for (size_t i = 0; i < count; i++)
+    v[i] /= m[i][i];
+  return true;
+}
+
+/* Fit the first COUNT terms of CURVE.  Return false when the sums say too
+   little, or that longer prompts take less.  */
+static bool
+fit (const curve_t *curve, size_t count, double terms[TERMS])
+{
+  double m[TERMS][TERMS];
+
+  for (size_t row = 0; row < TERMS; row++)
+    {
+      terms[row] = row < count ? curve->waits[row] : 0;
+      for (size_t col = 0; col < TERMS; col++)
+        m[row][col] = curve->powers[row + col];
+    }
+  if (!solve (m, terms, count))
+    return false;
+  for (size_t i = 0; i < count; i++)
+    if (terms[i] < 0)
+      return false;
+  return true;
+}
+
+/* The terms of CURVE: as many as the observations bear.  */
+static void
+curve_terms (const curve_t *curve, double terms[TERMS])
+{
+  for (size_t count = TERMS; count > 1; count--)
+    if (fit (curve, count, terms))
+      return;
+  terms[0] = curve->waits[0] / curve->count;
+  terms[1] = 0;
+  terms[2] = 0;
+}
+
+/* Fill TERMS of MODEL.  Return false when nothing is known of it.  */
+static bool
+model_terms (const escalation_t *escalation, size_t model, double terms[TERMS])
+{
+  if (model >= ESCALATION_MODELS
+      || escalation->curves[model].count < ESCALATION_LEAST)
+    return false;
+  curve_terms (&escalation->curves[model], terms);
+  return true;
+}
+
+static double
+at (const double terms[TERMS], uint32_t read)
+{
+  double x = read / kilo;
+
+  return terms[0] + terms[1] * x + terms[2] * x * x;
+}
+
+double
+escalation_wait_ms (const escalation_t *escalation, size_t model,
+                    uint32_t read)
+{
+  double terms[TERMS];
+
+  return model_terms (escalation, model, terms) ? at (terms, read) : 0;
+}
+
+bool
+escalation_is_long (const escalation_t *escalation, size_t model,
+                    uint32_t read, uint64_t pause_ms)
+{
+  double terms[TERMS];
+
+  return model_terms (escalation, model, terms)
+         && at (terms, read) - terms[0] > (double)pause_ms * ESCALATION_LONG;
+}
+
+static void
+learn_curve (curve_t *curve, double x, double wait_ms)
+{
+  double power = 1;
+
+  curve->count = curve->count * ESCALATION_KEEP_CURVE + 1;
+  for (size_t i = 0; i < 2 * TERMS - 1; i++)
+    {
+      curve->powers[i] = curve->powers[i] * ESCALATION_KEEP_CURVE + power;
+      if (i < TERMS)
+        curve->waits[i]
+            = curve->waits[i] * ESCALATION_KEEP_CURVE + wait_ms * power;
+      power *= x;
+    }
+}
+
+void
+escalation_heard (escalation_t *escalation, size_t model, uint32_t read,
+                  uint64_t wait_ms, uint64_t objective_ms)
+{
+  double terms[TERMS];
+  double wait = (double)wait_ms;
+
+  if (objective_ms > 0)
+    escalation->pressure = escalation->pressure * ESCALATION_KEEP_PRESSURE
+                           + fmin (wait / (double)objective_ms, part_max)
+                                 * (1 - ESCALATION_KEEP_PRESSURE);
+  if (model >= ESCALATION_MODELS)
+    return;
+  if (model_terms (escalation, model, terms))
+    wait = fmin (wait, at (terms, read) * stray_times + stray_ms);
+  learn_curve (&escalation->curves[model], read / kilo, wait);
+}
+
+double
+escalation_pressure (const escalation_t *escalation)
+{
+  return escalation->pressure;
+}
+
+/* 0 well below LIMIT, 1 well above it.  */
+static double
+beyond (double value, double limit)
+{
+  return 1 / (1 + exp ((limit - value) / (limit * ESCALATION_SCATTER)));
+}
+
+/* The chance that an answer with OPINION is good.  */
+static double
+good_part (const escalation_t *escalation, double opinion)
+{
+  return 0.5
+         * erfc ((50 - opinion)
+                 / (escalation->options.opinion_width * sqrt (2)));
+}
+
+/* Points that are added to an opinion at the present pressure.  */
+static double
+pressed_points (const escalation_t *escalation)
+{
+  double pressed = (escalation->pressure - ESCALATION_CALM)
+                   / (ESCALATION_PRESSED - ESCALATION_CALM);
+
+  return fmin (fmax (pressed, 0), 1) * ESCALATION_PRESSED_POINTS;
+}
+
+static double
+worth_of (const escalation_t *escalation, const escalation_case_t *request)
+{
+  double size = request->read + generated_size * request->generated;
+
+  if (size <= 0)
+    size = kilo;
+  return escalation->options.worth
+         * pow (escalation->options.rank_part, request->rank) * size / kilo;
+}
+
+/* What a second answer costs in the use of models: the first is not generated
+   to its end.  */
+static double
+cost_of (const escalation_case_t *request)
+{
+  double generated = request->generated / kilo;
+  double read = request->read / kilo * read_cost_part;
+
+  return request->larger_cost * (generated + read) - request->cost * generated;
+}
+
+/* Fill what the larger model would take until its first event, and how much of
+   that is for reading.  */
+static void
+foresee (const escalation_t *escalation, const escalation_case_t *request,
+         double *wait_ms, double *reading_ms)
+{
+  double terms[TERMS];
+  double ratio = 1;
+
+  if (!model_terms (escalation, request->larger, terms))
+    {
+      /* Not seen yet: it takes longer than the small one as it costs more. */
+      if (!model_terms (escalation, request->model, terms))
+        terms[0] = terms[1] = terms[2] = 0;
+      else if (request->cost > 0)
+        ratio = request->larger_cost / request->cost;
+    }
+  *reading_ms = (at (terms, request->read) - terms[0]) * ratio;
+  *wait_ms = terms[0] + *reading_ms;
+}
+
+double
+escalation_gain (escalation_t *escalation, const escalation_case_t *request)
+{
+  const escalation_options_t *options = &escalation->options;
+  double worth = worth_of (escalation, request);
+  double good
+      = good_part (escalation, request->opinion + pressed_points (escalation));
+  double wait_ms;
+  double reading_ms;
+  double harm = 0;
+
+  escalation->worth = escalation->worth == 0 ? worth
+                                             : escalation->worth * keep_mean
+                                                   + worth * (1 - keep_mean);
+  foresee (escalation, request, &wait_ms, &reading_ms);
+  double late = request->objective_ms > 0
+                    ? beyond ((double)request->elapsed_ms + wait_ms,
+                              (double)request->objective_ms)
+                    : 0;
+  if (request->pause_ms > 0)
+    harm = beyond (reading_ms, (double)request->pause_ms * ESCALATION_PAUSES)
+           * request->beside * escalation->worth * (1 - options->late_part);
+  double larger_part = 1 - late * (1 - options->late_part);
+  double kept_part = good + (1 - good) * options->poor_part;
+  return worth * (larger_part - kept_part - ESCALATION_MARGIN)
+         - cost_of (request) - harm;
+}
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -4,7 +4,6 @@
 vh_test (test_catalog DEPENDS vh_gateway)
 vh_test (test_pool DEPENDS vh_gateway)
 vh_test (test_allowance DEPENDS vh_gateway)
-vh_test (test_doubt DEPENDS vh_gateway)
 vh_test (test_events DEPENDS vh_gateway)
 vh_test (test_trial DEPENDS vh_gateway)
 vh_test (test_dialect DEPENDS vh_platform)
--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -4,3 +4,4 @@
 endforeach ()
 # The load patterns, on the queueing model of the bench.
 vh_test (test_load DEPENDS vh_model)
+vh_test (test_escalation DEPENDS vh_policy)
