--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -9,6 +9,7 @@
 #include "gateway/gatewayint.h"
 
 #include "base/eventlog.h"
+#include "gateway/loader.h"
 
 #include <stdlib.h>
 
@@ -51,6 +52,7 @@
   belief_t *belief;
   rows_t *rows;
   share_t *share;
+  loader_t *loader;
   follow_t *instances;
   follow_t *own;
   uv_timer_t tick;
@@ -73,16 +75,18 @@
 
 /* Orders.  */
 
+/* A configuration of LEN bytes was read.  */
 static void
-take_catalog (belief_t *belief, str_t value)
+on_catalog (void *arg, vh_code_t code, catalog_t *catalog, size_t len)
 {
-  catalog_t *catalog;
-  vh_code_t code = belief->dialect->read_catalog (value, &catalog);
+  duties_t *duties = arg;
+  belief_t *belief = duties->belief;
 
+  belief->reading_ms = 0;
   if (code != VH_OK)
     {
       log_event (EVENT_CONFIG_BAD, field_number (FIELD_CODE, code),
-                 field_number (FIELD_BYTES, value.len));
+                 field_number (FIELD_BYTES, len));
       return;
     }
   if (belief->catalog != NULL
@@ -100,6 +104,20 @@
   belief->catalog = catalog;
 }
 
+/* Read the configuration VALUE.  What is in force until then is as old as the
+   last confirmation before this one.  */
+static void
+take_catalog (duties_t *duties, str_t value)
+{
+  belief_t *belief = duties->belief;
+
+  if (belief->reading_ms == 0)
+    belief->reading_ms = clock_boot_ms (belief->clock);
+  loader_take (duties->loader, value, belief->catalog == NULL);
+  if (!loader_busy (duties->loader))
+    belief->reading_ms = 0;
+}
+
 static void
 take_rollout (belief_t *belief, const rows_row_t *row)
 {
@@ -150,7 +168,7 @@
   switch (belief->dialect->order_kind (row->key, &name))
     {
     case ORDER_CATALOG:
-      take_catalog (belief, row->value);
+      take_catalog (duties, row->value);
       break;
     case ORDER_ROLLOUT:
       take_rollout (belief, row);
@@ -700,6 +718,8 @@
   duties->share = share;
   duties->rollout_rows = map_create ();
   duties->nodes = map_create ();
+  duties->loader = loader_create (belief->loop, belief->dialect->read_catalog,
+                                  on_catalog, duties);
   belief->orders
       = follow_create (belief->loop, belief->clock, rows,
                        rng_u64 (&belief->rng), &orders, &order_events, duties);
@@ -736,6 +756,7 @@
     return;
   follow_destroy (duties->belief->orders);
   duties->belief->orders = NULL;
+  loader_destroy (duties->loader);
   follow_destroy (duties->instances);
   follow_destroy (duties->own);
   duties->rows->ops->forget (duties->rows, duties);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -66,8 +66,16 @@
 bool
 belief_confirmed (const belief_t *belief)
 {
-  return belief->catalog != NULL
-         && follow_age_ms (belief->orders) <= belief->options.confirm_ms;
+  uint64_t bound_ms = belief->options.confirm_ms;
+
+  if (belief->catalog == NULL)
+    return false;
+  /* A key may have been taken away by the configuration that is being read:
+     the one in force ages from the moment at which that came.  */
+  if (belief->reading_ms != 0
+      && clock_boot_ms (belief->clock) - belief->reading_ms > bound_ms / 2)
+    return false;
+  return follow_age_ms (belief->orders) <= bound_ms;
 }
 
 static void
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -48,7 +48,10 @@
   str_t ready_path; /* Asked by the platform's balancer.  */
   /* What the row KEY of ROWS_ORDERS is, and in *NAME its zone or service.  */
   order_kind_t (*order_kind) (str_t key, str_t *name);
-  vh_code_t (*read_catalog) (str_t value, catalog_t **out);
+  /* Any thread may call it.  PAUSE, which may be NULL, is called after each
+     half of a millisecond's work.  */
+  vh_code_t (*read_catalog) (str_t value, void (*pause) (void),
+                             catalog_t **out);
   /* Strings of ORDER live in *HOLDER, released with free_holder.  */
   vh_code_t (*read_rollout) (str_t value, rollout_order_t *order,
                              void **holder);
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -48,13 +48,15 @@
   gateway_options_t options;
   rng_t rng;
   pool_t *pool;
-  reach_t *reach;     /* Looks at silent instances of POOL.  */
-  catalog_t *catalog; /* NULL until one is known.  */
-  map_t *trials;      /* Service to trial_t.  */
-  map_t *allowances;  /* Service to allowance_t.  */
-  map_t *escalations; /* Service to escalation_t.  */
-  uint32_t entries;   /* Entries that share what all may use.  */
-  follow_t *orders;   /* Tells how old the configuration is.  */
+  reach_t *reach;      /* Looks at silent instances of POOL.  */
+  catalog_t *catalog;  /* NULL until one is known.  */
+  uint64_t reading_ms; /* Since when a later one is being read, by boot time;
+                          0: none is.  */
+  map_t *trials;       /* Service to trial_t.  */
+  map_t *allowances;   /* Service to allowance_t.  */
+  map_t *escalations;  /* Service to escalation_t.  */
+  uint32_t entries;    /* Entries that share what all may use.  */
+  follow_t *orders;    /* Tells how old the configuration is.  */
   gateway_counters_t counters;
   metrics_t *metrics;
   tally_t *tally;
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -3,6 +3,7 @@
   fake_upstream.c)
 vh_test (test_catalog DEPENDS vh_gateway)
 vh_test (test_pool DEPENDS vh_gateway)
+vh_test (test_loader DEPENDS vh_gateway)
 vh_test (test_allowance DEPENDS vh_gateway)
 vh_test (test_events DEPENDS vh_gateway)
 vh_test (test_trial DEPENDS vh_gateway)
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -186,7 +186,7 @@
 
 /* A catalog's row is REVISION KEY: all the rest is the same each time.  */
 static vh_code_t
-read_catalog (str_t value, catalog_t **out)
+read_catalog (str_t value, void (*pause) (void), catalog_t **out)
 {
   static const service_t services[]
       = { { .name = { "app", 3 } },
@@ -238,6 +238,8 @@
   str_t key;
   uint64_t revision;
 
+  (void)pause;
+
   if (!str_to_u64 (str_cut (value, ' ', &key), &revision))
     return VH_E_BAD_FIELD;
   *out = catalog_create (revision);
--- a/tests/test_dialect.c
+++ b/tests/test_dialect.c
@@ -1,6 +1,7 @@
 /* What the platform writes, read; and what it reads, written.  */
 
 #include "platform/platform.h"
+#include "platform/jsonlist.h"
 #include "suite.h"
 
 static const char config[]
@@ -24,7 +25,8 @@
   catalog_t *catalog;
 
   ck_assert_int_eq (
-      platform_dialect ()->read_catalog (str_from (config), &catalog), VH_OK);
+      platform_dialect ()->read_catalog (str_from (config), NULL, &catalog),
+      VH_OK);
   ck_assert_uint_eq (catalog_revision (catalog), 7);
   const route_t *route
       = catalog_route (catalog, STR ("h.example"), STR ("/a/1"));
@@ -70,10 +72,10 @@
 
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      ck_assert_msg (
-          platform_dialect ()->read_catalog (str_from (cases[i]), &catalog)
-              != VH_OK,
-          "case %zu", i);
+      ck_assert_msg (platform_dialect ()->read_catalog (str_from (cases[i]),
+                                                        NULL, &catalog)
+                         != VH_OK,
+                     "case %zu", i);
       ck_assert_ptr_null (catalog);
     }
 }
@@ -169,12 +171,73 @@
 }
 END_TEST
 
+/* Routes are taken out of the text one by one: what stands in strings is no
+   bracket, and every element comes whole.  */
+START_TEST (a_list_is_taken_apart)
+{
+  static const struct
+  {
+    const char *text;
+    const char *elements[4];
+  } cases[] = {
+    { "{\"a\":[1],\"list\":[{\"x\":\"]}\\\"[\"}, [2,{}] ,\"s\",3]}",
+      { "{\"x\":\"]}\\\"[\"}", "[2,{}]", "\"s\"", "3" } },
+    { " { \"b\" : {\"list\":[9]} , \"list\" : [ true , null ] } ",
+      { "true", "null" } },
+    { "{\"list\":[]}", { NULL } },
+    { "{\"list\":[[]]}", { "[]" } },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      str_t list;
+      str_t element;
+      ck_assert (
+          jsonlist_find (str_from (cases[i].text), STR ("list"), &list));
+      str_t rest = jsonlist_inside (list);
+      for (size_t j = 0; j < 4 && cases[i].elements[j] != NULL; j++)
+        {
+          ck_assert (jsonlist_next (&rest, &element));
+          ck_assert_msg (str_eq (element, str_from (cases[i].elements[j])),
+                         "case %zu element %zu: %.*s", i, j,
+                         STR_ARG (element));
+        }
+      ck_assert (!jsonlist_next (&rest, &element));
+    }
+}
+END_TEST
+
+/* A text that is cut or is no JSON ends the search, wherever it is cut.  */
+START_TEST (a_cut_text_ends)
+{
+  static const char whole[]
+      = "{\"a\":\"x\\\"\",\"list\":[{\"b\":[1,2]},{\"c\":\"]\"}],\"d\":{}}";
+
+  for (size_t len = 0; len < sizeof whole; len++)
+    {
+      str_t list;
+      str_t element;
+      size_t count = 0;
+      if (!jsonlist_find (str_make (whole, len), STR ("list"), &list))
+        continue;
+      str_t rest = jsonlist_inside (list);
+      while (jsonlist_next (&rest, &element))
+        ck_assert_uint_le (++count, 2);
+    }
+  str_t none;
+  ck_assert (!jsonlist_find (STR ("[1]"), STR ("list"), &none));
+  ck_assert (!jsonlist_find (STR ("{\"list\":1}"), STR ("list"), &none));
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("dialect");
   TCase *tcase = tcase_create ("dialect");
 
+  tcase_add_test (tcase, a_list_is_taken_apart);
+  tcase_add_test (tcase, a_cut_text_ends);
   tcase_add_test (tcase, a_configuration_is_read_whole);
   tcase_add_test (tcase, a_spoiled_configuration_is_refused);
   tcase_add_test (tcase, a_registration_is_read);
