--- /dev/null
+++ b/packages/gateway/relay_want.c
@@ -0,0 +1,163 @@
+#include "gateway/relayint.h"
+
+#include <math.h>
+
+enum
+{
+  /* Of instances that get the first share of a version: one that happens to
+     have a queue must not speak for all.  */
+  FEW_LEAST = 2
+};
+
+/* Index among the service's models of the route's model at INDEX;
+   SERVICE_MODELS_MAX when the service does not list it.  */
+size_t
+relay_service_model (const relay_t *relay, size_t index)
+{
+  const service_t *service = relay->terms.service;
+
+  for (size_t i = 0; i < service->model_count; i++)
+    if (str_eq (service->models[i].name, relay->terms.route->models[index]))
+      return i;
+  return SERVICE_MODELS_MAX;
+}
+
+static double
+model_cost (const relay_t *relay, size_t index)
+{
+  return index < SERVICE_MODELS_MAX ? relay->terms.service->models[index].cost
+                                    : 0;
+}
+
+/* Requests at the engine that would read the prompt if it went to the largest
+   model now; all that an engine can carry when none would.  */
+static double
+load_beside (const relay_t *relay)
+{
+  relay_t next = *relay;
+  pool_want_t want;
+  upstream_t *upstream;
+
+  next.model = relay->terms.route->model_count - 1;
+  relay_want (&next, &want);
+  if (pool_choose (relay->belief->pool, &want, &upstream) != VH_OK)
+    return upstream_slots (relay->upstream);
+  return upstream_load (relay->belief->pool, upstream);
+}
+
+/* What it is worth to drop the present answer, of which its model has OPINION,
+   for that of the largest model.  */
+double
+relay_weigh (const relay_t *relay, uint64_t opinion)
+{
+  const terms_t *terms = &relay->terms;
+  size_t model = relay_service_model (relay, relay->model);
+  size_t larger = relay_service_model (relay, terms->route->model_count - 1);
+  const escalation_case_t request
+      = { .model = model,
+          .larger = larger,
+          .cost = model_cost (relay, model),
+          .larger_cost = model_cost (relay, larger),
+          .read = terms->prompt,
+          .generated = terms->generated,
+          .rank = terms->route->priority,
+          .opinion = opinion < 100 ? (uint32_t)opinion : 100,
+          .elapsed_ms = relay->last_ms - terms->arrived_ms,
+          .objective_ms = terms->route->objective_ms,
+          .pause_ms = terms->route->pause_ms,
+          .beside = load_beside (relay) };
+
+  return escalation_gain (
+      belief_escalation (relay->belief, terms->service->name), &request);
+}
+
+/* Tell whether VERSION of the request's service has an instance in service. */
+static bool
+has_version (const relay_t *relay, str_t version)
+{
+  return pool_count (relay->belief->pool, relay->terms.service->name, ARM_NEW,
+                     version)
+         > 0;
+}
+
+/* How many instances of the version under TRIAL get its share of the requests,
+   so that they are as loaded as those of the old one.  */
+static size_t
+few_of (const relay_t *relay, const trial_t *trial)
+{
+  const belief_t *belief = relay->belief;
+  double share = trial_share (trial, follow_store_ms (belief->orders));
+  size_t old = pool_count (belief->pool, relay->terms.service->name, ARM_OLD,
+                           trial_version (trial));
+
+  size_t few = (size_t)ceil (share * (double)old);
+  return few > FEW_LEAST ? few : FEW_LEAST;
+}
+
+/* Which versions WANT may go to.  */
+static void
+choose_arm (const relay_t *relay, pool_want_t *want)
+{
+  belief_t *belief = relay->belief;
+  const trial_t *trial = relay_trial (relay);
+
+  want->arm = ARM_ANY;
+  if (trial == NULL)
+    return;
+  want->version = trial_version (trial);
+  switch (trial_phase (trial))
+    {
+    case TRIAL_ROLLED_BACK:
+      want->arm = ARM_OLD;
+      break;
+    case TRIAL_DONE:
+      if (has_version (relay, want->version))
+        want->arm = ARM_NEW;
+      break;
+    case TRIAL_RUNNING:
+      if (trial_choose (trial, relay->terms.session,
+                        follow_store_ms (belief->orders), &relay->on_trial)
+              == TRIAL_NEW
+          && has_version (relay, want->version))
+        {
+          want->arm = ARM_NEW;
+          want->few = few_of (relay, trial);
+        }
+      else
+        want->arm = ARM_OLD;
+      break;
+    }
+}
+
+/* Tell whether the request's prompt takes its model so long that it goes to
+   the idlest engine, where it holds up the fewest streams, rather than to the
+   home of its shared parts.  */
+static bool
+reads_long (const relay_t *relay)
+{
+  const terms_t *terms = &relay->terms;
+
+  return terms->route->model_count > 0
+         && escalation_is_long (
+             belief_escalation (relay->belief, terms->service->name),
+             relay_service_model (relay, relay->model), terms->prompt,
+             terms->route->pause_ms);
+}
+
+/* What the next send of RELAY asks of an upstream.  */
+void
+relay_want (const relay_t *relay, pool_want_t *want)
+{
+  const terms_t *terms = &relay->terms;
+
+  *want = (pool_want_t){
+    .service = terms->service->name,
+    .cold_per_s = terms->service->cold_per_s,
+    .key = terms->key != 0 ? terms->key ^ (relay->model + 1) : 0,
+    .tried = relay->tried,
+    .tried_count = relay->tried_count,
+  };
+  choose_arm (relay, want);
+  if (reads_long (relay))
+    want->key = 0;
+}
