--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -653,12 +653,13 @@
    gone once the configuration is in force.  */
 START_TEST (a_configuration_that_is_being_read_ages_the_keys)
 {
+  static const char head[] = "2 key-2 ";
   static char text[LOADER_LONG + 32];
   gateway_fixture_t f;
   caller_t caller;
 
-  memset (text, 'x', sizeof text - 1);
-  memcpy (text, "2 key-2 ", 8);
+  for (size_t i = 0; i < sizeof text - 1; i++)
+    text[i] = i < sizeof head - 1 ? head[i] : 'x';
   gateway_fixture_setup (&f, 1);
   fake_rows_put (f.rows, ROWS_ORDERS, "catalog", text);
   pass (&f, 300);
