gateway: keys go on ageing while a later configuration waits to be read

Cause, seen in reading the diff: with one long configuration being read and a later one waiting, the first one's coming into force ended the ageing of keys, though the later one may take a key away. Change: a loader with a waiting text is busy, and the ageing ends with the last one.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -82,7 +82,9 @@
   duties_t *duties = arg;
   belief_t *belief = duties->belief;
 
-  belief->reading_ms = 0;
+  /* While a later one waits the keys go on ageing.  */
+  if (!loader_busy (duties->loader))
+    belief->reading_ms = 0;
   if (code != VH_OK)
     {
       log_event (EVENT_CONFIG_BAD, field_number (FIELD_CODE, code),
--- a/packages/gateway/loader.c
+++ b/packages/gateway/loader.c
@@ -113,7 +113,7 @@
 bool
 loader_busy (const loader_t *loader)
 {
-  return loader->is_reading;
+  return loader->is_reading || loader->next.len > 0;
 }
 
 loader_t *
--- a/packages/gateway/loader.h
+++ b/packages/gateway/loader.h
@@ -43,7 +43,7 @@
 void loader_destroy (loader_t *loader);
 /* Read TEXT, which is copied: at once where it is short or FIRST.  */
 void loader_take (loader_t *loader, str_t text, bool first);
-/* Tell whether a text is still being read.  */
+/* Tell whether a text is still to be read, also when a callback asks.  */
 bool loader_busy (const loader_t *loader);
 
 #endif
