--- a/tests/test_loader.c
+++ b/tests/test_loader.c
@@ -20,6 +20,7 @@
   uint64_t revisions[8]; /* That came, in order.  */
   size_t count;
   size_t failed;
+  bool busy_at; /* When the last one came.  */
   uv_timer_t tick;
   uint64_t last_ms;
   uint64_t worst_ms; /* Longest that the loop stood still.  */
@@ -52,6 +53,7 @@
     f->failed++;
   else
     f->revisions[f->count++] = catalog_revision (catalog);
+  f->busy_at = loader_busy (f->loader);
   catalog_unref (catalog);
 }
 
@@ -109,8 +111,13 @@
   ck_assert_uint_eq (f.count, 0);
   take (&f, '2', LONG, false);
   take (&f, '3', 10, false);
+  while (f.count < 1)
+    uv_run (&f.loop, UV_RUN_ONCE);
+  /* What came is not the newest.  */
+  ck_assert (f.busy_at);
   while (f.count < 2)
     uv_run (&f.loop, UV_RUN_ONCE);
+  ck_assert (!f.busy_at);
   ck_assert_uint_eq (f.revisions[0], 1);
   ck_assert_uint_eq (f.revisions[1], 3);
   ck_assert (!loader_busy (f.loader));
