gateway: one question each for a running trial, a place, and what a send asks

Read once more: the check for a running trial and its arm stood four times (relay_arm now); the look for another place twice, once without the present upstream (relay_has_place now); a whole request was copied, timer included, to ask what a send of another model wants (want_for now); a version in service was found by counting all its instances on every send (pool_count stops at MOST); the ageing of keys was ended twice. Two tests of the pool share the loop that starts requests.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -116,8 +116,6 @@
   if (belief->reading_ms == 0)
     belief->reading_ms = clock_boot_ms (belief->clock);
   loader_take (duties->loader, value, belief->catalog == NULL);
-  if (!loader_busy (duties->loader))
-    belief->reading_ms = 0;
 }
 
 static void
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -591,7 +591,8 @@
 }
 
 size_t
-pool_count (pool_t *pool, str_t service, version_arm_t arm, str_t version)
+pool_count (pool_t *pool, str_t service, version_arm_t arm, str_t version,
+            size_t most)
 {
   pool_want_t want = { .service = service, .arm = arm, .version = version };
   const group_t *group = group_of (pool, service);
@@ -599,7 +600,7 @@
   uint64_t now_ms = clock_ms (pool->clock);
   size_t count = 0;
 
-  for (size_t i = 0; i < group->count; i++)
+  for (size_t i = 0; i < group->count && count < most; i++)
     count += fits (group->items[i], &want, version_hash, now_ms);
   return count;
 }
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -151,9 +151,9 @@
    be used, or VH_E_FULL when those that may are full.  */
 vh_code_t pool_choose (pool_t *pool, const pool_want_t *want,
                        upstream_t **out);
-/* How many instances of ARM of SERVICE are in service.  */
+/* How many instances of ARM of SERVICE are in service, counted up to MOST.  */
 size_t pool_count (pool_t *pool, str_t service, version_arm_t arm,
-                   str_t version);
+                   str_t version, size_t most);
 /* Requests of this entry that run at instances of SERVICE of any version but
    VERSION, also at those that are no longer listed.  */
 uint32_t pool_running_other_versions (const pool_t *pool, str_t service,
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -106,7 +106,7 @@
       field_number (FIELD_LEFT_MS, relay->terms.due_ms - now_ms),
       field_number (FIELD_REVISION, catalog_revision (relay->terms.catalog)));
   relay->on_trial.any = true;
-  relay->on_trial.arm = relay_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD;
+  relay->on_trial.arm = relay_arm (relay);
   relay->prompt_left = relay->terms.prompt;
   pool_started (belief->pool, relay->upstream, relay->terms.prompt);
   relay->phase = PHASE_SENT;
@@ -207,25 +207,6 @@
   bound_start (&relay->bound, look_ms < left_ms ? look_ms : left_ms);
 }
 
-/* Tell whether the request has a place to go to if it leaves its upstream: the
-   others are not all full.  Where there are none, a new connection to the same
-   one may do better.  */
-static bool
-has_place (const relay_t *relay)
-{
-  const upstream_t *tried[POOL_TRIED_MAX + 1];
-  pool_want_t want;
-  upstream_t *upstream;
-
-  relay_want (relay, &want);
-  for (size_t i = 0; i < relay->tried_count; i++)
-    tried[i] = relay->tried[i];
-  tried[relay->tried_count] = relay->upstream;
-  want.tried = tried;
-  want.tried_count = relay->tried_count + 1;
-  return pool_choose (relay->belief->pool, &want, &upstream) != VH_E_FULL;
-}
-
 static void begin (relay_t *relay);
 
 /* Something is due.  */
@@ -259,7 +240,7 @@
           look_at_upstream (relay, now_ms);
           return;
         }
-      if (relay_may_take_extra (relay) && has_place (relay))
+      if (relay_may_take_extra (relay) && relay_has_place (relay))
         {
           relay->broke = upstream_lost (relay->upstream);
           relay_send_failed (relay, relay->broke ? "lost" : "silent", true);
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -28,14 +28,32 @@
   return map_get (relay->belief->trials, relay->terms.service->name);
 }
 
-/* Tell whether the present send is to a version under trial.  */
-bool
-relay_on_trial (const relay_t *relay)
+/* The roll-out of the request's service while it runs, else NULL.  */
+static trial_t *
+running_trial (const relay_t *relay)
 {
-  const trial_t *trial = relay_trial (relay);
+  trial_t *trial = relay_trial (relay);
+
+  return trial != NULL && trial_phase (trial) == TRIAL_RUNNING ? trial : NULL;
+}
+
+trial_arm_t
+relay_arm (const relay_t *relay)
+{
+  const trial_t *trial = running_trial (relay);
 
-  return trial != NULL && trial_phase (trial) == TRIAL_RUNNING
-         && str_eq (upstream_version (relay->upstream), trial_version (trial));
+  return trial != NULL
+                 && str_eq (upstream_version (relay->upstream),
+                            trial_version (trial))
+             ? TRIAL_NEW
+             : TRIAL_OLD;
+}
+
+/* Hash of the route under which a trial keeps its evidence.  */
+static uint64_t
+trial_route (const relay_t *relay)
+{
+  return str_hash (relay->terms.route->name, 0);
 }
 
 /* Tell the trial of the service what became of the present send.  An instance
@@ -44,15 +62,14 @@
 static void
 tell_trial (relay_t *relay, send_outcome_t outcome)
 {
-  trial_t *trial = relay_trial (relay);
+  trial_t *trial = running_trial (relay);
 
-  if (trial == NULL || trial_phase (trial) != TRIAL_RUNNING
-      || (outcome != SEND_OK && outcome != SEND_FAILED) || relay->unsent)
+  if (trial == NULL || (outcome != SEND_OK && outcome != SEND_FAILED)
+      || relay->unsent)
     return;
   uint64_t wait_ms
       = relay->phase == PHASE_ANSWERING ? relay->head_ms - relay->sent_ms : 0;
-  trial_observe (trial, relay_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD,
-                 str_hash (relay->terms.route->name, 0),
+  trial_observe (trial, relay_arm (relay), trial_route (relay),
                  outcome == SEND_OK ? TRIAL_ANSWERED
                  : relay->broke     ? TRIAL_BROKE
                                     : TRIAL_FAILED,
@@ -63,12 +80,11 @@
 void
 relay_time_trial (const relay_t *relay, trial_timing_t timing, double ms)
 {
-  trial_t *trial = relay_trial (relay);
+  trial_t *trial = running_trial (relay);
 
-  if (trial != NULL && trial_phase (trial) == TRIAL_RUNNING)
-    trial_time (trial, relay_on_trial (relay) ? TRIAL_NEW : TRIAL_OLD,
-                str_hash (relay->terms.route->name, 0), timing, relay->load,
-                ms);
+  if (trial != NULL)
+    trial_time (trial, relay_arm (relay), trial_route (relay), timing,
+                relay->load, ms);
 }
 
 /* Let go of the present send.  */
--- a/packages/gateway/relay_hear.c
+++ b/packages/gateway/relay_hear.c
@@ -77,16 +77,10 @@
 void
 relay_go_on (relay_t *relay)
 {
-  pool_want_t want;
-  upstream_t *upstream;
-  belief_t *belief = relay->belief;
-
-  relay_want (relay, &want);
-  if (relay_may_take_extra (relay)
-      && pool_choose (belief->pool, &want, &upstream) != VH_E_FULL
+  if (relay_may_take_extra (relay) && relay_has_place (relay)
       && take_extra (relay))
     {
-      counter_add (belief->counters.resumes, 1);
+      counter_add (relay->belief->counters.resumes, 1);
       relay_send (relay);
       return;
     }
@@ -114,7 +108,7 @@
     relay->runs++;
   remember_tried (relay);
   relay->shed = !ran;
-  if (ran && relay_on_trial (relay))
+  if (ran && relay_arm (relay) == TRIAL_NEW)
     relay->on_trial.failed = true;
   relay_end_send (relay, ran ? SEND_FAILED : SEND_REFUSED);
   relay->head.len = 0;
--- a/packages/gateway/relay_want.c
+++ b/packages/gateway/relay_want.c
@@ -29,57 +29,12 @@
                                     : 0;
 }
 
-/* Requests at the engine that would read the prompt if it went to the largest
-   model now; all that an engine can carry when none would.  That is the home
-   of its shared parts also for a long prompt: sent to the idlest engine, long
-   reads spread over all of them (mean worth of six days on three fleets 0.727,
-   0.751, 0.756 from home and 0.707, 0.756, 0.748 from the idlest).  */
-static double
-load_beside (const relay_t *relay)
-{
-  relay_t next = *relay;
-  pool_want_t want;
-  upstream_t *upstream;
-
-  next.model = relay->terms.route->model_count - 1;
-  relay_want (&next, &want);
-  if (pool_choose (relay->belief->pool, &want, &upstream) != VH_OK)
-    return upstream_slots (relay->upstream);
-  return upstream_load (relay->belief->pool, upstream);
-}
-
-/* What it is worth to drop the present answer, of which its model has OPINION,
-   for that of the largest model.  */
-double
-relay_weigh (const relay_t *relay, uint64_t opinion)
-{
-  const terms_t *terms = &relay->terms;
-  size_t model = relay_service_model (relay, relay->model);
-  size_t larger = relay_service_model (relay, terms->route->model_count - 1);
-  const escalation_case_t request
-      = { .model = model,
-          .larger = larger,
-          .cost = model_cost (relay, model),
-          .larger_cost = model_cost (relay, larger),
-          .read = terms->prompt,
-          .generated = terms->generated,
-          .rank = terms->route->priority,
-          .opinion = opinion < 100 ? (uint32_t)opinion : 100,
-          .elapsed_ms = relay->last_ms - terms->arrived_ms,
-          .objective_ms = terms->route->objective_ms,
-          .pause_ms = terms->route->pause_ms,
-          .beside = load_beside (relay) };
-
-  return escalation_gain (
-      belief_escalation (relay->belief, terms->service->name), &request);
-}
-
 /* Tell whether VERSION of the request's service has an instance in service. */
 static bool
 has_version (const relay_t *relay, str_t version)
 {
   return pool_count (relay->belief->pool, relay->terms.service->name, ARM_NEW,
-                     version)
+                     version, 1)
          > 0;
 }
 
@@ -91,8 +46,7 @@
   const belief_t *belief = relay->belief;
   double share = trial_share (trial, follow_store_ms (belief->orders));
   size_t old = pool_count (belief->pool, relay->terms.service->name, ARM_OLD,
-                           trial_version (trial));
-
+                           trial_version (trial), SIZE_MAX);
   size_t few = (size_t)ceil (share * (double)old);
   return few > FEW_LEAST ? few : FEW_LEAST;
 }
@@ -132,18 +86,83 @@
     }
 }
 
-/* What the next send of RELAY asks of an upstream.  */
-void
-relay_want (const relay_t *relay, pool_want_t *want)
+/* What a send of RELAY to the route's model at INDEX asks of an upstream.  */
+static void
+want_for (const relay_t *relay, size_t index, pool_want_t *want)
 {
   const terms_t *terms = &relay->terms;
 
   *want = (pool_want_t){
     .service = terms->service->name,
     .cold_per_s = terms->service->cold_per_s,
-    .key = terms->key != 0 ? terms->key ^ (relay->model + 1) : 0,
+    .key = terms->key != 0 ? terms->key ^ (index + 1) : 0,
     .tried = relay->tried,
     .tried_count = relay->tried_count,
   };
   choose_arm (relay, want);
 }
+
+void
+relay_want (const relay_t *relay, pool_want_t *want)
+{
+  want_for (relay, relay->model, want);
+}
+
+bool
+relay_has_place (const relay_t *relay)
+{
+  const upstream_t *tried[POOL_TRIED_MAX + 1];
+  pool_want_t want;
+  upstream_t *upstream;
+
+  relay_want (relay, &want);
+  for (size_t i = 0; i < relay->tried_count; i++)
+    tried[i] = relay->tried[i];
+  if (relay->upstream != NULL)
+    tried[want.tried_count++] = relay->upstream;
+  want.tried = tried;
+  return pool_choose (relay->belief->pool, &want, &upstream) != VH_E_FULL;
+}
+
+/* Requests at the engine that would read the prompt if it went to the largest
+   model now; all that an engine can carry when none would.  That is the home
+   of its shared parts also for a long prompt: sent to the idlest engine, long
+   reads spread over all of them (mean worth of six days on three fleets 0.727,
+   0.751, 0.756 from home and 0.707, 0.756, 0.748 from the idlest).  */
+static double
+load_beside (const relay_t *relay)
+{
+  pool_want_t want;
+  upstream_t *upstream;
+
+  want_for (relay, relay->terms.route->model_count - 1, &want);
+  if (pool_choose (relay->belief->pool, &want, &upstream) != VH_OK)
+    return upstream_slots (relay->upstream);
+  return upstream_load (relay->belief->pool, upstream);
+}
+
+/* What it is worth to drop the present answer, of which its model has OPINION,
+   for that of the largest model.  */
+double
+relay_weigh (const relay_t *relay, uint64_t opinion)
+{
+  const terms_t *terms = &relay->terms;
+  size_t model = relay_service_model (relay, relay->model);
+  size_t larger = relay_service_model (relay, terms->route->model_count - 1);
+  const escalation_case_t request
+      = { .model = model,
+          .larger = larger,
+          .cost = model_cost (relay, model),
+          .larger_cost = model_cost (relay, larger),
+          .read = terms->prompt,
+          .generated = terms->generated,
+          .rank = terms->route->priority,
+          .opinion = opinion < 100 ? (uint32_t)opinion : 100,
+          .elapsed_ms = relay->last_ms - terms->arrived_ms,
+          .objective_ms = terms->route->objective_ms,
+          .pause_ms = terms->route->pause_ms,
+          .beside = load_beside (relay) };
+
+  return escalation_gain (
+      belief_escalation (relay->belief, terms->service->name), &request);
+}
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -100,8 +100,8 @@
 
 /* The roll-out of the request's service, or NULL.  */
 trial_t *relay_trial (const relay_t *relay);
-/* Tell whether the present send is to a version under trial.  */
-bool relay_on_trial (const relay_t *relay);
+/* The arm of the present send: new while its version is under trial.  */
+trial_arm_t relay_arm (const relay_t *relay);
 /* Tell the trial of the service how long the present send took for TIMING.  */
 void relay_time_trial (const relay_t *relay, trial_timing_t timing, double ms);
 
@@ -109,6 +109,10 @@
 
 /* What the next send of RELAY asks of an upstream.  */
 void relay_want (const relay_t *relay, pool_want_t *want);
+/* Tell whether the request has a place to go to besides its present upstream,
+   if it has one: the others are not all full.  Where there are none, a new
+   connection to the same one may do better.  */
+bool relay_has_place (const relay_t *relay);
 /* Index among the service's models of the route's model at INDEX;
    SERVICE_MODELS_MAX when the service does not list it.  */
 size_t relay_service_model (const relay_t *relay, size_t index);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -64,6 +64,26 @@
   return upstream;
 }
 
+/* Start REQUESTS of F's kind.  Return how many instances they came to; USED
+   gets these.  */
+static size_t
+start_some (fixture_t *f, int requests, upstream_t *used[INSTANCES])
+{
+  size_t count = 0;
+
+  for (int i = 0; i < requests; i++)
+    {
+      upstream_t *next = choose (f);
+      bool known = false;
+      pool_started (f->pool, next, 0);
+      for (size_t j = 0; j < count; j++)
+        known = known || used[j] == next;
+      if (!known)
+        used[count++] = next;
+    }
+  return count;
+}
+
 /* The same subject comes to the same instance at any entry, and a subject that
    becomes hot gets further ones before its first is full.  */
 START_TEST (a_subject_has_a_home_until_it_is_hot)
@@ -71,23 +91,14 @@
   fixture_t f;
   fixture_t other;
   upstream_t *used[INSTANCES] = { NULL };
-  size_t count = 0;
+  size_t count;
 
   setup (&f, INSTANCES);
   setup (&other, INSTANCES);
   f.want.key = other.want.key = 12345;
   upstream_t *home = choose (&f);
   ck_assert (str_eq (upstream_id (home), upstream_id (choose (&other))));
-  for (int i = 0; i < 60; i++)
-    {
-      upstream_t *next = choose (&f);
-      bool known = false;
-      pool_started (f.pool, next, 0);
-      for (size_t j = 0; j < count; j++)
-        known = known || used[j] == next;
-      if (!known)
-        used[count++] = next;
-    }
+  count = start_some (&f, 60, used);
   ck_assert_uint_gt (count, 2);
   for (size_t i = 0; i < count; i++)
     ck_assert_uint_lt (upstream_running (used[i]), 40);
@@ -130,23 +141,14 @@
   fixture_t f;
   fixture_t other;
   upstream_t *used[INSTANCES] = { NULL };
-  size_t count = 0;
+  size_t count;
 
   setup (&f, INSTANCES);
   setup (&other, INSTANCES);
   f.want.arm = other.want.arm = ARM_NEW;
   f.want.version = other.want.version = STR ("v1");
   f.want.few = other.want.few = 2;
-  for (int i = 0; i < 100; i++)
-    {
-      upstream_t *next = choose (&f);
-      bool known = false;
-      pool_started (f.pool, next, 0);
-      for (size_t j = 0; j < count; j++)
-        known = known || used[j] == next;
-      if (!known)
-        used[count++] = next;
-    }
+  count = start_some (&f, 100, used);
   ck_assert_uint_eq (count, 2);
   str_t id = upstream_id (choose (&other));
   ck_assert (str_eq (id, upstream_id (used[0]))
