--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -40,6 +40,12 @@
      "A stale answer is left out")                                            \
   X (EVENT_STORE_FORGOT, "store", "forgot", NOTICE, 20,                       \
      "The history is gone and the table is read anew")                        \
+  X (EVENT_STORE_CALL, "store", "call-failed", INFO, 20,                      \
+     "A call of the store failed")                                            \
+  X (EVENT_READER, "store", "reader-failed", INFO, 20,                        \
+     "The entry that reads for this one did not answer")                      \
+  X (EVENT_CONFIG_TEXT, "config", "received", NOTICE, 20,                     \
+     "The text of a configuration arrived")                                   \
   X (EVENT_CONFIG, "config", "accepted", NOTICE, 20,                          \
      "A configuration is in force")                                           \
   X (EVENT_CONFIG_BAD, "config", "unreadable", ERR, 20,                       \
@@ -92,7 +98,7 @@
   X (FIELD_VERSION, "version", "Version of the upstream's software")          \
   X (FIELD_MODEL, "model", "Model named to the upstream")                     \
   X (FIELD_ZONE, "zone", "Availability zone")                                 \
-  X (FIELD_STATUS, "status", "HTTP status told to the caller, 0: none")       \
+  X (FIELD_STATUS, "status", "HTTP status of the answer, 0: none")            \
   X (FIELD_REASON, "reason", "What decided it; see the causes")               \
   X (FIELD_RAN, "ran", "1: it may have run, 0: it has not")                   \
   X (FIELD_SENDS, "sends", "Sends so far")                                    \
@@ -113,6 +119,9 @@
   X (FIELD_COUNT, "count", "How many")                                        \
   X (FIELD_KEY, "key", "Key of the row")                                      \
   X (FIELD_BYTES, "bytes", "Length in bytes")                                 \
+  X (FIELD_READ_MS, "read_ms", "Milliseconds since its text arrived")         \
+  X (FIELD_TOOK_MS, "took_ms", "Milliseconds since the call was made")        \
+  X (FIELD_READER, "reader", "Entry that reads the store for this one")       \
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
   X (FIELD_COLD_MS, "cold_ms", "For how much longer it is cold")              \
   X (FIELD_KEEP_MS, "keep_ms", "For how much longer it is used")              \
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -81,6 +81,7 @@
 {
   duties_t *duties = arg;
   belief_t *belief = duties->belief;
+  uint64_t read_ms = clock_boot_ms (belief->clock) - belief->reading_ms;
 
   /* While a later one waits the keys go on ageing.  */
   if (!loader_busy (duties->loader))
@@ -101,21 +102,24 @@
       EVENT_CONFIG, field_number (FIELD_REVISION, catalog_revision (catalog)),
       field_number (FIELD_BEFORE, belief->catalog != NULL
                                       ? catalog_revision (belief->catalog)
-                                      : 0));
+                                      : 0),
+      field_number (FIELD_READ_MS, read_ms));
   catalog_unref (belief->catalog);
   belief->catalog = catalog;
 }
 
-/* Read the configuration VALUE.  What is in force until then is as old as the
+/* Read the configuration in ROW.  What is in force until then is as old as the
    last confirmation before this one.  */
 static void
-take_catalog (duties_t *duties, str_t value)
+take_catalog (duties_t *duties, const rows_row_t *row)
 {
   belief_t *belief = duties->belief;
 
+  log_event (EVENT_CONFIG_TEXT, field_number (FIELD_ORDER, row->version),
+             field_number (FIELD_BYTES, row->value.len));
   if (belief->reading_ms == 0)
     belief->reading_ms = clock_boot_ms (belief->clock);
-  loader_take (duties->loader, value, belief->catalog == NULL);
+  loader_take (duties->loader, row->value, belief->catalog == NULL);
 }
 
 static void
@@ -168,7 +172,7 @@
   switch (belief->dialect->order_kind (row->key, &name))
     {
     case ORDER_CATALOG:
-      take_catalog (duties, row->value);
+      take_catalog (duties, row);
       break;
     case ORDER_ROLLOUT:
       take_rollout (belief, row);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -145,6 +145,12 @@
              belief->catalog != NULL
                  ? (double)catalog_revision (belief->catalog)
                  : 0);
+  set_gauge (gateway, "vanillahook_gateway_revision_reading_seconds", "",
+             "Since when a later revision is being read; 0: none is.",
+             belief->reading_ms == 0
+                 ? 0
+                 : (double)(clock_boot_ms (belief->clock) - belief->reading_ms)
+                       / MS_PER_S);
   set_gauge (gateway, "vanillahook_gateway_entries", "",
              "Entries that share the allowances.", belief->entries);
   set_gauge (gateway, "vanillahook_gateway_ready", "",
--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -1,5 +1,6 @@
 #include "gateway/share.h"
 
+#include "base/eventlog.h"
 #include "base/map.h"
 #include "base/mem.h"
 #include "wire/deflate.h"
@@ -585,6 +586,10 @@
       pending_end (pending, code, NULL);
       return;
     }
+  log_event (
+      EVENT_READER, field_text (FIELD_READER, str_from (pending->reader)),
+      field_number (FIELD_CODE, code),
+      field_number (FIELD_TOOK_MS, boot_ms (share) - pending->asked_ms));
   entry_t *entry = map_get (share->entries, str_from (pending->reader));
   if (entry != NULL)
     set_bad (share, entry, silent);
