--- /dev/null
+++ b/tests/test_rows.c
@@ -0,0 +1,378 @@
+/* The platform's store over HTTP, behind a link that is narrow for what it
+   has to say: which answers are waited for, and which are given up.  */
+
+#include "base/mem.h"
+#include "gateway/follow.h"
+#include "narrow_link.h"
+#include "platform/platform.h"
+#include "suite.h"
+
+#include <openssl/evp.h>
+#include <signal.h>
+#include <stdio.h>
+
+enum
+{
+  LIMIT_MS = 12000,
+  BYTES_PER_S = 200000,
+  /* Takes the link 2 s, coded: longer than any single wait of a follower.  */
+  LARGE_BYTES = 300000
+};
+
+/* One connection of the stand-in for the store.  */
+typedef struct conn conn_t;
+
+typedef struct
+{
+  uv_loop_t loop;
+  uv_tcp_t listener;
+  uv_timer_t deadline;
+  bool expired;
+  list_t conns;
+  buf_t value; /* Of the store's one row, coded.  */
+  uint64_t version;
+  size_t calls;
+  narrow_link_t *link;
+  rows_t *rows;
+  follow_t *follow;
+  /* What was told.  */
+  size_t value_len;
+  bool is_done;
+  vh_code_t code;
+} fixture_t;
+
+struct conn
+{
+  list_t link;
+  fixture_t *f;
+  uv_tcp_t tcp;
+  uv_timer_t timer;
+  uv_write_t write;
+  buf_t request;
+  buf_t answer;
+  bool answered;
+  uint64_t after;
+  int open_handles;
+};
+
+static void
+on_conn_closed (uv_handle_t *handle)
+{
+  conn_t *conn = handle->data;
+
+  if (--conn->open_handles > 0)
+    return;
+  buf_free (&conn->request);
+  buf_free (&conn->answer);
+  free (conn);
+}
+
+static void
+conn_close (conn_t *conn)
+{
+  if (uv_is_closing ((uv_handle_t *)&conn->tcp))
+    return;
+  list_remove (&conn->link);
+  uv_close ((uv_handle_t *)&conn->tcp, on_conn_closed);
+  uv_close ((uv_handle_t *)&conn->timer, on_conn_closed);
+}
+
+/* Answer with the row, unless the caller knows it.  */
+static void
+conn_answer (conn_t *conn)
+{
+  fixture_t *f = conn->f;
+  buf_t body = BUF_NULL;
+
+  conn->answered = true;
+  buf_append_str (&body, STR ("{\"rows\":["));
+  if (conn->after < f->version)
+    {
+      buf_append_str (&body, STR ("{\"table\":\"op\",\"part\":\"\","
+                                  "\"key\":\"config\",\"value\":\""));
+      buf_append_str (&body, buf_str (&f->value));
+      buf_printf (&body, "\",\"ver\":%llu}", (unsigned long long)f->version);
+    }
+  buf_printf (&body, "],\"hasMore\":false,\"ver\":%llu,\"nowMs\":%llu}",
+              (unsigned long long)f->version,
+              (unsigned long long)uv_now (&f->loop));
+  buf_printf (&conn->answer, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+              body.len);
+  buf_append_str (&conn->answer, buf_str (&body));
+  buf_free (&body);
+  uv_buf_t buf = uv_buf_init (conn->answer.ptr, (unsigned)conn->answer.len);
+  uv_write (&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, NULL);
+}
+
+static void
+on_waited (uv_timer_t *timer)
+{
+  conn_answer (timer->data);
+}
+
+/* The number after NAME in the target of CONN's request, 0 without it.  */
+static uint64_t
+query (const conn_t *conn, const char *name)
+{
+  const char *at = strstr (conn->request.ptr, name);
+
+  return at != NULL ? strtoull (at + strlen (name), NULL, 10) : 0;
+}
+
+static void
+on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+  static char bytes[4096];
+
+  (void)handle;
+  (void)size;
+  *buf = uv_buf_init (bytes, sizeof bytes);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+{
+  conn_t *conn = stream->data;
+
+  if (got < 0)
+    {
+      conn_close (conn);
+      return;
+    }
+  buf_append (&conn->request, buf->base, (size_t)got);
+  buf_append_char (&conn->request, '\0');
+  conn->request.len--;
+  if (strstr (conn->request.ptr, "\r\n\r\n") == NULL || conn->answered)
+    return;
+  conn->f->calls++;
+  conn->after = query (conn, "after=");
+  if (conn->after < conn->f->version)
+    conn_answer (conn);
+  else
+    uv_timer_start (&conn->timer, on_waited, query (conn, "waitMs="), 0);
+}
+
+static void
+on_accept (uv_stream_t *listener, int status)
+{
+  fixture_t *f = listener->data;
+  conn_t *conn = mem_zalloc (sizeof *conn);
+
+  ck_assert_int_eq (status, 0);
+  conn->f = f;
+  list_append (&f->conns, &conn->link);
+  uv_tcp_init (&f->loop, &conn->tcp);
+  uv_timer_init (&f->loop, &conn->timer);
+  conn->open_handles = 2;
+  conn->tcp.data = conn;
+  conn->timer.data = conn;
+  ck_assert_int_eq (uv_accept (listener, (uv_stream_t *)&conn->tcp), 0);
+  uv_read_start ((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+/* Write a value of LEN bytes, as an operator would.  */
+static void
+store_put (fixture_t *f, size_t len)
+{
+  char *plain = mem_alloc (len);
+
+  for (size_t i = 0; i < len; i++)
+    plain[i] = (char)('a' + i % 26);
+  f->value.len = 0;
+  buf_reserve (&f->value, len / 3 * 4 + 5);
+  f->value.len = (size_t)EVP_EncodeBlock (
+      (unsigned char *)f->value.ptr, (const unsigned char *)plain, (int)len);
+  f->version++;
+  free (plain);
+  LIST_EACH (at, &f->conns)
+    {
+      conn_t *conn = CONTAINER_OF (at, conn_t, link);
+      if (conn->request.len > 0 && !conn->answered)
+        {
+          uv_timer_stop (&conn->timer);
+          conn_answer (conn);
+        }
+    }
+}
+
+static void
+on_deadline (uv_timer_t *timer)
+{
+  ((fixture_t *)timer->data)->expired = true;
+}
+
+#define WAIT_FOR(f, cond)                                                     \
+  do                                                                          \
+    {                                                                         \
+      (f)->expired = false;                                                   \
+      uv_timer_start (&(f)->deadline, on_deadline, LIMIT_MS, 0);              \
+      while (!(cond) && !(f)->expired)                                        \
+        uv_run (&(f)->loop, UV_RUN_ONCE);                                     \
+      ck_assert_msg (!(f)->expired, "waited in vain for " #cond);             \
+    }                                                                         \
+  while (0)
+
+static void
+pass (fixture_t *f, uint64_t ms)
+{
+  uint64_t till = uv_now (&f->loop) + ms;
+
+  WAIT_FOR (f, uv_now (&f->loop) >= till);
+}
+
+/* A store whose row has LEN bytes, behind a narrow link.  */
+static void
+setup (fixture_t *f, size_t len)
+{
+  struct sockaddr_in addr;
+  int addr_len = sizeof addr;
+  char text[32];
+
+  memset (f, 0, sizeof *f);
+  list_init (&f->conns);
+  uv_loop_init (&f->loop);
+  uv_timer_init (&f->loop, &f->deadline);
+  f->deadline.data = f;
+  uv_tcp_init (&f->loop, &f->listener);
+  f->listener.data = f;
+  uv_ip4_addr ("127.0.0.1", 0, &addr);
+  uv_tcp_bind (&f->listener, (struct sockaddr *)&addr, 0);
+  ck_assert_int_eq (
+      uv_listen ((uv_stream_t *)&f->listener, SOMAXCONN, on_accept), 0);
+  uv_tcp_getsockname (&f->listener, (struct sockaddr *)&addr, &addr_len);
+  f->link = narrow_link_create (&f->loop, ntohs (addr.sin_port), BYTES_PER_S);
+  snprintf (text, sizeof text, "127.0.0.1:%u", narrow_link_port (f->link));
+  f->rows = platform_rows_create (&f->loop, str_from (text));
+  store_put (f, len);
+}
+
+static void
+teardown (fixture_t *f)
+{
+  follow_destroy (f->follow);
+  f->rows->ops->destroy (f->rows);
+  narrow_link_destroy (f->link);
+  LIST_EACH (at, &f->conns)
+    conn_close (CONTAINER_OF (at, conn_t, link));
+  uv_close ((uv_handle_t *)&f->listener, NULL);
+  uv_close ((uv_handle_t *)&f->deadline, NULL);
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&f->loop), 0);
+  buf_free (&f->value);
+}
+
+static void
+on_put (void *arg, const rows_row_t *row)
+{
+  ((fixture_t *)arg)->value_len = row->value.len;
+}
+
+static void
+on_removed (void *arg, str_t key)
+{
+  (void)arg;
+  (void)key;
+}
+
+static void
+on_caught_up (void *arg, bool full)
+{
+  (void)arg;
+  (void)full;
+}
+
+/* Follow the table as a gateway follows its configuration.  */
+static void
+follow (fixture_t *f)
+{
+  static const follow_options_t options = {
+    .table = ROWS_ORDERS, .name = "orders", .wait_ms = 1500, .slack_ms = 500
+  };
+  static const follow_events_t events
+      = { on_put, on_removed, on_caught_up, NULL };
+
+  f->follow = follow_create (&f->loop, clock_system (), f->rows, 1, &options,
+                             &events, f);
+}
+
+static void
+on_result (void *arg, vh_code_t code, const rows_result_t *result)
+{
+  fixture_t *f = arg;
+
+  f->is_done = true;
+  f->code = code;
+  if (code == VH_OK && result->count > 0)
+    f->value_len = result->rows[0].value.len;
+}
+
+/* A configuration that takes the link longer than a follower waits was begun
+   anew for ever, and the one before it stayed in force.  */
+START_TEST (a_large_configuration_arrives_over_a_narrow_link)
+{
+  fixture_t f;
+
+  setup (&f, 100);
+  follow (&f);
+  WAIT_FOR (&f, f.value_len == 100);
+  /* Late in the wait of a call for changes.  */
+  pass (&f, 1200);
+  store_put (&f, LARGE_BYTES);
+  uint64_t start_ms = uv_now (&f.loop);
+  WAIT_FOR (&f, f.value_len == LARGE_BYTES);
+  ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 4000);
+  WAIT_FOR (&f, follow_age_ms (f.follow) < 2000);
+  teardown (&f);
+}
+END_TEST
+
+/* A gateway that starts with such a configuration never became ready.  */
+START_TEST (a_first_read_ends_over_a_narrow_link)
+{
+  fixture_t f;
+
+  setup (&f, LARGE_BYTES);
+  follow (&f);
+  WAIT_FOR (&f, f.value_len == LARGE_BYTES);
+  ck_assert_uint_eq (f.calls, 1);
+  teardown (&f);
+}
+END_TEST
+
+/* A connection that goes silent in the middle of an answer is given up when
+   nothing came for the time that the caller gave, and no later.  */
+START_TEST (an_answer_that_stops_is_given_up)
+{
+  enum
+  {
+    TIMEOUT_MS = 300,
+    PASSED = 50000
+  };
+  fixture_t f;
+
+  setup (&f, LARGE_BYTES);
+  narrow_link_stop_after (f.link, PASSED);
+  f.rows->ops->read (f.rows, ROWS_ORDERS, STR (""), TIMEOUT_MS, on_result, &f);
+  WAIT_FOR (&f, narrow_link_passed (f.link) == PASSED || f.is_done);
+  uint64_t stopped_ms = uv_now (&f.loop);
+  WAIT_FOR (&f, f.is_done);
+  ck_assert_int_eq (f.code, VH_E_STORE_DOWN);
+  ck_assert_uint_lt (uv_now (&f.loop) - stopped_ms, TIMEOUT_MS + 200);
+  teardown (&f);
+}
+END_TEST
+
+int
+main (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  Suite *suite = suite_create ("rows");
+  TCase *tcase = tcase_create ("rows");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, a_large_configuration_arrives_over_a_narrow_link);
+  tcase_add_test (tcase, a_first_read_ends_over_a_narrow_link);
+  tcase_add_test (tcase, an_answer_that_stops_is_given_up);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -1,6 +1,7 @@
 /* Tests of the RPC node, server and peer against each other.  */
 
 #include "base/mem.h"
+#include "narrow_link.h"
 #include "wire/rpc.h"
 
 #include <check.h>
@@ -28,6 +29,8 @@
   int echoed[512];
   unsigned sent[512];
   uint64_t seen_revision;
+  char *large; /* Told to WIRE_CONFIG_PULL.  */
+  size_t large_len;
 } fixture_t;
 
 typedef struct
@@ -72,6 +75,13 @@
       rpc_reply (request, &pong);
       return;
     }
+  if (proc == WIRE_CONFIG_PULL)
+    {
+      wire_config_pull_res_t pulled
+          = { .update = { (u_int)f->large_len, f->large } };
+      rpc_reply (request, &pulled);
+      return;
+    }
   wire_fetch_args_t *fetch = args;
   wire_answer_t answer;
   memset (&answer, 0, sizeof answer);
@@ -279,6 +289,66 @@
 }
 END_TEST
 
+static void
+on_pulled (void *arg, vh_code_t code, void *result, unsigned sent)
+{
+  tag_t *tag = arg;
+  fixture_t *f = tag->f;
+
+  (void)sent;
+  f->codes[tag->index] = code;
+  if (code == VH_OK)
+    f->echoed[tag->index]
+        = (int)((wire_config_pull_res_t *)result)->update.update_len;
+  f->done++;
+}
+
+/* A reply of any size was given up when it took the link longer than the
+   timeout, and asked for again from its beginning.  A reply that stops midway
+   is given up.  */
+START_TEST (large_reply_is_waited_for_while_it_comes)
+{
+  enum
+  {
+    BYTES = 300000,
+    BYTES_PER_S = 300000,
+    TIMEOUT_MS = 300
+  };
+  static char large[BYTES];
+  wire_config_pull_args_t args = { .have = 0 };
+  fixture_t f;
+  char address[32];
+
+  setup (&f, NULL, 0);
+  f.large = large;
+  f.large_len = BYTES;
+  narrow_link_t *link
+      = narrow_link_create (&f.loop, rpc_server_port (f.server), BYTES_PER_S);
+  snprintf (address, sizeof address, "127.0.0.1:%u", narrow_link_port (link));
+  rpc_peer_t *own = f.peer;
+  f.peer = rpc_peer_create (f.node, str_from (address), &no_events, &f);
+  tag_t whole = { &f, 0 };
+  rpc_peer_call (f.peer, WIRE_CONFIG_PULL, &args, TIMEOUT_MS, on_pulled,
+                 &whole);
+  run_until_done (&f, 1);
+  ck_assert_int_eq (f.codes[0], VH_OK);
+  ck_assert_int_eq (f.echoed[0], BYTES);
+  narrow_link_stop_after (link, BYTES / 3);
+  uint64_t begin_ms = clock_ms (clock_system ());
+  tag_t broken = { &f, 1 };
+  rpc_peer_call (f.peer, WIRE_CONFIG_PULL, &args, TIMEOUT_MS, on_pulled,
+                 &broken);
+  run_until_done (&f, 2);
+  ck_assert_int_ne (f.codes[1], VH_OK);
+  /* A third of the reply, and a silence.  */
+  ck_assert_uint_lt (clock_ms (clock_system ()) - begin_ms, 1500);
+  rpc_peer_destroy (f.peer);
+  narrow_link_destroy (link);
+  f.peer = own;
+  teardown (&f);
+}
+END_TEST
+
 START_TEST (cancelled_call_is_forgotten)
 {
   fixture_t f;
@@ -383,6 +453,7 @@
   tcase_add_test (tcase, paused_peer_gives_calls_back);
   tcase_add_test (tcase, refused_connection_was_not_sent);
   tcase_add_test (tcase, timeout_and_late_reply);
+  tcase_add_test (tcase, large_reply_is_waited_for_while_it_comes);
   tcase_add_test (tcase, cancelled_call_is_forgotten);
   tcase_add_test (tcase, wrong_key_is_refused);
   tcase_add_test (tcase, damaged_records_are_refused);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -5,6 +5,7 @@
 #include "fake_rows.h"
 #include "gateway/follow.h"
 #include "gateway/share.h"
+#include "narrow_link.h"
 #include "suite.h"
 
 #include <signal.h>
@@ -33,6 +34,9 @@
   uv_loop_t loop;
   fake_rows_t *store;
   member_t members[ENTRIES];
+  /* Of what each entry tells the others; 0: they meet without a link.  */
+  size_t link_bytes_per_s;
+  narrow_link_t *narrow[ENTRIES];
   uv_timer_t deadline;
   bool expired;
 } fixture_t;
@@ -116,13 +120,22 @@
 {
   char name[16];
   char address[32];
+  uint16_t ports[ENTRIES];
 
+  for (int i = 0; i < ENTRIES; i++)
+    {
+      ports[i] = share_port (f->members[i].share);
+      if (f->link_bytes_per_s == 0)
+        continue;
+      f->narrow[i]
+          = narrow_link_create (&f->loop, ports[i], f->link_bytes_per_s);
+      ports[i] = narrow_link_port (f->narrow[i]);
+    }
   for (int i = 0; i < ENTRIES; i++)
     for (int j = 0; j < ENTRIES; j++)
       {
         snprintf (name, sizeof name, "entry-%d", j);
-        snprintf (address, sizeof address, "127.0.0.1:%u",
-                  share_port (f->members[j].share));
+        snprintf (address, sizeof address, "127.0.0.1:%u", ports[j]);
         share_put (f->members[i].share, str_from (name),
                    str_from (f->zones[j]), str_from (address), f->links[j]);
       }
@@ -174,8 +187,12 @@
 teardown (fixture_t *f)
 {
   for (int i = 0; i < ENTRIES; i++)
-    if (f->members[i].share != NULL)
-      member_stop (&f->members[i]);
+    {
+      if (f->members[i].share != NULL)
+        member_stop (&f->members[i]);
+      if (f->narrow[i] != NULL)
+        narrow_link_destroy (f->narrow[i]);
+    }
   rows_t *rows = fake_rows_iface (f->store);
   rows->ops->destroy (rows);
   uv_close ((uv_handle_t *)&f->deadline, NULL);
@@ -288,6 +305,43 @@
 }
 END_TEST
 
+/* A reader that took longer to hand out a large configuration than its askers
+   waited passed for lost: each of them gave up what it had got of the answer
+   and fetched the whole from the store.  */
+START_TEST (a_reader_is_waited_for_while_its_answer_comes)
+{
+  enum
+  {
+    /* Two askers take the link 2 s.  */
+    BYTES = 300000,
+    BYTES_PER_S = 200000
+  };
+  static char text[BYTES + 1];
+  rng_t rng = rng_make (3);
+  fixture_t f;
+
+  for (size_t i = 0; i < BYTES; i++)
+    text[i] = (char)('0' + rng_below (&rng, 64));
+  memset (&f, 0, sizeof f);
+  for (int i = 0; i < ENTRIES; i++)
+    f.zones[i] = "zone-a";
+  f.link_bytes_per_s = BYTES_PER_S;
+  start_all (&f);
+  the_reader (&f);
+  pass (&f, 1000);
+  size_t before = fake_rows_calls (f.store);
+  fake_rows_put (f.store, ROWS_ORDERS, "a", text);
+  for (int i = 0; i < ENTRIES; i++)
+    {
+      WAIT_FOR (&f, f.members[i].value_len == BYTES);
+      ck_assert_int_eq (count_readers (&f), 1);
+    }
+  /* Those of the reader alone.  */
+  ck_assert_uint_le (fake_rows_calls (f.store) - before, 8);
+  teardown (&f);
+}
+END_TEST
+
 /* The reader dies without a word.  Its zone goes on after a timeout, with
    another reader, and no confirmation grows old meanwhile.  */
 START_TEST (a_lost_reader_is_replaced)
@@ -370,6 +424,7 @@
   tcase_add_test (tcase, one_entry_reads_for_all);
   tcase_add_test (tcase, few_entries_share_a_reader_over_zones);
   tcase_add_test (tcase, the_widest_link_reads_large_rows);
+  tcase_add_test (tcase, a_reader_is_waited_for_while_its_answer_comes);
   tcase_add_test (tcase, a_lost_reader_is_replaced);
   tcase_add_test (tcase, an_age_counts_from_the_store);
   tcase_add_test (tcase, a_leaving_reader_hands_over);
