platform: a call of the store ends by silence, not by the length of its answer

Cause: platform/rows.c had one timer for a call, from its start to the last byte: 1.3 s for changes, 0.5 s after a failure, 1.5 s for a first read. The configuration of 4,200 routes is an answer of 1.1 MB, 0.9 s of a link of 10 Mbit/s. An entry that had failed once gave up at 0.5 s with half of it in hand and began anew, for ever. Ruled out: reading the text takes too long (0.9 s at a tenth of a core), the reader's link alone (it would end by itself). Change: the bound is on silence and begins anew with each piece of the answer.

--- a/packages/gateway/follow.h
+++ b/packages/gateway/follow.h
@@ -3,8 +3,9 @@
    is gone.
 
    Answers: a store that is down, slow, reset or silent, for all or for this
-   process alone.  Every call has a timeout and its own connection, so that a
-   connection that fell silent costs one timeout.  Failed calls are repeated
+   process alone.  Every call has a bound on silence and its own connection, so
+   that a connection that fell silent costs one bound, and a large answer takes
+   as long as the link needs.  Failed calls are repeated
    with a jittered wait that doubles, so that entries do not return in step.
 
    A confirmation is the moment at which a call was sent whose answer shows
@@ -34,7 +35,7 @@
   rows_table_t table;
   const char *name;  /* For log lines.  */
   uint64_t wait_ms;  /* Longest wait of one call for changes.  */
-  uint64_t slack_ms; /* More than that, and the call is given up.  */
+  uint64_t slack_ms; /* Silence beyond that ends the call.  */
   uint64_t gap_ms;   /* Between calls; news come together.  0: at once.  */
   /* Longest pause between calls while the store does not answer; 0: that of
      FOLLOW_RETRY_LAST_MS.  */
--- a/packages/gateway/rows.h
+++ b/packages/gateway/rows.h
@@ -3,10 +3,12 @@
 
    Calls are asynchronous and complete on a later turn, exactly once, unless
    they are forgotten or the store is destroyed.  Results are borrowed for the
-   callback.  Codes: VH_OK; VH_E_CONFLICT a condition did not hold;
-   VH_E_NOT_FOUND the history asked for is gone; VH_E_STORE_BUSY and
-   VH_E_STORE_DOWN nothing was done; VH_E_STORE_LATE a write may have been
-   done, or may still be.  */
+   callback.  A call is given up when the store was silent for TIMEOUT_MS: how
+   long a whole answer takes depends on its size and on the link, and one that
+   is begun anew for taking long may never end.  Codes: VH_OK; VH_E_CONFLICT a
+   condition did not hold; VH_E_NOT_FOUND the history asked for is gone;
+   VH_E_STORE_BUSY and VH_E_STORE_DOWN nothing was done; VH_E_STORE_LATE a
+   write may have been done, or may still be.  */
 
 #ifndef GATEWAY_ROWS_H
 #define GATEWAY_ROWS_H
