wire: a large reply is waited for while its connection brings it

The late reply was dropped. Change: a procedure says whether its reply may be large (rows, a pulled configuration, bills that are taken over); such a call is not due while the connection is in the middle of a record and brought bytes within the time that counts as silence.

--- a/packages/wire/rpccodec.c
+++ b/packages/wire/rpccodec.c
@@ -21,9 +21,10 @@
   DIGEST_LEN = 32
 };
 
-#define X(proc, args, result)                                                 \
-  [proc] = { #proc, (xdrproc_t)xdr_##args, sizeof (args),                     \
-             (xdrproc_t)xdr_##result, sizeof (result) },
+#define X(proc, args, result, is_bulk)                                        \
+  [proc] = { #proc,           (xdrproc_t)xdr_##args,                          \
+             sizeof (args),   (xdrproc_t)xdr_##result,                        \
+             sizeof (result), is_bulk },
 static const rpc_proc_info_t procs[] = { RPC_PROCS (X) };
 #undef X
 
--- a/packages/wire/rpcint.h
+++ b/packages/wire/rpcint.h
@@ -21,6 +21,7 @@
   size_t args_size;
   xdrproc_t result;
   size_t result_size;
+  bool is_bulk; /* The result has no bound that a timeout could follow.  */
 } rpc_proc_info_t;
 
 /* Return the entry of PROC, or NULL.  */
--- a/packages/wire/rpcpeer.c
+++ b/packages/wire/rpcpeer.c
@@ -491,6 +491,19 @@
     rpc_peer_ping (peer);
 }
 
+/* Tell whether PEER's connection is in the middle of a reply that goes on
+   coming: what CALL waits for, or what stands before it.  */
+static bool
+reply_is_coming (const rpc_peer_t *peer, const rpc_call_t *call,
+                 uint64_t now_ms)
+{
+  const link_t *link = peer->current;
+
+  return rpc_proc_info (call->proc)->is_bulk && link != NULL
+         && link->stream.in.len > 0
+         && now_ms - link->stream.received_ms < SILENCE_MS;
+}
+
 /* End the first call that is due.  Return false when none is.  */
 static bool
 end_due_call (rpc_peer_t *peer, uint64_t now_ms)
@@ -498,7 +511,9 @@
   LIST_EACH (at, &peer->calls)
     {
       rpc_call_t *call = CONTAINER_OF (at, rpc_call_t, link);
-      if (!call->failed_at_once && now_ms < call->deadline_ms)
+      if (!call->failed_at_once
+          && (now_ms < call->deadline_ms
+              || reply_is_coming (peer, call, now_ms)))
         continue;
       finish_call (call, call->sent > 0 ? VH_E_TIMEOUT : VH_E_CONNECT, NULL);
       return true;
