wire: a large call is not begun anew while its link takes it

It concerns the configuration that an entry pushes to a process that is behind, and bills handed to a second holder. Cause: a connection passes for silent when a ping has no answer for 0.8 s. The ping waits behind the call on the same connection, so that a call that takes the link longer than 1.2 s was moved to a fresh connection, sent from its beginning, and given back after the second time. The call's own timeout cut it off as well. Change: a ping that was sent behind bytes not yet taken by the other side's kernel tells silence only when nothing was taken for 0.8 s (SIOCOUTQ); a call of a procedure whose arguments may be large is not due while bytes are taken. A ping with nothing before it is judged as before, so a silent connection or a paused peer is left as soon as it was.

--- a/packages/wire/rpc.h
+++ b/packages/wire/rpc.h
@@ -21,24 +21,28 @@
 
 #include <uv.h>
 
-/* X (procedure, argument type, result type, whether a reply may be larger than
-   a link passes within a timeout).  */
+/* X (procedure, argument type, result type, what may be larger than a link
+   passes within a timeout).  */
 #define RPC_PROCS(X)                                                          \
-  X (WIRE_PING, wire_ping_args_t, wire_ping_res_t, false)                     \
-  X (WIRE_SUBMIT, wire_submit_args_t, wire_answer_t, false)                   \
-  X (WIRE_FETCH, wire_fetch_args_t, wire_answer_t, false)                     \
-  X (WIRE_CANCEL, wire_attempt_args_t, wire_code_res_t, false)                \
-  X (WIRE_FENCE, wire_attempt_args_t, wire_code_res_t, false)                 \
-  X (WIRE_RECALL, wire_recall_args_t, wire_recall_res_t, false)               \
-  X (WIRE_CONFIG_PUSH, wire_config_push_args_t, wire_code_res_t, false)       \
-  X (WIRE_CONFIG_PULL, wire_config_pull_args_t, wire_config_pull_res_t, true) \
-  X (WIRE_BILLS_HOLD, wire_bills_hold_args_t, wire_code_res_t, false)         \
-  X (WIRE_BILLS_DROP, wire_bills_drop_args_t, wire_code_res_t, false)         \
-  X (WIRE_BILLS_TAKE, wire_bills_take_args_t, wire_bills_take_res_t, true)    \
-  X (WIRE_EVIDENCE, wire_evidence_args_t, wire_evidence_res_t, false)         \
-  X (WIRE_ORDER, wire_order_args_t, wire_code_res_t, false)                   \
-  X (WIRE_STATUS, wire_attempt_args_t, wire_status_res_t, false)              \
-  X (WIRE_ROWS, wire_rows_args_t, wire_rows_res_t, true)
+  X (WIRE_PING, wire_ping_args_t, wire_ping_res_t, RPC_SMALL)                 \
+  X (WIRE_SUBMIT, wire_submit_args_t, wire_answer_t, RPC_SMALL)               \
+  X (WIRE_FETCH, wire_fetch_args_t, wire_answer_t, RPC_SMALL)                 \
+  X (WIRE_CANCEL, wire_attempt_args_t, wire_code_res_t, RPC_SMALL)            \
+  X (WIRE_FENCE, wire_attempt_args_t, wire_code_res_t, RPC_SMALL)             \
+  X (WIRE_RECALL, wire_recall_args_t, wire_recall_res_t, RPC_SMALL)           \
+  X (WIRE_CONFIG_PUSH, wire_config_push_args_t, wire_code_res_t,              \
+     RPC_LARGE_CALL)                                                          \
+  X (WIRE_CONFIG_PULL, wire_config_pull_args_t, wire_config_pull_res_t,       \
+     RPC_LARGE_REPLY)                                                         \
+  X (WIRE_BILLS_HOLD, wire_bills_hold_args_t, wire_code_res_t,                \
+     RPC_LARGE_CALL)                                                          \
+  X (WIRE_BILLS_DROP, wire_bills_drop_args_t, wire_code_res_t, RPC_SMALL)     \
+  X (WIRE_BILLS_TAKE, wire_bills_take_args_t, wire_bills_take_res_t,          \
+     RPC_LARGE_REPLY)                                                         \
+  X (WIRE_EVIDENCE, wire_evidence_args_t, wire_evidence_res_t, RPC_SMALL)     \
+  X (WIRE_ORDER, wire_order_args_t, wire_code_res_t, RPC_SMALL)               \
+  X (WIRE_STATUS, wire_attempt_args_t, wire_status_res_t, RPC_SMALL)          \
+  X (WIRE_ROWS, wire_rows_args_t, wire_rows_res_t, RPC_LARGE_REPLY)
 
 typedef struct rpc_node rpc_node_t;
 typedef struct rpc_server rpc_server_t;
@@ -146,8 +150,9 @@
 typedef void (*rpc_cb_t) (void *arg, vh_code_t code, void *result,
                           unsigned sent);
 /* Call PROC with ARGS; CB comes on a later turn, exactly once unless the
-   call is cancelled.  A large reply is waited for beyond TIMEOUT_MS while the
-   connection brings it: whoever begins it anew may never have it whole.  */
+   call is cancelled.  A large call or reply is waited for beyond TIMEOUT_MS
+   while the connection carries it: whoever begins it anew may never have it
+   whole.  */
 rpc_call_t *rpc_peer_call (rpc_peer_t *peer, uint32_t proc, void *args,
                            uint64_t timeout_ms, rpc_cb_t cb, void *arg);
 /* Call PROC and drop whatever comes of it.  */
--- a/packages/wire/rpccodec.c
+++ b/packages/wire/rpccodec.c
@@ -1,10 +1,12 @@
 #include "wire/rpcint.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/params.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 
 enum
 {
@@ -21,10 +23,10 @@
   DIGEST_LEN = 32
 };
 
-#define X(proc, args, result, is_bulk)                                        \
+#define X(proc, args, result, size)                                           \
   [proc] = { #proc,           (xdrproc_t)xdr_##args,                          \
              sizeof (args),   (xdrproc_t)xdr_##result,                        \
-             sizeof (result), is_bulk },
+             sizeof (result), size },
 static const rpc_proc_info_t procs[] = { RPC_PROCS (X) };
 #undef X
 
@@ -533,11 +535,27 @@
   if (stream->closing)
     return;
   buf_append (&stream->out, record, len);
+  stream->queued += len;
   stream->node->stats.bytes_out += len;
   if (list_empty (&stream->dirty))
     list_append (&stream->node->dirty, &stream->dirty);
 }
 
+size_t
+rpc_stream_unsent (const rpc_stream_t *stream)
+{
+  uv_os_fd_t fd;
+  int in_kernel = 0;
+
+  /* Without the kernel's word a transfer may pass for over.  */
+  if (uv_fileno ((const uv_handle_t *)&stream->tcp, &fd) != 0
+      || ioctl (fd, SIOCOUTQ, &in_kernel) != 0 || in_kernel < 0)
+    in_kernel = 0;
+  return stream->out.len
+         + uv_stream_get_write_queue_size ((const uv_stream_t *)&stream->tcp)
+         + (size_t)in_kernel;
+}
+
 typedef struct
 {
   uv_write_t req;
--- a/packages/wire/rpcint.h
+++ b/packages/wire/rpcint.h
@@ -14,6 +14,13 @@
   RPC_READ_CHUNK = 64 << 10
 };
 
+typedef enum
+{
+  RPC_SMALL,
+  RPC_LARGE_CALL,
+  RPC_LARGE_REPLY
+} rpc_size_t;
+
 typedef struct
 {
   const char *name;
@@ -21,7 +28,7 @@
   size_t args_size;
   xdrproc_t result;
   size_t result_size;
-  bool is_bulk; /* The result has no bound that a timeout could follow.  */
+  rpc_size_t size;
 } rpc_proc_info_t;
 
 /* Return the entry of PROC, or NULL.  */
@@ -63,6 +70,7 @@
   buf_t out;
   list_t dirty;
   size_t writing; /* Bytes handed to libuv and not yet written.  */
+  size_t queued;  /* Bytes ever queued.  */
   uint64_t received_ms;
   bool closing;
   /* RECORD returns false when it is malformed, which ends the stream.  */
@@ -76,6 +84,8 @@
 void rpc_stream_start (rpc_stream_t *stream);
 /* Queue RECORD, mark included, for this turn's write.  */
 void rpc_stream_send (rpc_stream_t *stream, const char *record, size_t len);
+/* Bytes queued that the other side's kernel has not taken yet.  */
+size_t rpc_stream_unsent (const rpc_stream_t *stream);
 /* Close without calling ENDED; RELEASE follows on a later turn.  */
 void rpc_stream_close (rpc_stream_t *stream);
 
--- a/packages/wire/rpcpeer.c
+++ b/packages/wire/rpcpeer.c
@@ -56,6 +56,9 @@
   uv_connect_t connect;
   uint64_t started_ms;
   bool up;
+  size_t taken;      /* Of the bytes queued, by the other side's kernel.  */
+  uint64_t taken_ms; /* When that was last seen to grow.  */
+  bool ping_behind;  /* The ping was sent behind bytes not taken then.  */
 };
 
 struct rpc_call
@@ -449,6 +452,29 @@
   rpc_peer_call (peer, proc, args, 4 * SILENCE_MS, ignore_result, NULL);
 }
 
+/* See what was taken from LINK.  Return how many bytes were not.  */
+static size_t
+look_at_output (link_t *link, uint64_t now_ms)
+{
+  size_t unsent = rpc_stream_unsent (&link->stream);
+  size_t taken = link->stream.queued - unsent;
+
+  if (taken > link->taken)
+    {
+      link->taken = taken;
+      link->taken_ms = now_ms;
+    }
+  return unsent;
+}
+
+/* Tell whether bytes were taken from LINK of late.  */
+static bool
+is_taking (link_t *link, uint64_t now_ms)
+{
+  look_at_output (link, now_ms);
+  return now_ms - link->taken_ms < SILENCE_MS;
+}
+
 void
 rpc_peer_ping (rpc_peer_t *peer)
 {
@@ -456,7 +482,12 @@
   wire_ping_args_t args = { .sequence = ++peer->ping_sequence };
 
   if (peer->ping_sent_ms == 0)
-    peer->ping_sent_ms = now_ms;
+    {
+      peer->ping_sent_ms = now_ms;
+      if (peer->current != NULL)
+        peer->current->ping_behind
+            = look_at_output (peer->current, now_ms) > 0;
+    }
   rpc_peer_call (peer, WIRE_PING, &args, 4 * SILENCE_MS, on_pong, peer);
 }
 
@@ -476,9 +507,11 @@
     }
   /* Some middle box may have lost track of this connection: bytes vanish
      both ways and no error ever comes, while a new connection works.  Only
-     the missing answer shows it.  */
+     the missing answer shows it, and of a ping behind a large call not before
+     the link has stopped taking that.  */
   if (peer->ping_sent_ms != 0 && now_ms - peer->ping_sent_ms >= SILENCE_MS
-      && now_ms - link->stream.received_ms >= SILENCE_MS)
+      && now_ms - link->stream.received_ms >= SILENCE_MS
+      && !(link->ping_behind && is_taking (link, now_ms)))
     {
       node->stats.silent++;
       log_notice ("rpc", "Connection is silent, moving. peer=%s calls=%zu",
@@ -491,17 +524,26 @@
     rpc_peer_ping (peer);
 }
 
-/* Tell whether PEER's connection is in the middle of a reply that goes on
-   coming: what CALL waits for, or what stands before it.  */
+/* Tell whether PEER's connection carries CALL or its reply, or what stands
+   before them, and that takes long because it is large.  */
 static bool
-reply_is_coming (const rpc_peer_t *peer, const rpc_call_t *call,
-                 uint64_t now_ms)
+is_carried (const rpc_peer_t *peer, const rpc_call_t *call, uint64_t now_ms)
 {
-  const link_t *link = peer->current;
+  link_t *link = peer->current;
 
-  return rpc_proc_info (call->proc)->is_bulk && link != NULL
-         && link->stream.in.len > 0
-         && now_ms - link->stream.received_ms < SILENCE_MS;
+  if (link == NULL || !link->up)
+    return false;
+  switch (rpc_proc_info (call->proc)->size)
+    {
+    case RPC_SMALL:
+      break;
+    case RPC_LARGE_CALL:
+      return is_taking (link, now_ms);
+    case RPC_LARGE_REPLY:
+      return link->stream.in.len > 0
+             && now_ms - link->stream.received_ms < SILENCE_MS;
+    }
+  return false;
 }
 
 /* End the first call that is due.  Return false when none is.  */
@@ -512,8 +554,7 @@
     {
       rpc_call_t *call = CONTAINER_OF (at, rpc_call_t, link);
       if (!call->failed_at_once
-          && (now_ms < call->deadline_ms
-              || reply_is_coming (peer, call, now_ms)))
+          && (now_ms < call->deadline_ms || is_carried (peer, call, now_ms)))
         continue;
       finish_call (call, call->sent > 0 ? VH_E_TIMEOUT : VH_E_CONNECT, NULL);
       return true;
--- a/tests/narrow_link.c
+++ b/tests/narrow_link.c
@@ -10,18 +10,30 @@
 {
   TICK_MS = 10,
   TICKS_PER_S = 100,
-  READ_BYTES = 65536
+  READ_BYTES = 16384,
+  /* Taken from a sender and not passed on yet.  */
+  WAITING_MAX = 16384,
+  SOCKET_BYTES = 8192
 };
 
+/* One way of a connection.  */
+typedef struct
+{
+  uv_tcp_t *from;
+  uv_tcp_t *to;
+  buf_t waiting;
+  bool ended; /* The sender closed its side.  */
+} way_t;
+
 typedef struct
 {
   list_t link;
-  narrow_link_t *owner;
   uv_tcp_t caller;
   uv_tcp_t server;
   uv_connect_t connect;
-  buf_t waiting;   /* Of the server, not passed on yet.  */
-  bool server_end; /* The server closed its side.  */
+  way_t up;   /* To the server.  */
+  way_t down; /* To the caller.  */
+  bool connected;
   bool closing;
   int open_handles;
 } pair_t;
@@ -62,7 +74,8 @@
 
   if (--pair->open_handles > 0)
     return;
-  buf_free (&pair->waiting);
+  buf_free (&pair->up.waiting);
+  buf_free (&pair->down.waiting);
   free (pair);
 }
 
@@ -99,53 +112,68 @@
 }
 
 static void
-on_caller_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+on_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
   pair_t *pair = stream->data;
+  way_t *way
+      = stream == (uv_stream_t *)&pair->caller ? &pair->up : &pair->down;
 
-  if (got < 0)
-    pair_close (pair);
+  if (got >= 0)
+    buf_append (&way->waiting, buf->base, (size_t)got);
   else
-    pass (&pair->server, buf->base, (size_t)got);
+    way->ended = true;
+  if (got < 0 || way->waiting.len >= WAITING_MAX)
+    uv_read_stop (stream);
 }
 
-static void
-on_server_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
+/* Pass on up to ROOM bytes of WAY and take more.  Return how many.  */
+static size_t
+pass_some (way_t *way, size_t room)
 {
-  pair_t *pair = stream->data;
+  size_t len = way->waiting.len < room ? way->waiting.len : room;
 
-  if (got >= 0)
-    buf_append (&pair->waiting, buf->base, (size_t)got);
-  else
+  if (len > 0)
     {
-      uv_read_stop (stream);
-      pair->server_end = true;
+      pass (way->to, way->waiting.ptr, len);
+      buf_consume (&way->waiting, len);
     }
+  if (!way->ended && way->waiting.len < WAITING_MAX)
+    uv_read_start ((uv_stream_t *)way->from, on_alloc, on_read);
+  return len;
+}
+
+/* The part of a tick's bytes that each of COUNT busy ways gets.  */
+static size_t
+part_of_tick (const narrow_link_t *link, size_t count)
+{
+  return link->bytes_per_tick / (count > 0 ? count : 1);
 }
 
 static void
 on_tick (uv_timer_t *timer)
 {
   narrow_link_t *link = timer->data;
-  size_t busy = 0;
+  size_t ups = 0;
+  size_t downs = 0;
 
   LIST_EACH (at, &link->pairs)
-    busy += CONTAINER_OF (at, pair_t, link)->waiting.len > 0;
-  size_t room = link->bytes_per_tick / (busy > 0 ? busy : 1);
+    {
+      const pair_t *pair = CONTAINER_OF (at, pair_t, link);
+      ups += pair->up.waiting.len > 0;
+      downs += pair->down.waiting.len > 0;
+    }
   LIST_EACH (at, &link->pairs)
     {
       pair_t *pair = CONTAINER_OF (at, pair_t, link);
-      size_t len = pair->waiting.len < room ? pair->waiting.len : room;
-      if (len > link->left)
-        len = link->left;
-      if (len > 0)
-        {
-          pass (&pair->caller, pair->waiting.ptr, len);
-          buf_consume (&pair->waiting, len);
-          link->left -= len;
-          link->passed += len;
-        }
-      if (pair->server_end && pair->waiting.len == 0)
+      if (!pair->connected)
+        continue;
+      size_t room = part_of_tick (link, downs);
+      size_t len
+          = pass_some (&pair->down, room < link->left ? room : link->left);
+      link->left -= len;
+      link->passed += len;
+      pass_some (&pair->up, part_of_tick (link, ups));
+      if (pair->up.ended || (pair->down.ended && pair->down.waiting.len == 0))
         pair_close (pair);
     }
 }
@@ -162,8 +190,9 @@
       pair_close (pair);
       return;
     }
-  uv_read_start ((uv_stream_t *)&pair->caller, on_alloc, on_caller_read);
-  uv_read_start ((uv_stream_t *)&pair->server, on_alloc, on_server_read);
+  pair->connected = true;
+  uv_read_start ((uv_stream_t *)&pair->caller, on_alloc, on_read);
+  uv_read_start ((uv_stream_t *)&pair->server, on_alloc, on_read);
 }
 
 static void
@@ -174,7 +203,8 @@
   struct sockaddr_in addr;
 
   ck_assert_int_eq (status, 0);
-  pair->owner = link;
+  pair->up = (way_t){ .from = &pair->caller, .to = &pair->server };
+  pair->down = (way_t){ .from = &pair->server, .to = &pair->caller };
   list_append (&link->pairs, &pair->link);
   uv_tcp_init (link->loop, &pair->caller);
   uv_tcp_init (link->loop, &pair->server);
@@ -209,6 +239,9 @@
   uv_ip4_addr ("127.0.0.1", 0, &addr);
   ck_assert_int_eq (uv_tcp_bind (&link->listener, (struct sockaddr *)&addr, 0),
                     0);
+  /* Connections that are taken inherit it.  */
+  int bytes = SOCKET_BYTES;
+  uv_recv_buffer_size ((uv_handle_t *)&link->listener, &bytes);
   ck_assert_int_eq (
       uv_listen ((uv_stream_t *)&link->listener, SOMAXCONN, on_accept), 0);
   uv_timer_start (&link->tick, on_tick, TICK_MS, TICK_MS);
--- a/tests/narrow_link.h
+++ b/tests/narrow_link.h
@@ -1,6 +1,7 @@
-/* A link between a caller and a server on loopback that passes the server's
-   bytes at a bounded rate, which its connections share alike, or stops passing
-   them without a word.  */
+/* A link between callers and a server on loopback that passes bytes at a
+   bounded rate each way, which its connections share alike, or stops passing
+   those of the server without a word.  Bytes that it has not taken wait at
+   their sender.  */
 
 #ifndef TESTS_NARROW_LINK_H
 #define TESTS_NARROW_LINK_H
@@ -11,7 +12,7 @@
 
 typedef struct narrow_link narrow_link_t;
 
-/* A link to PORT that passes BYTES_PER_S of what the server sends.  */
+/* A link to PORT that passes BYTES_PER_S.  */
 narrow_link_t *narrow_link_create (uv_loop_t *loop, uint16_t port,
                                    size_t bytes_per_s);
 /* The memory goes on a later turn.  */
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -29,8 +29,8 @@
   int echoed[512];
   unsigned sent[512];
   uint64_t seen_revision;
-  char *large; /* Told to WIRE_CONFIG_PULL.  */
-  size_t large_len;
+  char *large;      /* Told to WIRE_CONFIG_PULL.  */
+  size_t large_len; /* The same; of the last WIRE_CONFIG_PUSH.  */
 } fixture_t;
 
 typedef struct
@@ -82,6 +82,13 @@
       rpc_reply (request, &pulled);
       return;
     }
+  if (proc == WIRE_CONFIG_PUSH)
+    {
+      wire_code_res_t taken = { VH_OK };
+      f->large_len = ((wire_config_push_args_t *)args)->update.update_len;
+      rpc_reply (request, &taken);
+      return;
+    }
   wire_fetch_args_t *fetch = args;
   wire_answer_t answer;
   memset (&answer, 0, sizeof answer);
@@ -349,6 +356,51 @@
 }
 END_TEST
 
+static void
+on_pushed (void *arg, vh_code_t code, void *result, unsigned sent)
+{
+  tag_t *tag = arg;
+
+  (void)result;
+  tag->f->codes[tag->index] = code;
+  tag->f->sent[tag->index] = sent;
+  tag->f->done++;
+}
+
+/* While a large call was on its way the ping behind it had no answer, so that
+   the connection passed for silent and the call began anew on another one, for
+   ever.  */
+START_TEST (large_call_is_sent_whole_over_a_narrow_link)
+{
+  enum
+  {
+    BYTES = 300000,
+    BYTES_PER_S = 100000
+  };
+  static char large[BYTES];
+  wire_config_push_args_t args = { .update = { BYTES, large } };
+  fixture_t f;
+  char address[32];
+
+  setup (&f, NULL, 0);
+  narrow_link_t *link
+      = narrow_link_create (&f.loop, rpc_server_port (f.server), BYTES_PER_S);
+  snprintf (address, sizeof address, "127.0.0.1:%u", narrow_link_port (link));
+  rpc_peer_t *own = f.peer;
+  f.peer = rpc_peer_create (f.node, str_from (address), &no_events, &f);
+  tag_t tag = { &f, 0 };
+  rpc_peer_call (f.peer, WIRE_CONFIG_PUSH, &args, 5000, on_pushed, &tag);
+  run_until_done (&f, 1);
+  ck_assert_int_eq (f.codes[0], VH_OK);
+  ck_assert_uint_eq (f.sent[0], 1);
+  ck_assert_uint_eq (f.large_len, BYTES);
+  rpc_peer_destroy (f.peer);
+  narrow_link_destroy (link);
+  f.peer = own;
+  teardown (&f);
+}
+END_TEST
+
 START_TEST (cancelled_call_is_forgotten)
 {
   fixture_t f;
@@ -454,6 +506,7 @@
   tcase_add_test (tcase, refused_connection_was_not_sent);
   tcase_add_test (tcase, timeout_and_late_reply);
   tcase_add_test (tcase, large_reply_is_waited_for_while_it_comes);
+  tcase_add_test (tcase, large_call_is_sent_whole_over_a_narrow_link);
   tcase_add_test (tcase, cancelled_call_is_forgotten);
   tcase_add_test (tcase, wrong_key_is_refused);
   tcase_add_test (tcase, damaged_records_are_refused);
