gateway: a reader's answer that comes late is taken, and the store asked beside it

Cause: the reader takes in the rows (2.4 MB of JSON), deflates and sends them in one turn of 0.3 to 0.4 s. An asker whose wait ended in it gave up after 1.05 s, 5 ms before the others had their answers (store.reader-failed code=601 took_ms=1060), passed the reader over and read the whole through its own narrow link; the reader's answer was dropped as late. Change: after the same 1.05 s the store is asked beside the reader, not in its place, unless the answer is on its way; whichever comes first is taken and the other call ends. Only a reader that was slower than the store passes for lost.

--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -15,9 +15,12 @@
   /* A reader waits so long for news for an asker: short against the age that
      a confirmation may have.  */
   ASK_WAIT_MS = 700,
-  /* More than that, and the store is asked instead: a turn of a slow machine
+  /* More than that, and the store is asked as well: a turn of a slow machine
      and both ways.  */
   ASK_SLACK_MS = 350,
+  /* A reader that takes in a large table is busy for some tenths of a second;
+     whichever answers first is taken.  */
+  BUSY_READER_MS = 1000,
   /* A reader without an answer is passed over so long: it restarts in about a
      second.  */
   BAD_MS = 3000,
@@ -87,9 +90,17 @@
   uint64_t after;
   uint64_t wait_ms;
   uint64_t timeout_ms;
-  uint64_t asked_ms; /* By boot time.  */
-  char *reader;      /* Name of the entry asked.  */
-  rpc_call_t *call;
+  uint64_t asked_ms;  /* By boot time.  */
+  uint64_t stored_ms; /* The same, of the store.  */
+  char *reader;       /* Name of the entry asked.  */
+  rpc_call_t *call;   /* To it; NULL: none is out.  */
+  uint64_t hedge_ms;  /* When the store is asked as well.  */
+  enum
+  {
+    STORE_UNASKED,
+    STORE_ASKED,
+    STORE_ANSWERED
+  } store;
   rows_cb_t cb;
   void *arg;
 } pending_t;
@@ -199,9 +210,10 @@
 
 static void answer_waiters (share_t *share, rows_table_t table);
 
-/* Take in an answer to PENDING, by the store or by a reader.  */
+/* Take in an answer to PENDING, by the store or by a reader, which was asked
+   at ASKED_MS.  */
 static void
-cache_take (share_t *share, const pending_t *pending,
+cache_take (share_t *share, const pending_t *pending, uint64_t asked_ms,
             const rows_result_t *result)
 {
   cache_t *cache = &share->caches[pending->table];
@@ -220,9 +232,8 @@
   if (pending->is_read && !result->more)
     cache->complete = true;
   cache->version = pending->is_read ? cache->read_version : result->version;
-  cache->confirmed_ms = pending->asked_ms > result->age_ms
-                            ? pending->asked_ms - result->age_ms
-                            : 0;
+  cache->confirmed_ms
+      = asked_ms > result->age_ms ? asked_ms - result->age_ms : 0;
   cache->now_ms = result->now_ms;
   cache->now_seen_ms = boot_ms (share);
   cache->said_ms = result->said_ms;
@@ -435,12 +446,15 @@
     }
 }
 
+static void ask_late_answers (share_t *share, uint64_t now_ms);
+
 static void
 on_tick (uv_timer_t *timer)
 {
   share_t *share = timer->data;
   uint64_t now_ms = clock_ms (share->clock);
 
+  ask_late_answers (share, now_ms);
   LIST_EACH (at, &share->waiters)
     {
       waiter_t *waiter = CONTAINER_OF (at, waiter_t, link);
@@ -452,34 +466,77 @@
 
 /* Asking.  */
 
+/* Drop what PENDING still waits for.  */
 static void
-pending_end (pending_t *pending, vh_code_t code, const rows_result_t *result)
+pending_free (pending_t *pending)
 {
-  rows_cb_t cb = pending->cb;
-  void *arg = pending->arg;
+  rows_t *store = pending->share->store;
 
+  rpc_cancel (pending->call);
+  if (pending->store == STORE_ASKED)
+    store->ops->forget (store, pending);
   list_remove (&pending->link);
   free (pending->reader);
   free (pending);
+}
+
+static void
+pending_end (pending_t *pending, vh_code_t code, const rows_result_t *result)
+{
+  rows_cb_t cb = pending->cb;
+  void *arg = pending->arg;
+
+  pending_free (pending);
   cb (arg, code, result);
 }
 
+/* ENTRY was asked and could not say, or was SILENT.  */
+static void
+set_bad (share_t *share, entry_t *entry, bool silent)
+{
+  uint64_t now_ms = clock_ms (share->clock);
+
+  entry->bad_till_ms = now_ms + (silent ? BAD_MS : UNFIT_MS);
+  if (silent && !is_home (share, entry))
+    share->home_till_ms = now_ms + HOME_MS;
+}
+
+/* The reader that PENDING asked is not to be asked for a while.  */
+static void
+reader_failed (const pending_t *pending, vh_code_t code, bool silent)
+{
+  share_t *share = pending->share;
+  entry_t *entry = map_get (share->entries, str_from (pending->reader));
+
+  log_event (
+      EVENT_READER, field_text (FIELD_READER, str_from (pending->reader)),
+      field_number (FIELD_CODE, code),
+      field_number (FIELD_TOOK_MS, boot_ms (share) - pending->asked_ms));
+  if (entry != NULL)
+    set_bad (share, entry, silent);
+}
+
 static void
 on_stored (void *arg, vh_code_t code, const rows_result_t *result)
 {
   pending_t *pending = arg;
-  cache_t *cache = &pending->share->caches[pending->table];
+  share_t *share = pending->share;
+  cache_t *cache = &share->caches[pending->table];
 
+  pending->store = STORE_ANSWERED;
   if (code == VH_OK)
-    cache_take (pending->share, pending, result);
+    cache_take (share, pending, pending->stored_ms, result);
   else if (code == VH_E_NOT_FOUND)
     cache->complete = false;
   else
     {
       cache->down = true;
-      pending->share->down_till_ms
-          = clock_ms (pending->share->clock) + DOWN_MS;
+      share->down_till_ms = clock_ms (share->clock) + DOWN_MS;
+      if (pending->call != NULL)
+        return;
     }
+  if (pending->call != NULL)
+    reader_failed (pending, VH_E_TIMEOUT, true);
   pending_end (pending, code, result);
 }
 
@@ -490,6 +547,8 @@
   share_t *share = pending->share;
   uint64_t wait_ms = pending->wait_ms;
 
+  pending->store = STORE_ASKED;
+  pending->stored_ms = boot_ms (share);
   if (pending->table == ROWS_ORDERS && map_size (share->entries) > 0
       && wait_ms > READER_WAIT_MS)
     wait_ms = READER_WAIT_MS;
@@ -544,7 +603,7 @@
     code = read_row (&answer->rows.rows_val[i], &plain[i], &rows[i]);
   if (code == VH_OK)
     {
-      cache_take (pending->share, pending, &result);
+      cache_take (pending->share, pending, pending->asked_ms, &result);
       pending_end (pending, VH_OK, &result);
     }
   for (u_int i = 0; i < count; i++)
@@ -554,22 +613,10 @@
   return code;
 }
 
-/* ENTRY was asked and could not say, or was SILENT.  */
-static void
-set_bad (share_t *share, entry_t *entry, bool silent)
-{
-  uint64_t now_ms = clock_ms (share->clock);
-
-  entry->bad_till_ms = now_ms + (silent ? BAD_MS : UNFIT_MS);
-  if (silent && !is_home (share, entry))
-    share->home_till_ms = now_ms + HOME_MS;
-}
-
 static void
 on_answer (void *arg, vh_code_t code, void *result, unsigned sent)
 {
   pending_t *pending = arg;
-  share_t *share = pending->share;
   const wire_rows_res_t *answer = result;
 
   (void)sent;
@@ -586,15 +633,24 @@
       pending_end (pending, code, NULL);
       return;
     }
-  log_event (
-      EVENT_READER, field_text (FIELD_READER, str_from (pending->reader)),
-      field_number (FIELD_CODE, code),
-      field_number (FIELD_TOOK_MS, boot_ms (share) - pending->asked_ms));
-  entry_t *entry = map_get (share->entries, str_from (pending->reader));
-  if (entry != NULL)
-    set_bad (share, entry, silent);
-  pending->asked_ms = boot_ms (share);
-  ask_store (pending, STR (""));
+  reader_failed (pending, code, silent);
+  if (pending->store == STORE_UNASKED)
+    ask_store (pending, STR (""));
+  else if (pending->store == STORE_ANSWERED)
+    pending_end (pending, VH_E_STORE_DOWN, NULL);
+}
+
+/* Ask the store too for what readers should have answered.  */
+static void
+ask_late_answers (share_t *share, uint64_t now_ms)
+{
+  LIST_EACH (at, &share->pending)
+    {
+      pending_t *pending = CONTAINER_OF (at, pending_t, link);
+      if (pending->call != NULL && pending->store == STORE_UNASKED
+          && now_ms >= pending->hedge_ms && !rpc_is_carried (pending->call))
+        ask_store (pending, STR (""));
+    }
 }
 
 /* Ask the reader of the zone.  */
@@ -619,8 +675,10 @@
       return;
     }
   pending->reader = str_dup (str_from (entry->name));
+  pending->hedge_ms = clock_ms (share->clock) + wait_ms + ASK_SLACK_MS;
   pending->call = rpc_peer_call (entry->peer, WIRE_ROWS, &args,
-                                 wait_ms + ASK_SLACK_MS, on_answer, pending);
+                                 wait_ms + ASK_SLACK_MS + BUSY_READER_MS,
+                                 on_answer, pending);
 }
 
 static pending_t *
@@ -680,17 +738,6 @@
   share->store->ops->commit (share->store, writes, count, timeout_ms, cb, arg);
 }
 
-static void
-pending_free (pending_t *pending)
-{
-  rpc_cancel (pending->call);
-  if (pending->call == NULL)
-    pending->share->store->ops->forget (pending->share->store, pending);
-  list_remove (&pending->link);
-  free (pending->reader);
-  free (pending);
-}
-
 static void
 share_forget (rows_t *rows, const void *arg)
 {
--- a/packages/wire/rpc.h
+++ b/packages/wire/rpc.h
@@ -155,6 +155,9 @@
    whole.  */
 rpc_call_t *rpc_peer_call (rpc_peer_t *peer, uint32_t proc, void *args,
                            uint64_t timeout_ms, rpc_cb_t cb, void *arg);
+/* Tell whether CALL is one of those that may be large, and its connection
+   carries it or its reply now, or what stands before them.  */
+bool rpc_is_carried (const rpc_call_t *call);
 /* Call PROC and drop whatever comes of it.  */
 void rpc_peer_fire (rpc_peer_t *peer, uint32_t proc, void *args);
 /* Forget CALL: its reply, if any, is dropped.  NULL is accepted.  */
--- a/packages/wire/rpcpeer.c
+++ b/packages/wire/rpcpeer.c
@@ -524,12 +524,10 @@
     rpc_peer_ping (peer);
 }
 
-/* Tell whether PEER's connection carries CALL or its reply, or what stands
-   before them, and that takes long because it is large.  */
 static bool
-is_carried (const rpc_peer_t *peer, const rpc_call_t *call, uint64_t now_ms)
+is_carried (const rpc_call_t *call, uint64_t now_ms)
 {
-  link_t *link = peer->current;
+  link_t *link = call->peer->current;
 
   if (link == NULL || !link->up)
     return false;
@@ -546,6 +544,12 @@
   return false;
 }
 
+bool
+rpc_is_carried (const rpc_call_t *call)
+{
+  return is_carried (call, clock_ms (call->peer->node->clock));
+}
+
 /* End the first call that is due.  Return false when none is.  */
 static bool
 end_due_call (rpc_peer_t *peer, uint64_t now_ms)
@@ -554,7 +558,7 @@
     {
       rpc_call_t *call = CONTAINER_OF (at, rpc_call_t, link);
       if (!call->failed_at_once
-          && (now_ms < call->deadline_ms || is_carried (peer, call, now_ms)))
+          && (now_ms < call->deadline_ms || is_carried (call, now_ms)))
         continue;
       finish_call (call, call->sent > 0 ? VH_E_TIMEOUT : VH_E_CONNECT, NULL);
       return true;
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -342,6 +342,39 @@
 }
 END_TEST
 
+/* A reader that was busy with a large table for longer than its askers waited
+   passed for lost, and what it said a moment later was dropped.  */
+START_TEST (a_late_answer_of_a_reader_is_taken)
+{
+  enum
+  {
+    BUSY_MS = 1500
+  };
+  fixture_t f;
+
+  memset (&f, 0, sizeof f);
+  for (int i = 0; i < ENTRIES; i++)
+    f.zones[i] = "zone-a";
+  f.link_bytes_per_s = 1000000;
+  start_all (&f);
+  int busy = the_reader (&f);
+  pass (&f, 1000);
+  narrow_link_stop_after (f.narrow[busy], 0);
+  fake_rows_put (f.store, ROWS_ORDERS, "a", "two");
+  WAIT_FOR (&f, strcmp (f.members[busy].value, "two") == 0);
+  fake_rows_hold (f.store, ROWS_ORDERS, true);
+  pass (&f, BUSY_MS);
+  narrow_link_stop_after (f.narrow[busy], SIZE_MAX);
+  uint64_t start_ms = uv_now (&f.loop);
+  for (int i = 0; i < ENTRIES; i++)
+    WAIT_FOR (&f, strcmp (f.members[i].value, "two") == 0);
+  ck_assert_uint_lt (uv_now (&f.loop) - start_ms, 500);
+  ck_assert_int_eq (count_readers (&f), 1);
+  fake_rows_hold (f.store, ROWS_ORDERS, false);
+  teardown (&f);
+}
+END_TEST
+
 /* The reader dies without a word.  Its zone goes on after a timeout, with
    another reader, and no confirmation grows old meanwhile.  */
 START_TEST (a_lost_reader_is_replaced)
@@ -425,6 +458,7 @@
   tcase_add_test (tcase, few_entries_share_a_reader_over_zones);
   tcase_add_test (tcase, the_widest_link_reads_large_rows);
   tcase_add_test (tcase, a_reader_is_waited_for_while_its_answer_comes);
+  tcase_add_test (tcase, a_late_answer_of_a_reader_is_taken);
   tcase_add_test (tcase, a_lost_reader_is_replaced);
   tcase_add_test (tcase, an_age_counts_from_the_store);
   tcase_add_test (tcase, a_leaving_reader_hands_over);
