--- a/packages/gateway/follow.h
+++ b/packages/gateway/follow.h
@@ -5,8 +5,8 @@
    Answers: a store that is down, slow, reset or silent, for all or for this
    process alone.  Every call has a bound on silence and its own connection, so
    that a connection that fell silent costs one bound, and a large answer takes
-   as long as the link needs.  Failed calls are repeated
-   with a jittered wait that doubles, so that entries do not return in step.
+   as long as the link needs.  Failed calls are repeated with a jittered wait
+   that doubles, so that entries do not return in step.
 
    A confirmation is the moment at which a call was sent whose answer shows
    the table as of then or later.  An answer whose store version lies behind
--- a/packages/gateway/rowcache.c
+++ b/packages/gateway/rowcache.c
@@ -196,10 +196,9 @@
   return false;
 }
 
-/* Fill ROW with what is told of CACHED.  A configuration of 2,000 routes has
-   390 KB: 23 askers kept a link of 10 Mbit/s full for 7 s, in which the
-   reader's streams came late and its upstreams looked silent.  It is told in
-   31 KB.  */
+/* Fill ROW with what is told of CACHED.  A long configuration that is told in
+   full to every asker keeps the reader's link busy for seconds, and its streams
+   wait behind that.  */
 static void
 write_row (cached_t *cached, wire_row_t *row)
 {
--- a/packages/gateway/share.h
+++ b/packages/gateway/share.h
@@ -10,10 +10,10 @@
 
    Who reads is nobody's appointment: each entry works it out from the listed
    entries and from those that did not answer it of late.  Whoever has no
-   answer in time asks the store itself, so that a reader that died, hangs or
-   lost the store costs its askers one timeout, and nothing depends on
-   agreement.  An entry that cannot reach the store is served by one that
-   can.
+   answer in time asks the store beside the reader and takes what comes first,
+   so that a reader that died, hangs or lost the store costs its askers one
+   wait, and nothing depends on agreement.  An entry that cannot reach the
+   store is served by one that can.
 
    An answer bears the age of the store's confirmation at the reader; the asker
    counts it from when it asked.  So no belief looks younger than it is.  */
--- a/packages/wire/rpcpeer.c
+++ b/packages/wire/rpcpeer.c
@@ -524,6 +524,7 @@
     rpc_peer_ping (peer);
 }
 
+/* As rpc_is_carried.  */
 static bool
 is_carried (const rpc_call_t *call, uint64_t now_ms)
 {
