--- a/packages/gateway/rowcache.c
+++ b/packages/gateway/rowcache.c
@@ -197,8 +197,8 @@
 }
 
 /* Fill ROW with what is told of CACHED.  A long configuration that is told in
-   full to every asker keeps the reader's link busy for seconds, and its streams
-   wait behind that.  */
+   full to every asker keeps the reader's link busy for seconds, and its
+   streams wait behind that.  */
 static void
 write_row (cached_t *cached, wire_row_t *row)
 {
--- a/packages/wire/rpcpeer.c
+++ b/packages/wire/rpcpeer.c
@@ -457,7 +457,8 @@
 look_at_output (link_t *link, uint64_t now_ms)
 {
   size_t unsent = rpc_stream_unsent (&link->stream);
-  size_t taken = link->stream.queued - unsent;
+  size_t queued = link->stream.queued;
+  size_t taken = queued > unsent ? queued - unsent : 0;
 
   if (taken > link->taken)
     {
@@ -524,10 +525,10 @@
     rpc_peer_ping (peer);
 }
 
-/* As rpc_is_carried.  */
-static bool
-is_carried (const rpc_call_t *call, uint64_t now_ms)
+bool
+rpc_is_carried (const rpc_call_t *call)
 {
+  uint64_t now_ms = clock_ms (call->peer->node->clock);
   link_t *link = call->peer->current;
 
   if (link == NULL || !link->up)
@@ -545,12 +546,6 @@
   return false;
 }
 
-bool
-rpc_is_carried (const rpc_call_t *call)
-{
-  return is_carried (call, clock_ms (call->peer->node->clock));
-}
-
 /* End the first call that is due.  Return false when none is.  */
 static bool
 end_due_call (rpc_peer_t *peer, uint64_t now_ms)
@@ -559,7 +554,7 @@
     {
       rpc_call_t *call = CONTAINER_OF (at, rpc_call_t, link);
       if (!call->failed_at_once
-          && (now_ms < call->deadline_ms || is_carried (call, now_ms)))
+          && (now_ms < call->deadline_ms || rpc_is_carried (call)))
         continue;
       finish_call (call, call->sent > 0 ? VH_E_TIMEOUT : VH_E_CONNECT, NULL);
       return true;
