tests: one wait on a loop, one listener on loopback, one peer behind a narrow link

The wait with its deadline stood in test_share, test_rows and the gateway's fixture; binding a port in four places; the peer over a narrow link twice in test_rpc.

--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -2,6 +2,7 @@
 
 #include "base/mem.h"
 #include "gateway/names.h"
+#include "loopback.h"
 
 #include <check.h>
 #include <stdio.h>
@@ -326,22 +327,13 @@
 fake_upstream_create (uv_loop_t *loop, const char *id)
 {
   fake_upstream_t *upstream = mem_zalloc (sizeof *upstream);
-  struct sockaddr_in addr;
-  int len = sizeof addr;
 
   upstream->loop = loop;
   upstream->id = str_dup (str_from (id));
   upstream->act_count = 1;
   list_init (&upstream->conns);
-  uv_ip4_addr ("127.0.0.1", 0, &addr);
-  uv_tcp_init (loop, &upstream->listener);
-  upstream->listener.data = upstream;
-  uv_tcp_bind (&upstream->listener, (struct sockaddr *)&addr, 0);
-  uv_tcp_getsockname (&upstream->listener, (struct sockaddr *)&addr, &len);
-  upstream->port = ntohs (addr.sin_port);
-  ck_assert_int_eq (
-      uv_listen ((uv_stream_t *)&upstream->listener, 64, on_upstream_accept),
-      0);
+  upstream->port = loopback_listen (loop, &upstream->listener, upstream,
+                                    on_upstream_accept);
   return upstream;
 }
 
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -333,19 +333,6 @@
 
 /* The whole.  */
 
-static void
-on_deadline (uv_timer_t *timer)
-{
-  ((gateway_fixture_t *)timer->data)->expired = true;
-}
-
-void
-gateway_fixture_limit (gateway_fixture_t *f)
-{
-  f->expired = false;
-  uv_timer_start (&f->deadline, on_deadline, LIMIT_MS, 0);
-}
-
 void
 gateway_fixture_list (gateway_fixture_t *f, size_t index, const char *version,
                       const char *state)
@@ -394,8 +381,7 @@
 
   memset (f, 0, sizeof *f);
   uv_loop_init (&f->loop);
-  uv_timer_init (&f->loop, &f->deadline);
-  f->deadline.data = f;
+  loop_wait_init (&f->wait, &f->loop, LIMIT_MS);
   f->rows = fake_rows_create (&f->loop);
   fake_rows_down (f->rows, true);
   fake_rows_put (f->rows, ROWS_ORDERS, "catalog", "1 key-1");
@@ -429,7 +415,7 @@
   rows->ops->destroy (rows);
   for (size_t i = 0; i < f->upstream_count; i++)
     fake_upstream_destroy (f->upstreams[i]);
-  uv_close ((uv_handle_t *)&f->deadline, NULL);
+  loop_wait_close (&f->wait);
   uv_run (&f->loop, UV_RUN_DEFAULT);
   ck_assert_int_eq (uv_loop_close (&f->loop), 0);
 }
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include "fake_rows.h"
 #include "fake_upstream.h"
 #include "gateway/gateway.h"
+#include "loop_wait.h"
 
 #include <uv.h>
 
@@ -38,8 +39,7 @@
   gateway_t *gateway;
   fake_upstream_t *upstreams[4];
   size_t upstream_count;
-  bool expired;
-  uv_timer_t deadline;
+  loop_wait_t wait;
 } gateway_fixture_t;
 
 /* A gateway before UPSTREAMS instances of the service `app' and of the engine
@@ -50,16 +50,7 @@
 void gateway_fixture_setup_early (gateway_fixture_t *f, size_t upstreams);
 void gateway_fixture_teardown (gateway_fixture_t *f);
 /* Turn the loop until COND holds; fail the test after some seconds.  */
-#define gateway_fixture_wait(f, cond)                                         \
-  do                                                                          \
-    {                                                                         \
-      gateway_fixture_limit (f);                                              \
-      while (!(cond) && !(f)->expired)                                        \
-        uv_run (&(f)->loop, UV_RUN_ONCE);                                     \
-      ck_assert_msg (!(f)->expired, "waited in vain for " #cond);             \
-    }                                                                         \
-  while (0)
-void gateway_fixture_limit (gateway_fixture_t *f);
+#define gateway_fixture_wait(f, cond) LOOP_WAIT (&(f)->wait, cond)
 
 /* List upstream INDEX under both services; STATE is ready or draining.  */
 void gateway_fixture_list (gateway_fixture_t *f, size_t index,
--- /dev/null
+++ b/tests/loopback.h
@@ -0,0 +1,35 @@
+/* Listeners of tests on loopback.  */
+
+#ifndef TESTS_LOOPBACK_H
+#define TESTS_LOOPBACK_H
+
+#include <check.h>
+#include <uv.h>
+
+/* Bind LISTENER to a free port and return that.  DATA is the handle's.  */
+static inline uint16_t
+loopback_bind (uv_loop_t *loop, uv_tcp_t *listener, void *data)
+{
+  struct sockaddr_in addr;
+  int len = sizeof addr;
+
+  uv_ip4_addr ("127.0.0.1", 0, &addr);
+  uv_tcp_init (loop, listener);
+  listener->data = data;
+  ck_assert_int_eq (uv_tcp_bind (listener, (struct sockaddr *)&addr, 0), 0);
+  uv_tcp_getsockname (listener, (struct sockaddr *)&addr, &len);
+  return ntohs (addr.sin_port);
+}
+
+/* The same, and take connections by CB.  */
+static inline uint16_t
+loopback_listen (uv_loop_t *loop, uv_tcp_t *listener, void *data,
+                 uv_connection_cb cb)
+{
+  uint16_t port = loopback_bind (loop, listener, data);
+
+  ck_assert_int_eq (uv_listen ((uv_stream_t *)listener, SOMAXCONN, cb), 0);
+  return port;
+}
+
+#endif
--- a/tests/narrow_link.c
+++ b/tests/narrow_link.c
@@ -2,6 +2,7 @@
 
 #include "base/mem.h"
 #include "base/str.h"
+#include "loopback.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -49,7 +50,8 @@
   uv_loop_t *loop;
   uv_tcp_t listener;
   uv_timer_t tick;
-  uint16_t port;
+  uint16_t port; /* Of the server.  */
+  uint16_t own_port;
   size_t bytes_per_tick;
   size_t left; /* Before it stops.  */
   size_t passed;
@@ -224,26 +226,19 @@
 narrow_link_create (uv_loop_t *loop, uint16_t port, size_t bytes_per_s)
 {
   narrow_link_t *link = mem_zalloc (sizeof *link);
-  struct sockaddr_in addr;
+  int bytes = SOCKET_BYTES;
 
   link->loop = loop;
   link->port = port;
   link->bytes_per_tick = bytes_per_s / TICKS_PER_S;
   link->left = SIZE_MAX;
   list_init (&link->pairs);
-  uv_tcp_init (loop, &link->listener);
   uv_timer_init (loop, &link->tick);
   link->open_handles = 2;
-  link->listener.data = link;
   link->tick.data = link;
-  uv_ip4_addr ("127.0.0.1", 0, &addr);
-  ck_assert_int_eq (uv_tcp_bind (&link->listener, (struct sockaddr *)&addr, 0),
-                    0);
+  link->own_port = loopback_listen (loop, &link->listener, link, on_accept);
   /* Connections that are taken inherit it.  */
-  int bytes = SOCKET_BYTES;
   uv_recv_buffer_size ((uv_handle_t *)&link->listener, &bytes);
-  ck_assert_int_eq (
-      uv_listen ((uv_stream_t *)&link->listener, SOMAXCONN, on_accept), 0);
   uv_timer_start (&link->tick, on_tick, TICK_MS, TICK_MS);
   return link;
 }
@@ -269,11 +264,7 @@
 uint16_t
 narrow_link_port (const narrow_link_t *link)
 {
-  struct sockaddr_in addr;
-  int len = sizeof addr;
-
-  uv_tcp_getsockname (&link->listener, (struct sockaddr *)&addr, &len);
-  return ntohs (addr.sin_port);
+  return link->own_port;
 }
 
 void
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -1,6 +1,7 @@
 /* One call on a connection of its own, against servers that answer by script:
    which answers are whole, which are cut, which are none.  */
 
+#include "loopback.h"
 #include "suite.h"
 #include "wire/call.h"
 
@@ -103,8 +104,6 @@
 play (fixture_t *f, const char *answer, bool reset)
 {
   static const call_events_t events = { on_head, on_body, on_end };
-  struct sockaddr_in addr;
-  int len = sizeof addr;
   char address[32];
   buf_t request = BUF_NULL;
 
@@ -114,12 +113,8 @@
   uv_loop_init (&f->loop);
   uv_timer_init (&f->loop, &f->timer);
   f->timer.data = f;
-  uv_ip4_addr ("127.0.0.1", 0, &addr);
-  uv_tcp_init (&f->loop, &f->listener);
-  f->listener.data = f;
-  uv_tcp_bind (&f->listener, (struct sockaddr *)&addr, 0);
-  uv_tcp_getsockname (&f->listener, (struct sockaddr *)&addr, &len);
-  snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (addr.sin_port));
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            loopback_bind (&f->loop, &f->listener, f));
   if (answer != NULL)
     uv_listen ((uv_stream_t *)&f->listener, 8, on_accept);
   buf_append_str (&request, STR ("GET / HTTP/1.1\r\nhost: a\r\n\r\n"));
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -3,6 +3,8 @@
 
 #include "base/mem.h"
 #include "gateway/follow.h"
+#include "loop_wait.h"
+#include "loopback.h"
 #include "narrow_link.h"
 #include "platform/platform.h"
 #include "suite.h"
@@ -26,8 +28,7 @@
 {
   uv_loop_t loop;
   uv_tcp_t listener;
-  uv_timer_t deadline;
-  bool expired;
+  loop_wait_t wait;
   list_t conns;
   buf_t value; /* Of the store's one row, coded.  */
   uint64_t version;
@@ -195,52 +196,20 @@
     }
 }
 
-static void
-on_deadline (uv_timer_t *timer)
-{
-  ((fixture_t *)timer->data)->expired = true;
-}
-
-#define WAIT_FOR(f, cond)                                                     \
-  do                                                                          \
-    {                                                                         \
-      (f)->expired = false;                                                   \
-      uv_timer_start (&(f)->deadline, on_deadline, LIMIT_MS, 0);              \
-      while (!(cond) && !(f)->expired)                                        \
-        uv_run (&(f)->loop, UV_RUN_ONCE);                                     \
-      ck_assert_msg (!(f)->expired, "waited in vain for " #cond);             \
-    }                                                                         \
-  while (0)
-
-static void
-pass (fixture_t *f, uint64_t ms)
-{
-  uint64_t till = uv_now (&f->loop) + ms;
-
-  WAIT_FOR (f, uv_now (&f->loop) >= till);
-}
+#define WAIT_FOR(f, cond) LOOP_WAIT (&(f)->wait, cond)
 
 /* A store whose row has LEN bytes, behind a narrow link.  */
 static void
 setup (fixture_t *f, size_t len)
 {
-  struct sockaddr_in addr;
-  int addr_len = sizeof addr;
   char text[32];
 
   memset (f, 0, sizeof *f);
   list_init (&f->conns);
   uv_loop_init (&f->loop);
-  uv_timer_init (&f->loop, &f->deadline);
-  f->deadline.data = f;
-  uv_tcp_init (&f->loop, &f->listener);
-  f->listener.data = f;
-  uv_ip4_addr ("127.0.0.1", 0, &addr);
-  uv_tcp_bind (&f->listener, (struct sockaddr *)&addr, 0);
-  ck_assert_int_eq (
-      uv_listen ((uv_stream_t *)&f->listener, SOMAXCONN, on_accept), 0);
-  uv_tcp_getsockname (&f->listener, (struct sockaddr *)&addr, &addr_len);
-  f->link = narrow_link_create (&f->loop, ntohs (addr.sin_port), BYTES_PER_S);
+  loop_wait_init (&f->wait, &f->loop, LIMIT_MS);
+  uint16_t port = loopback_listen (&f->loop, &f->listener, f, on_accept);
+  f->link = narrow_link_create (&f->loop, port, BYTES_PER_S);
   snprintf (text, sizeof text, "127.0.0.1:%u", narrow_link_port (f->link));
   f->rows = platform_rows_create (&f->loop, str_from (text));
   store_put (f, len);
@@ -255,7 +224,7 @@
   LIST_EACH (at, &f->conns)
     conn_close (CONTAINER_OF (at, conn_t, link));
   uv_close ((uv_handle_t *)&f->listener, NULL);
-  uv_close ((uv_handle_t *)&f->deadline, NULL);
+  loop_wait_close (&f->wait);
   uv_run (&f->loop, UV_RUN_DEFAULT);
   ck_assert_int_eq (uv_loop_close (&f->loop), 0);
   buf_free (&f->value);
@@ -316,7 +285,7 @@
   follow (&f);
   WAIT_FOR (&f, f.value_len == 100);
   /* Late in the wait of a call for changes.  */
-  pass (&f, 1200);
+  loop_wait_pass (&f.wait, 1200);
   store_put (&f, LARGE_BYTES);
   uint64_t start_ms = uv_now (&f.loop);
   WAIT_FOR (&f, f.value_len == LARGE_BYTES);
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -19,7 +19,8 @@
   rpc_node_t *node;
   rpc_server_t *server;
   rpc_peer_t *peer;
-  int swallow; /* Requests still to be left without reply.  */
+  narrow_link_t *link; /* Before the server; NULL: none.  */
+  int swallow;         /* Requests still to be left without reply.  */
   int handled;
   rpc_request_t *held[64];
   int held_count;
@@ -98,11 +99,19 @@
   rpc_reply (request, &answer);
 }
 
+/* Let the peer be the one at PORT.  */
 static void
-setup (fixture_t *f, const str_t *keys, size_t key_count)
+connect_to (fixture_t *f, uint16_t port)
 {
   char address[32];
 
+  snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  f->peer = rpc_peer_create (f->node, str_from (address), &no_events, f);
+}
+
+static void
+setup_server (fixture_t *f, const str_t *keys, size_t key_count)
+{
   memset (f, 0, sizeof *f);
   uv_loop_init (&f->loop);
   f->node = rpc_node_create (&f->loop, clock_system (), rng_make (5),
@@ -110,9 +119,23 @@
   ck_assert_int_eq (
       rpc_server_create (f->node, STR ("127.0.0.1:0"), handle, f, &f->server),
       VH_OK);
-  snprintf (address, sizeof address, "127.0.0.1:%u",
-            rpc_server_port (f->server));
-  f->peer = rpc_peer_create (f->node, str_from (address), &no_events, f);
+}
+
+static void
+setup (fixture_t *f, const str_t *keys, size_t key_count)
+{
+  setup_server (f, keys, key_count);
+  connect_to (f, rpc_server_port (f->server));
+}
+
+/* A server behind a link that passes BYTES_PER_S.  */
+static void
+setup_narrow (fixture_t *f, size_t bytes_per_s)
+{
+  setup_server (f, NULL, 0);
+  f->link = narrow_link_create (&f->loop, rpc_server_port (f->server),
+                                bytes_per_s);
+  connect_to (f, narrow_link_port (f->link));
 }
 
 static void
@@ -130,6 +153,8 @@
 teardown (fixture_t *f)
 {
   rpc_peer_destroy (f->peer);
+  if (f->link != NULL)
+    narrow_link_destroy (f->link);
   rpc_server_destroy (f->server);
   release_held (f);
   rpc_node_destroy (f->node);
@@ -324,23 +349,17 @@
   static char large[BYTES];
   wire_config_pull_args_t args = { .have = 0 };
   fixture_t f;
-  char address[32];
 
-  setup (&f, NULL, 0);
+  setup_narrow (&f, BYTES_PER_S);
   f.large = large;
   f.large_len = BYTES;
-  narrow_link_t *link
-      = narrow_link_create (&f.loop, rpc_server_port (f.server), BYTES_PER_S);
-  snprintf (address, sizeof address, "127.0.0.1:%u", narrow_link_port (link));
-  rpc_peer_t *own = f.peer;
-  f.peer = rpc_peer_create (f.node, str_from (address), &no_events, &f);
   tag_t whole = { &f, 0 };
   rpc_peer_call (f.peer, WIRE_CONFIG_PULL, &args, TIMEOUT_MS, on_pulled,
                  &whole);
   run_until_done (&f, 1);
   ck_assert_int_eq (f.codes[0], VH_OK);
   ck_assert_int_eq (f.echoed[0], BYTES);
-  narrow_link_stop_after (link, BYTES / 3);
+  narrow_link_stop_after (f.link, BYTES / 3);
   uint64_t begin_ms = clock_ms (clock_system ());
   tag_t broken = { &f, 1 };
   rpc_peer_call (f.peer, WIRE_CONFIG_PULL, &args, TIMEOUT_MS, on_pulled,
@@ -349,9 +368,6 @@
   ck_assert_int_ne (f.codes[1], VH_OK);
   /* A third of the reply, and a silence.  */
   ck_assert_uint_lt (clock_ms (clock_system ()) - begin_ms, 1500);
-  rpc_peer_destroy (f.peer);
-  narrow_link_destroy (link);
-  f.peer = own;
   teardown (&f);
 }
 END_TEST
@@ -380,23 +396,14 @@
   static char large[BYTES];
   wire_config_push_args_t args = { .update = { BYTES, large } };
   fixture_t f;
-  char address[32];
 
-  setup (&f, NULL, 0);
-  narrow_link_t *link
-      = narrow_link_create (&f.loop, rpc_server_port (f.server), BYTES_PER_S);
-  snprintf (address, sizeof address, "127.0.0.1:%u", narrow_link_port (link));
-  rpc_peer_t *own = f.peer;
-  f.peer = rpc_peer_create (f.node, str_from (address), &no_events, &f);
+  setup_narrow (&f, BYTES_PER_S);
   tag_t tag = { &f, 0 };
   rpc_peer_call (f.peer, WIRE_CONFIG_PUSH, &args, 5000, on_pushed, &tag);
   run_until_done (&f, 1);
   ck_assert_int_eq (f.codes[0], VH_OK);
   ck_assert_uint_eq (f.sent[0], 1);
   ck_assert_uint_eq (f.large_len, BYTES);
-  rpc_peer_destroy (f.peer);
-  narrow_link_destroy (link);
-  f.peer = own;
   teardown (&f);
 }
 END_TEST
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -5,6 +5,7 @@
 #include "fake_rows.h"
 #include "gateway/follow.h"
 #include "gateway/share.h"
+#include "loop_wait.h"
 #include "narrow_link.h"
 #include "suite.h"
 
@@ -37,8 +38,7 @@
   /* Of what each entry tells the others; 0: they meet without a link.  */
   size_t link_bytes_per_s;
   narrow_link_t *narrow[ENTRIES];
-  uv_timer_t deadline;
-  bool expired;
+  loop_wait_t wait;
 } fixture_t;
 
 static void
@@ -65,29 +65,12 @@
   (void)full;
 }
 
-static void
-on_deadline (uv_timer_t *timer)
-{
-  ((fixture_t *)timer->data)->expired = true;
-}
-
-#define WAIT_FOR(f, cond)                                                     \
-  do                                                                          \
-    {                                                                         \
-      (f)->expired = false;                                                   \
-      uv_timer_start (&(f)->deadline, on_deadline, LIMIT_MS, 0);              \
-      while (!(cond) && !(f)->expired)                                        \
-        uv_run (&(f)->loop, UV_RUN_ONCE);                                     \
-      ck_assert_msg (!(f)->expired, "waited in vain for " #cond);             \
-    }                                                                         \
-  while (0)
+#define WAIT_FOR(f, cond) LOOP_WAIT (&(f)->wait, cond)
 
 static void
 pass (fixture_t *f, uint64_t ms)
 {
-  uint64_t till = uv_now (&f->loop) + ms;
-
-  WAIT_FOR (f, uv_now (&f->loop) >= till);
+  loop_wait_pass (&f->wait, ms);
 }
 
 static void
@@ -146,8 +129,7 @@
 start_all (fixture_t *f)
 {
   uv_loop_init (&f->loop);
-  uv_timer_init (&f->loop, &f->deadline);
-  f->deadline.data = f;
+  loop_wait_init (&f->wait, &f->loop, LIMIT_MS);
   f->store = fake_rows_create (&f->loop);
   fake_rows_put (f->store, ROWS_ORDERS, "a", "one");
   for (int i = 0; i < ENTRIES; i++)
@@ -195,7 +177,7 @@
     }
   rows_t *rows = fake_rows_iface (f->store);
   rows->ops->destroy (rows);
-  uv_close ((uv_handle_t *)&f->deadline, NULL);
+  loop_wait_close (&f->wait);
   uv_run (&f->loop, UV_RUN_DEFAULT);
   ck_assert_int_eq (uv_loop_close (&f->loop), 0);
 }
