gateway: one question how long a later configuration has been read

It was worked out in three places. read_ms counts from the first text that waits, also when a second one came meanwhile; its meaning says so now.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -119,7 +119,7 @@
   X (FIELD_COUNT, "count", "How many")                                        \
   X (FIELD_KEY, "key", "Key of the row")                                      \
   X (FIELD_BYTES, "bytes", "Length in bytes")                                 \
-  X (FIELD_READ_MS, "read_ms", "Milliseconds since its text arrived")         \
+  X (FIELD_READ_MS, "read_ms", "Milliseconds since a later text arrived")     \
   X (FIELD_TOOK_MS, "took_ms", "Milliseconds since the call was made")        \
   X (FIELD_READER, "reader", "Entry that reads the store for this one")       \
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -81,7 +81,7 @@
 {
   duties_t *duties = arg;
   belief_t *belief = duties->belief;
-  uint64_t read_ms = clock_boot_ms (belief->clock) - belief->reading_ms;
+  uint64_t read_ms = belief_reading_for_ms (belief);
 
   /* While a later one waits the keys go on ageing.  */
   if (!loader_busy (duties->loader))
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -63,6 +63,14 @@
   return escalation;
 }
 
+uint64_t
+belief_reading_for_ms (const belief_t *belief)
+{
+  return belief->reading_ms == 0
+             ? 0
+             : clock_boot_ms (belief->clock) - belief->reading_ms;
+}
+
 bool
 belief_confirmed (const belief_t *belief)
 {
@@ -72,8 +80,7 @@
     return false;
   /* A key may have been taken away by the configuration that is being read:
      the one in force ages from the moment at which that came.  */
-  if (belief->reading_ms != 0
-      && clock_boot_ms (belief->clock) - belief->reading_ms > bound_ms / 2)
+  if (belief_reading_for_ms (belief) > bound_ms / 2)
     return false;
   return follow_age_ms (belief->orders) <= bound_ms;
 }
@@ -146,11 +153,8 @@
                  ? (double)catalog_revision (belief->catalog)
                  : 0);
   set_gauge (gateway, "vanillahook_gateway_revision_reading_seconds", "",
-             "Since when a later revision is being read; 0: none is.",
-             belief->reading_ms == 0
-                 ? 0
-                 : (double)(clock_boot_ms (belief->clock) - belief->reading_ms)
-                       / MS_PER_S);
+             "For how long a later revision has been read; 0: none is.",
+             (double)belief_reading_for_ms (belief) / MS_PER_S);
   set_gauge (gateway, "vanillahook_gateway_entries", "",
              "Entries that share the allowances.", belief->entries);
   set_gauge (gateway, "vanillahook_gateway_ready", "",
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -87,6 +87,9 @@
 allowance_t *belief_allowance (belief_t *belief, str_t service);
 /* What is weighed of SERVICE's models; made on first use.  */
 escalation_t *belief_escalation (belief_t *belief, str_t service);
+/* Milliseconds for which a later configuration than that in force has been
+   read; 0: none is.  */
+uint64_t belief_reading_for_ms (const belief_t *belief);
 /* Tell whether the configuration is known and confirmed recently enough to
    trust its keys.  */
 bool belief_confirmed (const belief_t *belief);
