--- a/packages/wire/rpccodec.c
+++ b/packages/wire/rpccodec.c
@@ -560,7 +560,6 @@
 {
   uv_write_t req;
   rpc_stream_t *stream;
-  size_t len;
   char bytes[];
 } write_t;
 
@@ -570,39 +569,30 @@
   write_t *write = CONTAINER_OF (req, write_t, req);
   rpc_stream_t *stream = write->stream;
 
-  stream->writing -= write->len;
   free (write);
   if (status != 0 && status != UV_ECANCELED)
     end_stream (stream);
 }
 
 /* Write what is queued: at once as far as the socket takes it, the rest
-   through libuv.  */
+   through libuv, which takes nothing at once while an earlier rest waits.  */
 static void
 flush_stream (rpc_stream_t *stream)
 {
-  size_t done = 0;
-
-  if (stream->writing == 0)
-    {
-      uv_buf_t buf = uv_buf_init (stream->out.ptr, (unsigned)stream->out.len);
-      int wrote = uv_try_write ((uv_stream_t *)&stream->tcp, &buf, 1);
-      done = wrote > 0 ? (size_t)wrote : 0;
-    }
+  uv_buf_t all = uv_buf_init (stream->out.ptr, (unsigned)stream->out.len);
+  int wrote = uv_try_write ((uv_stream_t *)&stream->tcp, &all, 1);
+  size_t done = wrote > 0 ? (size_t)wrote : 0;
   size_t left = stream->out.len - done;
   if (left > 0)
     {
       write_t *write = mem_alloc (sizeof *write + left);
       write->stream = stream;
-      write->len = left;
       memcpy (write->bytes, stream->out.ptr + done, left);
       uv_buf_t buf = uv_buf_init (write->bytes, (unsigned)left);
-      stream->writing += left;
       if (uv_write (&write->req, (uv_stream_t *)&stream->tcp, &buf, 1,
                     on_written)
           != 0)
         {
-          stream->writing -= left;
           free (write);
           stream->out.len = 0;
           end_stream (stream);
--- a/packages/wire/rpcint.h
+++ b/packages/wire/rpcint.h
@@ -69,8 +69,7 @@
   size_t in_at; /* Bytes of IN already cut.  */
   buf_t out;
   list_t dirty;
-  size_t writing; /* Bytes handed to libuv and not yet written.  */
-  size_t queued;  /* Bytes ever queued.  */
+  size_t queued; /* Bytes ever queued.  */
   uint64_t received_ms;
   bool closing;
   /* RECORD returns false when it is malformed, which ends the stream.  */
