policy: parts of a bound over the fleet add up to it at any number of entries

Cause: an entry's part of what a cold instance bears was rate / entries, rounded up to one, so 68 entries could send 68.

Change: policy/allotment. Of a bound of B among N entries each has B / N, rounded down, and the B mod N first by rendezvous hash, those of the instance's zone before all others, one more. It takes over the count of entries, with those that left counted for 15 s more each by itself.

Before: 22, 68 and 730 entries sent 22, 68 and 730 (test_pool, bound 10).

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -41,10 +41,7 @@
   COMMIT_TIMEOUT_MS = 2000,
   /* Who reads the store for others writes the steps of roll-outs too; the
      others do when a step is so late that this one is lost.  */
-  WRITER_LATE_MS = 1200,
-  /* An entry that is no longer listed may still send for the length of a
-     planned stop, and one that restarts is not listed yet.  */
-  ENTRIES_KEEP_MS = 15000
+  WRITER_LATE_MS = 1200
 };
 
 struct duties
@@ -62,8 +59,6 @@
   bool node_written;
   bool node_pending;
   uint64_t node_again_ms; /* Not before this, after a write that failed.  */
-  uint64_t peak_ms;       /* When so many entries were last listed.  */
-  map_t *nodes;           /* Names of listed entries.  */
   bool away;              /* Some table could not be read.  */
   uint64_t returned_ms;   /* When the store came back, monotonic.  */
   bool commit_pending;    /* Of a roll-out's row.  */
@@ -381,7 +376,9 @@
     }
   else if (str_eq (kind, STR ("entry")) && rest.len > 0)
     {
-      map_put (duties->nodes, rest, duties);
+      str_t more;
+      allotment_put (duties->belief->fleet, rest,
+                     str_cut (row->value, ' ', &more));
       if (duties->share != NULL)
         take_entry (duties->share, rest, row->value);
     }
@@ -395,35 +392,28 @@
 
   if (str_eq (key_kind (key, &rest), STR ("entry")))
     {
-      map_remove (duties->nodes, rest);
+      allotment_leave (duties->belief->fleet, rest);
       if (duties->share != NULL)
         share_remove (duties->share, rest);
     }
 }
 
-/* Share what all entries may use among those listed, and for a while among
-   those that were.  */
+/* Divide what all entries may use among those that there are now.  */
 static void
-set_entries (duties_t *duties, uint32_t entries)
+divide_shares (duties_t *duties)
 {
   belief_t *belief = duties->belief;
-  uint64_t now_ms = clock_ms (belief->clock);
   size_t cursor = 0;
   str_t key;
   void *value;
 
-  if (entries == 0)
-    entries = 1;
-  if (entries >= belief->entries)
-    duties->peak_ms = now_ms;
-  if (entries == belief->entries
-      || (entries < belief->entries
-          && now_ms - duties->peak_ms < ENTRIES_KEEP_MS))
+  allotment_expire (belief->fleet);
+  uint32_t entries = (uint32_t)allotment_size (belief->fleet);
+  if (entries == belief->entries)
     return;
   log_event (EVENT_ENTRIES, field_number (FIELD_COUNT, entries),
              field_number (FIELD_BEFORE, belief->entries));
   belief->entries = entries;
-  pool_set_entries (belief->pool, entries);
   while (map_next (belief->allowances, &cursor, &key, &value))
     allowance_set_entries (value, entries);
 }
@@ -436,7 +426,8 @@
   (void)full;
   duties->own_read = true;
   set_prepared (duties);
-  set_entries (duties, (uint32_t)map_size (duties->nodes));
+  allotment_read (duties->belief->fleet);
+  divide_shares (duties);
 }
 
 /* Writing.  */
@@ -650,6 +641,8 @@
   if (!duties->node_written && !duties->node_pending
       && clock_ms (belief->clock) >= duties->node_again_ms)
     write_node (duties, false);
+  if (duties->ticks % TICKS_PER_S == 0)
+    divide_shares (duties);
   while (map_next (belief->trials, &cursor, &service, &value))
     step_trial (duties, service, value);
 }
@@ -721,7 +714,6 @@
   duties->rows = rows;
   duties->share = share;
   duties->rollout_rows = map_create ();
-  duties->nodes = map_create ();
   duties->loader = loader_create (belief->loop, belief->dialect->read_catalog,
                                   on_catalog, duties);
   belief->orders
@@ -749,7 +741,6 @@
   duties_t *duties = handle->data;
 
   map_destroy (duties->rollout_rows);
-  map_destroy (duties->nodes);
   free (duties);
 }
 
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -291,6 +291,7 @@
   gateway_t *gateway = handle->data;
 
   pool_destroy (gateway->belief.pool);
+  allotment_destroy (gateway->belief.fleet);
   for (size_t i = 0; i < sizeof gateway->texts / sizeof gateway->texts[0]; i++)
     free (gateway->texts[i]);
   free (gateway);
@@ -424,6 +425,8 @@
   belief->names = dialect->names;
   copy_options (gateway, options);
   belief->rng = rng_make (options->seed);
+  belief->fleet = allotment_create (clock, options->name, options->zone);
+  pool.entries = belief->fleet;
   belief->pool = pool_create (clock, rng_u64 (&belief->rng), &pool);
   belief->reach = reach_create (loop, on_looked, belief);
   belief->trials = map_create ();
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -15,6 +15,7 @@
 #include "gateway/share.h"
 #include "gateway/tally.h"
 #include "gateway/trial.h"
+#include "policy/allotment.h"
 #include "policy/escalation.h"
 #include "wire/httpd.h"
 
@@ -55,7 +56,8 @@
   map_t *trials;       /* Service to trial_t.  */
   map_t *allowances;   /* Service to allowance_t.  */
   map_t *escalations;  /* Service to escalation_t.  */
-  uint32_t entries;    /* Entries that share what all may use.  */
+  allotment_t *fleet;  /* Entries that share what all may use.  */
+  uint32_t entries;    /* How many these are, as the allowances know.  */
   follow_t *orders;    /* Tells how old the configuration is.  */
   gateway_counters_t counters;
   metrics_t *metrics;
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -7,8 +7,8 @@
 #include <stdlib.h>
 
 /* Shares of the bound over all entries that one may use at a warm instance.
-   More than one, because callers' load is uneven (an entry gets up to a third
-   of it) and all entries do not press the same instance at once.  */
+   More than one, because callers' load is uneven and all entries do not press
+   the same instance at once.  */
 static const double warm_shares = 2.5;
 
 /* The instances of one service, for walks that touch nothing else.  */
@@ -31,6 +31,8 @@
   char *version;
   uint64_t id_hash;
   uint64_t version_hash;
+  uint64_t rank_generation; /* Of the entries when RANK was told.  */
+  size_t rank;              /* Of this entry among those that send here.  */
   bool is_own_zone;
   bool is_zone_out;
   bool is_withdrawn;
@@ -61,7 +63,7 @@
   char *zone;
   double cold_factor;
   double cold_slack;
-  uint32_t entries;
+  const allotment_t *entries;
   list_t upstreams;
   size_t lapsed; /* Gone, and usable for a while.  */
   map_t *by_id;
@@ -81,7 +83,7 @@
   pool->zone = str_dup (options->zone);
   pool->cold_factor = options->cold_factor;
   pool->cold_slack = options->cold_slack;
-  pool->entries = 1;
+  pool->entries = options->entries;
   list_init (&pool->upstreams);
   pool->by_id = map_create ();
   pool->groups = map_create ();
@@ -290,6 +292,7 @@
   set_text (&upstream->service, info->service);
   set_text (&upstream->address, info->address);
   set_text (&upstream->zone, info->zone);
+  upstream->rank_generation = 0;
   set_text (&upstream->version, info->version);
   upstream->version_hash = str_hash (info->version, 0);
   upstream->is_own_zone = str_eq (info->zone, str_from (pool->zone));
@@ -337,37 +340,52 @@
     }
 }
 
-void
-pool_set_entries (pool_t *pool, uint32_t entries)
+/* The part that this entry has of BOUND requests to UPSTREAM.  */
+static uint32_t
+part_of (const pool_t *pool, upstream_t *upstream, double bound)
 {
-  pool->entries = entries > 0 ? entries : 1;
+  const allotment_t *entries = pool->entries;
+
+  if (entries == NULL)
+    return allotment_part (bound, 0, 1);
+  uint64_t generation = allotment_generation (entries);
+  if (upstream->rank_generation != generation)
+    {
+      upstream->rank = allotment_rank (entries, upstream->id_hash,
+                                       str_from (upstream->zone));
+      upstream->rank_generation = generation;
+    }
+  return allotment_part (bound, upstream->rank, allotment_size (entries));
 }
 
 /* Requests of this entry that UPSTREAM may get in a window.  */
 static uint32_t
-rate_share (const pool_t *pool, const upstream_t *upstream, double cold_per_s,
+rate_share (const pool_t *pool, upstream_t *upstream, double cold_per_s,
             uint64_t now_ms)
 {
-  double all = cold_per_s;
+  bool is_cold = now_ms < upstream->cold_till;
 
+  if (pool->entries != NULL && !allotment_is_known (pool->entries))
+    return is_cold ? 0 : 1;
   /* A warm one may turn cold at any moment; then the bound that counts is
      the higher one that breaks it.  */
-  if (now_ms >= upstream->cold_till)
-    all = (cold_per_s * pool->cold_factor + pool->cold_slack) * warm_shares;
-  double share = all / pool->entries;
-  if (share > POOL_RATE_MAX - 1)
-    return POOL_RATE_MAX - 1;
-  return share < 1 ? 1 : (uint32_t)share;
+  double bound = is_cold ? cold_per_s
+                         : (cold_per_s * pool->cold_factor + pool->cold_slack)
+                               * warm_shares;
+  uint32_t share = part_of (pool, upstream, bound);
+  return share < POOL_RATE_MAX - 1 ? share : POOL_RATE_MAX - 1;
 }
 
 /* Tell whether UPSTREAM had fewer sends in the last window than it may.  */
 static bool
-rate_allows (const pool_t *pool, const upstream_t *upstream, double cold_per_s,
+rate_allows (const pool_t *pool, upstream_t *upstream, double cold_per_s,
              uint64_t now_ms)
 {
   if (cold_per_s <= 0)
     return true;
   uint32_t share = rate_share (pool, upstream, cold_per_s, now_ms);
+  if (share == 0)
+    return false;
   uint64_t oldest = upstream->sends[(upstream->send_at + POOL_RATE_MAX - share)
                                     % POOL_RATE_MAX];
   return oldest == 0 || now_ms - oldest >= POOL_RATE_WINDOW_MS;
@@ -416,8 +434,8 @@
 }
 
 static bool
-has_room (const pool_t *pool, const upstream_t *upstream,
-          const pool_want_t *want, uint64_t now_ms)
+has_room (const pool_t *pool, upstream_t *upstream, const pool_want_t *want,
+          uint64_t now_ms)
 {
   return rate_allows (pool, upstream, want->cold_per_s, now_ms)
          && upstream->running + others_of (upstream, POOL_FULL_FADE_MS, now_ms)
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -11,8 +11,9 @@
      instance queues while its peers idle.
    - A cold instance, which falls over at a rate that a warm one bears: each
      entry may send it at most its own part of what all entries together may
-     send in a second.  Instances turn cold without warning, so the part holds
-     for warm ones too, at the bound that must hold even for a cold one.
+     send in a second (policy/allotment.h).  Instances turn cold without
+     warning, so the part holds for warm ones too, at the bound that must hold
+     even for a cold one.
    - A full instance: its report keeps requests away for POOL_FULL_FADE_MS.
    - An instance that fails: POOL_FAILURES in a row take it out for
      POOL_OUT_FIRST_MS, doubled up to POOL_OUT_LAST_MS.  When all are out, all
@@ -30,6 +31,7 @@
 #include "base/clock.h"
 #include "base/code.h"
 #include "base/str.h"
+#include "policy/allotment.h"
 
 #define POOL_HOT 1.5
 
@@ -89,6 +91,9 @@
 typedef struct
 {
   str_t zone; /* Of this entry.  */
+  /* Who shares what an instance may get; NULL: this entry is alone.  Lives as
+     long as the pool.  */
+  const allotment_t *entries;
   /* A cold instance gets at most rate * factor + slack requests a second from
      all entries together.  */
   double cold_factor;
@@ -144,8 +149,6 @@
 /* Append the withdrawn versions of SERVICE, a space before each.  */
 void pool_write_withdrawn (const pool_t *pool, str_t service, buf_t *out);
 void pool_zone_out (pool_t *pool, str_t zone, bool out);
-/* How many entries share what a cold instance bears; at least 1.  */
-void pool_set_entries (pool_t *pool, uint32_t entries);
 
 /* Choose an instance.  Return VH_OK and *OUT, VH_E_NO_UPSTREAM when none may
    be used, or VH_E_FULL when those that may are full.  */
--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -5,3 +5,4 @@
 # The load patterns, on the queueing model of the bench.
 vh_test (test_load DEPENDS vh_model)
 vh_test (test_escalation DEPENDS vh_policy)
+vh_test (test_allotment DEPENDS vh_policy)
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -4,6 +4,7 @@
 #include "suite.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 
 enum
 {
@@ -13,6 +14,7 @@
 typedef struct
 {
   clock_iface_t *clock;
+  allotment_t *fleet;
   pool_t *pool;
   pool_want_t want;
 } fixture_t;
@@ -34,24 +36,45 @@
   pool_put (f->pool, &info);
 }
 
+/* Make F entry INDEX of COUNT, which are in three zones, with INSTANCES.  */
 static void
-setup (fixture_t *f, int instances)
+setup_one_of (fixture_t *f, int instances, int index, int count)
 {
-  const pool_options_t options
+  pool_options_t options
       = { .zone = STR ("a"), .cold_factor = 1.5, .cold_slack = 5 };
 
   f->clock = clock_manual_create (0);
   clock_manual_advance_us (f->clock, 10000000);
+  for (int i = index; i < index + count; i++)
+    {
+      static const char *const zones[] = { "a", "b", "c" };
+      char name[32];
+      snprintf (name, sizeof name, "entry-%d", i % count);
+      str_t zone = str_from (zones[i % count % 3]);
+      if (i == index)
+        f->fleet = allotment_create (f->clock, str_from (name), zone);
+      else
+        allotment_put (f->fleet, str_from (name), zone);
+    }
+  allotment_read (f->fleet);
+  options.entries = f->fleet;
   f->pool = pool_create (f->clock, 1, &options);
   f->want = (pool_want_t){ .service = STR ("llm") };
   for (int i = 0; i < instances; i++)
     put (f, i, "v1", "a", 0);
 }
 
+static void
+setup (fixture_t *f, int instances)
+{
+  setup_one_of (f, instances, 0, 1);
+}
+
 static void
 teardown (fixture_t *f)
 {
   pool_destroy (f->pool);
+  allotment_destroy (f->fleet);
   clock_manual_destroy (f->clock);
 }
 
@@ -115,9 +138,8 @@
   upstream_t *upstream;
   int sent = 0;
 
-  setup (&f, 0);
+  setup_one_of (&f, 0, 0, 6);
   put (&f, 0, "v1", "a", 5000);
-  pool_set_entries (f.pool, 6);
   f.want.cold_per_s = 14;
   while (pool_choose (f.pool, &f.want, &upstream) == VH_OK)
     {
@@ -132,6 +154,35 @@
 }
 END_TEST
 
+/* Entries that each round their part of a bound up to one request send a cold
+   instance as many as there are entries.  */
+START_TEST (a_cold_instance_bears_any_number_of_entries)
+{
+  static const int fleets[] = { 1, 2, 5, 22, 68, 730 };
+  const int entries = fleets[_i];
+  fixture_t *all = calloc ((size_t)entries, sizeof *all);
+  int sent = 0;
+
+  for (int i = 0; i < entries; i++)
+    {
+      upstream_t *upstream;
+      setup_one_of (&all[i], 0, i, entries);
+      put (&all[i], 0, "v1", "a", 5000);
+      all[i].want.cold_per_s = 10;
+      while (pool_choose (all[i].pool, &all[i].want, &upstream) == VH_OK)
+        {
+          pool_started (all[i].pool, upstream, 0);
+          sent++;
+        }
+    }
+  ck_assert_int_le (sent, 10);
+  ck_assert_int_ge (sent, 9);
+  for (int i = 0; i < entries; i++)
+    teardown (&all[i]);
+  free (all);
+}
+END_TEST
+
 /* A new version with as many instances as the old one gets a tenth of the
    requests.  Spread over all, they leave each idle, and a version that is slow
    or bad under load looks good.  They go to the same few at every entry, and
@@ -356,6 +407,8 @@
 
   tcase_add_test (tcase, a_subject_has_a_home_until_it_is_hot);
   tcase_add_test (tcase, a_cold_instance_gets_its_share_of_requests);
+  tcase_add_loop_test (tcase, a_cold_instance_bears_any_number_of_entries, 0,
+                       6);
   tcase_add_test (tcase, the_first_share_loads_a_few);
   tcase_add_test (tcase, a_failing_instance_is_left_alone);
   tcase_add_test (tcase, versions_zones_and_tried_ones_are_told_apart);
