gateway: one entry asks the store for a large fleet, and evidence goes with the calls

What callers saw: prices.

Cause, from a trial that tells each call: (1) from 32 entries on each zone has a reader of its own; (2) while the store is away each entry finds that out for itself, for each table, 340 calls in two seconds; (3) each entry writes its evidence on a roll-out once a second as a row that five readers tell to all 68.

Change: policy/readers decides without sockets who asks whom. Heads of zones ask a root, so nobody answers more than its zone or the number of zones. Evidence rides on the calls for the table that entries share, is added up at the heads, and is judged by the entry that reads the store; who reads it at the same time, as zones that are cut off do, still tells the others by rows. A call that asks the store in place of a reader is over in 0.8 s, as the evidence stood still for the 8 s of the wait.

--- a/bench/bench_gateway.c
+++ b/bench/bench_gateway.c
@@ -139,9 +139,9 @@
       char name[32];
       trial_set_progress (trial, 1, 1, 1);
       trial_observe (trial, TRIAL_NEW, 1, false, 100);
-      trial_write (trial, &text);
+      trial_write (trial, true, &text);
       for (int i = 0; i < sizes[s]; i++)
-        trial_merge (trial, name_of (name, sizeof name, "entry", i),
+        trial_merge (trial, name_of (name, sizeof name, "entry", i), false,
                      buf_str (&text));
       double begin = cpu_ns ();
       for (int i = 0; i < 200; i++)
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -28,11 +28,11 @@
   INSTANCES_SLACK_MS = 600,
   /* Listings come in bursts; a departure may be acted on within 2 s.  */
   INSTANCES_GAP_MS = 300,
-  /* Entries and evidence: news of half a second are read in one call, and
-     are at every entry before a step holds.  */
+  /* Entries and steps of roll-outs.  Evidence goes with these calls, so the
+     gap bounds how old it is.  */
   OWN_WAIT_MS = 8000,
   OWN_SLACK_MS = 1000,
-  OWN_GAP_MS = 500,
+  OWN_GAP_MS = 150,
   /* In an outage the orders are asked for on behalf of all tables: 22 entries
      that asked for three each made 120 calls a second.  */
   RETRY_LAST_MS = 4000,
@@ -355,6 +355,30 @@
   share_put (share, name, zone, address, (uint32_t)link_mbps);
 }
 
+/* Take in evidence under KEY, evidence/SERVICE/ENTRY, which was TOLD to this
+   entry or is a row.  */
+static void
+take_evidence (duties_t *duties, str_t key, bool told, str_t text)
+{
+  str_t rest;
+  str_t entry;
+
+  if (!str_eq (key_kind (key, &rest), STR ("evidence")))
+    return;
+  str_t service = str_cut (rest, '/', &entry);
+  trial_t *trial = map_get (duties->belief->trials, service);
+  if (trial != NULL && !str_eq (entry, duties->belief->options.name)
+      && trial_merge (trial, entry, told, text) != VH_OK)
+    log_event (EVENT_ROLLOUT_BAD, field_text (FIELD_KEY, key),
+               field_number (FIELD_CODE, VH_E_PROTOCOL));
+}
+
+static void
+on_news (void *arg, str_t key, str_t value)
+{
+  take_evidence (arg, key, true, value);
+}
+
 static void
 on_own_put (void *arg, const rows_row_t *row)
 {
@@ -365,15 +389,7 @@
   if (str_eq (kind, STR ("rollout")))
     take_rollout_row (duties, rest, row);
   else if (str_eq (kind, STR ("evidence")))
-    {
-      str_t entry;
-      str_t service = str_cut (rest, '/', &entry);
-      trial_t *trial = map_get (duties->belief->trials, service);
-      if (trial != NULL && !str_eq (entry, duties->belief->options.name)
-          && trial_merge (trial, entry, row->value) != VH_OK)
-        log_event (EVENT_ROLLOUT_BAD, field_text (FIELD_KEY, row->key),
-                   field_number (FIELD_CODE, VH_E_PROTOCOL));
-    }
+    take_evidence (duties, row->key, false, row->value);
   else if (str_eq (kind, STR ("entry")) && rest.len > 0)
     {
       str_t more;
@@ -547,16 +563,55 @@
 }
 
 static void
-write_evidence (duties_t *duties, str_t service, const trial_t *trial)
+append_evidence_key (const duties_t *duties, str_t service, buf_t *out)
+{
+  buf_append_str (out, STR ("evidence/"));
+  buf_append_str (out, service);
+  buf_append_char (out, '/');
+  buf_append_str (out, duties->belief->options.name);
+}
+
+/* Tell whether this entry has the evidence of others, and is to judge it.  One
+   that cannot reach the store still judges what it saw.  */
+static bool
+is_judge (duties_t *duties)
+{
+  return duties->share == NULL || share_reads (duties->share);
+}
+
+/* What the entry that reads for this one is told of the roll-outs.  */
+static size_t
+list_news (void *arg, bool tells, share_item_t *items, size_t most)
+{
+  duties_t *duties = arg;
+  size_t count = 0;
+  size_t cursor = 0;
+  str_t service;
+  void *value;
+
+  while (count < most
+         && map_next (duties->belief->trials, &cursor, &service, &value))
+    {
+      trial_t *trial = value;
+      if (trial_phase (trial) != TRIAL_RUNNING
+          || trial_step (trial) == TRIAL_STEP_HELD)
+        continue;
+      append_evidence_key (duties, service, &items[count].key);
+      trial_write (trial, tells, &items[count++].value);
+    }
+  return count;
+}
+
+/* Tell other entries that read the store, as in other zones that are cut off
+   from this one.  */
+static void
+write_evidence (duties_t *duties, str_t service, trial_t *trial)
 {
   buf_t key = BUF_NULL;
   buf_t value = BUF_NULL;
 
-  buf_append_str (&key, STR ("evidence/"));
-  buf_append_str (&key, service);
-  buf_append_char (&key, '/');
-  buf_append_str (&key, duties->belief->options.name);
-  trial_write (trial, &value);
+  append_evidence_key (duties, service, &key);
+  trial_write (trial, true, &value);
   rows_write_t write = { .table = ROWS_OWN,
                          .key = buf_str (&key),
                          .value = buf_str (&value) };
@@ -573,6 +628,9 @@
   uint64_t now_ms = follow_store_ms (duties->belief->orders);
   bool alone = follow_down (duties->belief->orders);
   buf_t why = BUF_NULL;
+
+  if (!alone && !is_judge (duties))
+    return;
   trial_verdict_t verdict = trial_judge (trial, now_ms, alone, &why);
 
   switch (verdict)
@@ -622,7 +680,7 @@
                    trial_step (trial), trial_from (trial));
   else if (duties->ticks % TICKS_PER_S == 0
            && trial_phase (trial) == TRIAL_RUNNING && trial_step (trial) > 0
-           && trial_dirty (trial))
+           && trial_dirty (trial) && is_judge (duties))
     write_evidence (duties, service, trial);
 }
 
@@ -708,12 +766,15 @@
   static const follow_events_t order_events
       = { on_order_put, on_order_removed, on_orders_caught_up,
           on_orders_reach };
+  static const share_news_t news = { list_news, on_news };
   duties_t *duties = mem_zalloc (sizeof *duties);
 
   duties->belief = belief;
   duties->rows = rows;
   duties->share = share;
   duties->rollout_rows = map_create ();
+  if (share != NULL)
+    share_set_news (share, &news, duties);
   duties->loader = loader_create (belief->loop, belief->dialect->read_catalog,
                                   on_catalog, duties);
   belief->orders
--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -4,6 +4,7 @@
 #include "base/map.h"
 #include "base/mem.h"
 #include "gateway/rowcache.h"
+#include "policy/readers.h"
 #include "wire/deflate.h"
 #include "wire/rpc.h"
 
@@ -16,27 +17,16 @@
   /* A reader waits so long for news for an asker: short against the age that
      a confirmation may have.  */
   ASK_WAIT_MS = 700,
+  /* One that tells others in turn waits shorter, as the waits add up.  */
+  TELLER_WAIT_MS = 350,
   /* More than that, and the store is asked as well: a turn of a slow machine
      and both ways.  */
   ASK_SLACK_MS = 350,
   /* A reader that takes in a large table is busy for some tenths of a second;
      whichever answers first is taken.  */
   BUSY_READER_MS = 1000,
-  /* A reader without an answer is passed over so long: it restarts in about a
-     second.  */
-  BAD_MS = 3000,
-  /* One that answers that it cannot read now, so long: it has just started,
-     or lost the store for a moment.  */
-  UNFIT_MS = 500,
-  /* An entry that could not read the store itself leaves it to others so
-     long.  */
-  DOWN_MS = 1500,
-  /* Up to so many entries share one reader over all zones: each asks some
-     three times a second, half a percent of a small machine's core in all.  */
-  FLEET_MAX = 32,
-  /* After one of another zone did not answer, readers are looked for at home
-     so long: then the zones are cut off from each other.  */
-  HOME_MS = 10000,
+  /* Entries asked for one answer, one after the other.  */
+  ASKED_MAX = 3,
   /* Askers of a reader must not find its confirmation old.  */
   READER_WAIT_MS = 800
 };
@@ -44,11 +34,7 @@
 typedef struct
 {
   char *name;
-  char *zone;
   char *address;
-  uint32_t link_mbps;
-  uint64_t hash;
-  uint64_t bad_till_ms;
   rpc_peer_t *peer; /* Made when first asked.  */
 } entry_t;
 
@@ -65,7 +51,8 @@
   uint64_t timeout_ms;
   uint64_t asked_ms;  /* By boot time.  */
   uint64_t stored_ms; /* The same, of the store.  */
-  char *reader;       /* Name of the entry asked.  */
+  char *reader;       /* Name of the entry asked last.  */
+  unsigned asked;     /* How many, one after the other.  */
   rpc_call_t *call;   /* To it; NULL: none is out.  */
   uint64_t hedge_ms;  /* When the store is asked as well.  */
   enum
@@ -94,19 +81,17 @@
   clock_iface_t *clock;
   rows_t *store;
   char *name;
-  char *zone;
-  uint32_t link_mbps;
-  uint64_t hash; /* Of NAME.  */
   rpc_node_t *node;
   rpc_server_t *server;
+  readers_t *readers;
   map_t *entries;
+  share_news_t news;
+  void *news_arg;
   rowcache_t *caches[TABLES];
   list_t pending;
   list_t waiters;
   uv_timer_t tick;
   bool leaving;
-  uint64_t home_till_ms; /* Readers of other zones are not asked.  */
-  uint64_t down_till_ms; /* The store did not answer this entry.  */
 };
 
 static uint64_t
@@ -134,68 +119,13 @@
     answer_waiters (share, pending->table);
 }
 
-/* Who reads.  */
-
-static uint64_t
-hash_of (str_t name)
-{
-  return str_hash (name, 5);
-}
-
-/* Tell whether an entry with LINK_MBPS and HASH reads rather than OTHER.  The
-   widest link goes first, as a reader tells the rows to all others; those of
-   one width are told apart by a hash.  */
-static bool
-reads_before (uint32_t link_mbps, uint64_t hash, const entry_t *other)
-{
-  return link_mbps != other->link_mbps ? link_mbps > other->link_mbps
-                                       : hash < other->hash;
-}
-
-static bool
-is_home (const share_t *share, const entry_t *entry)
-{
-  return str_eq (str_from (entry->zone), str_from (share->zone));
-}
-
-/* Tell whether ENTRY may be asked now.  */
-static bool
-may_ask (const share_t *share, const entry_t *entry, uint64_t now_ms)
-{
-  bool home
-      = now_ms < share->home_till_ms || map_size (share->entries) >= FLEET_MAX;
-
-  return now_ms >= entry->bad_till_ms && (!home || is_home (share, entry));
-}
-
-/* The entry that reads for this one, or NULL when it reads itself.  */
-static entry_t *
-reader (share_t *share)
-{
-  uint64_t now_ms = clock_ms (share->clock);
-  bool unfit = share->leaving || now_ms < share->down_till_ms;
-  entry_t *found = NULL;
-  size_t cursor = 0;
-  str_t key;
-  void *value;
-
-  while (map_next (share->entries, &cursor, &key, &value))
-    {
-      entry_t *entry = value;
-      if (!may_ask (share, entry, now_ms)
-          || (found != NULL
-              && reads_before (found->link_mbps, found->hash, entry))
-          || (!unfit && reads_before (share->link_mbps, share->hash, entry)))
-        continue;
-      found = entry;
-    }
-  return found;
-}
-
 bool
 share_reads (share_t *share)
 {
-  return !share->leaving && reader (share) == NULL;
+  void *owner;
+
+  return !share->leaving
+         && readers_choose (share->readers, &owner) == READS_STORE;
 }
 
 /* Serving.  */
@@ -247,6 +177,43 @@
     }
 }
 
+/* Tell whether this entry answers one that TELLS others in turn, or does not.
+   What is told comes from the store by two hands at most: beliefs must not age
+   on the way.  */
+static bool
+may_tell (share_t *share, bool tells)
+{
+  void *owner;
+
+  if (share->leaving)
+    return false;
+  if (readers_hears (share->readers))
+    return true;
+  switch (readers_choose (share->readers, &owner))
+    {
+    case READS_STORE:
+      return true;
+    case READS_ROOT:
+      return !tells;
+    case READS_HEAD:
+      break;
+    }
+  return false;
+}
+
+/* Pass on what ASK brought besides.  */
+static void
+take_news (const share_t *share, const wire_rows_args_t *ask)
+{
+  for (u_int i = 0; i < ask->news.news_len && share->news.take != NULL; i++)
+    {
+      const wire_news_t *news = &ask->news.news_val[i];
+      share->news.take (
+          share->news_arg, str_from (news->key),
+          str_make (news->value.value_val, news->value.value_len));
+    }
+}
+
 static void
 on_request (void *arg, rpc_request_t *request, uint32_t proc, void *args)
 {
@@ -259,10 +226,10 @@
       return;
     }
   const rowcache_t *cache = share->caches[ask->table];
-  /* Only one that asks the store itself answers others: beliefs must not age
-     from hand to hand.  */
-  if (!rowcache_is_complete (cache) || rowcache_is_down (cache)
-      || !share_reads (share))
+  bool tells = may_tell (share, ask->tells);
+  if (tells)
+    take_news (share, ask);
+  if (!rowcache_is_complete (cache) || rowcache_is_down (cache) || !tells)
     reply_code (request, VH_E_STORE_DOWN);
   else if (ask->whole)
     reply_rows (share, request, ask->table, 0, true);
@@ -325,30 +292,17 @@
   cb (arg, code, result);
 }
 
-/* ENTRY was asked and could not say, or was SILENT.  */
-static void
-set_bad (share_t *share, entry_t *entry, bool silent)
-{
-  uint64_t now_ms = clock_ms (share->clock);
-
-  entry->bad_till_ms = now_ms + (silent ? BAD_MS : UNFIT_MS);
-  if (silent && !is_home (share, entry))
-    share->home_till_ms = now_ms + HOME_MS;
-}
-
 /* The reader that PENDING asked is not to be asked for a while.  */
 static void
 reader_failed (const pending_t *pending, vh_code_t code, bool silent)
 {
   share_t *share = pending->share;
-  entry_t *entry = map_get (share->entries, str_from (pending->reader));
 
   log_event (
       EVENT_READER, field_text (FIELD_READER, str_from (pending->reader)),
       field_number (FIELD_CODE, code),
       field_number (FIELD_TOOK_MS, boot_ms (share) - pending->asked_ms));
-  if (entry != NULL)
-    set_bad (share, entry, silent);
+  readers_failed (share->readers, str_from (pending->reader), silent);
 }
 
 static void
@@ -366,10 +320,12 @@
   else
     {
       rowcache_lost (cache);
-      share->down_till_ms = clock_ms (share->clock) + DOWN_MS;
+      readers_store_said (share->readers, false);
       if (pending->call != NULL)
         return;
     }
+  if (code == VH_OK)
+    readers_store_said (share->readers, true);
   if (pending->call != NULL)
     reader_failed (pending, VH_E_TIMEOUT, true);
   pending_end (pending, code, result);
@@ -384,8 +340,9 @@
 
   pending->store = STORE_ASKED;
   pending->stored_ms = boot_ms (share);
-  if (pending->table == ROWS_ORDERS && map_size (share->entries) > 0
-      && wait_ms > READER_WAIT_MS)
+  /* One that asks in place of its reader goes back to it soon.  */
+  if ((pending->table == ROWS_ORDERS || pending->reader != NULL)
+      && map_size (share->entries) > 0 && wait_ms > READER_WAIT_MS)
     wait_ms = READER_WAIT_MS;
   if (pending->is_read)
     share->store->ops->read (share->store, pending->table, from,
@@ -448,6 +405,31 @@
   return code;
 }
 
+static void ask_reader (pending_t *pending, entry_t *entry, bool tells);
+
+/* The reader of PENDING answered that it cannot tell: ask another, then the
+   store, and give up when none is to be asked now.  */
+static void
+ask_further (pending_t *pending)
+{
+  share_t *share = pending->share;
+  entry_t *next = readers_next (share->readers);
+
+  if (next != NULL && pending->asked < ASKED_MAX
+      && strcmp (next->name, pending->reader) != 0)
+    {
+      ask_reader (pending, next, true);
+      return;
+    }
+  if (readers_may_probe (share->readers))
+    {
+      ask_store (pending, STR (""));
+      return;
+    }
+  rowcache_lost (share->caches[pending->table]);
+  pending_end (pending, VH_E_STORE_DOWN, NULL);
+}
+
 static void
 on_answer (void *arg, vh_code_t code, void *result, unsigned sent)
 {
@@ -469,8 +451,10 @@
       return;
     }
   reader_failed (pending, code, silent);
-  if (pending->store == STORE_UNASKED)
+  if (pending->store == STORE_UNASKED && silent)
     ask_store (pending, STR (""));
+  else if (pending->store == STORE_UNASKED)
+    ask_further (pending);
   else if (pending->store == STORE_ANSWERED)
     pending_end (pending, VH_E_STORE_DOWN, NULL);
 }
@@ -488,18 +472,17 @@
     }
 }
 
-/* Ask the reader of the zone.  */
+/* Ask ENTRY, whose answer this entry TELLS others, or does not.  */
 static void
-ask_reader (pending_t *pending, entry_t *entry)
+ask_reader (pending_t *pending, entry_t *entry, bool tells)
 {
   static const rpc_peer_events_t none = { NULL, NULL };
   share_t *share = pending->share;
-  uint64_t wait_ms
-      = pending->wait_ms < ASK_WAIT_MS ? pending->wait_ms : ASK_WAIT_MS;
-  wire_rows_args_t args = { .table = pending->table,
-                            .after = pending->after,
-                            .wait_ms = (u_int)wait_ms,
-                            .whole = pending->is_read };
+  uint64_t most_ms = tells ? TELLER_WAIT_MS : ASK_WAIT_MS;
+  uint64_t wait_ms = pending->wait_ms < most_ms ? pending->wait_ms : most_ms;
+  share_item_t items[WIRE_NEWS_MAX] = { 0 };
+  wire_news_t news[WIRE_NEWS_MAX];
+  size_t count = 0;
 
   if (entry->peer == NULL)
     entry->peer = rpc_peer_create (share->node, str_from (entry->address),
@@ -509,11 +492,48 @@
       ask_store (pending, STR (""));
       return;
     }
+  if (pending->table == ROWS_OWN && share->news.list != NULL)
+    count = share->news.list (share->news_arg, tells, items, WIRE_NEWS_MAX);
+  for (size_t i = 0; i < count; i++)
+    {
+      buf_append_char (&items[i].key, '\0');
+      news[i] = (wire_news_t){ .key = items[i].key.ptr,
+                               .value = { (u_int)items[i].value.len,
+                                          items[i].value.ptr } };
+    }
+  wire_rows_args_t args = { .table = pending->table,
+                            .after = pending->after,
+                            .wait_ms = (u_int)wait_ms,
+                            .whole = pending->is_read,
+                            .tells = tells,
+                            .news = { (u_int)count, news } };
+  free (pending->reader);
   pending->reader = str_dup (str_from (entry->name));
+  pending->asked++;
+  pending->asked_ms = boot_ms (share);
   pending->hedge_ms = clock_ms (share->clock) + wait_ms + ASK_SLACK_MS;
   pending->call = rpc_peer_call (entry->peer, WIRE_ROWS, &args,
                                  wait_ms + ASK_SLACK_MS + BUSY_READER_MS,
                                  on_answer, pending);
+  for (size_t i = 0; i < count; i++)
+    {
+      buf_free (&items[i].key);
+      buf_free (&items[i].value);
+    }
+}
+
+/* Ask whoever is to be asked for PENDING, from row FROM on.  */
+static void
+ask (pending_t *pending, str_t from)
+{
+  void *entry;
+  readers_role_t role = readers_choose (pending->share->readers, &entry);
+
+  /* A page of the store can only be followed by its next one.  */
+  if (role == READS_STORE || (pending->is_read && !pending->first_page))
+    ask_store (pending, from);
+  else
+    ask_reader (pending, entry, role == READS_ROOT);
 }
 
 static pending_t *
@@ -538,14 +558,10 @@
 {
   share_t *share = (share_t *)rows;
   pending_t *pending = pending_create (share, table, timeout_ms, cb, arg);
-  entry_t *entry = reader (share);
 
   pending->is_read = true;
   pending->first_page = from.len == 0;
-  if (entry != NULL && pending->first_page)
-    ask_reader (pending, entry);
-  else
-    ask_store (pending, from);
+  ask (pending, from);
 }
 
 static void
@@ -554,14 +570,10 @@
 {
   share_t *share = (share_t *)rows;
   pending_t *pending = pending_create (share, table, timeout_ms, cb, arg);
-  entry_t *entry = reader (share);
 
   pending->after = after;
   pending->wait_ms = wait_ms;
-  if (entry != NULL)
-    ask_reader (pending, entry);
-  else
-    ask_store (pending, STR (""));
+  ask (pending, STR (""));
 }
 
 static void
@@ -601,7 +613,6 @@
 {
   rpc_peer_destroy (entry->peer);
   free (entry->name);
-  free (entry->zone);
   free (entry->address);
   free (entry);
 }
@@ -611,6 +622,7 @@
 {
   entry_t *entry = map_remove (share->entries, name);
 
+  readers_remove (share->readers, name);
   if (entry != NULL)
     entry_free (entry);
 }
@@ -628,17 +640,23 @@
   share_remove (share, name);
   entry = mem_zalloc (sizeof *entry);
   entry->name = str_dup (name);
-  entry->zone = str_dup (zone);
   entry->address = str_dup (address);
-  entry->link_mbps = link_mbps;
-  entry->hash = hash_of (name);
   map_put (share->entries, name, entry);
+  readers_put (share->readers, name, zone, link_mbps, entry);
 }
 
 void
 share_leave (share_t *share)
 {
   share->leaving = true;
+  readers_leave (share->readers);
+}
+
+void
+share_set_news (share_t *share, const share_news_t *news, void *arg)
+{
+  share->news = *news;
+  share->news_arg = arg;
 }
 
 rows_t *
@@ -682,9 +700,8 @@
   share->clock = clock;
   share->store = store;
   share->name = str_dup (options->name);
-  share->zone = str_dup (options->zone);
-  share->link_mbps = options->link_mbps;
-  share->hash = hash_of (options->name);
+  share->readers = readers_create (clock, seed, options->name, options->zone,
+                                   options->link_mbps);
   share->entries = map_create ();
   list_init (&share->pending);
   list_init (&share->waiters);
@@ -733,6 +750,6 @@
   for (size_t i = 0; i < TABLES; i++)
     rowcache_destroy (share->caches[i]);
   free (share->name);
-  free (share->zone);
+  readers_destroy (share->readers);
   uv_close ((uv_handle_t *)&share->tick, on_tick_closed);
 }
--- a/packages/gateway/share.h
+++ b/packages/gateway/share.h
@@ -1,20 +1,22 @@
 /* Entries read the platform's store for each other.
 
    Answers: many entries that each wait for changes at a store with a bound on
-   calls, where each call has a price.  One entry, the one with the widest link
-   of those listed, asks the store; the others ask it, over ONC RPC, with the
-   same calls.  When entries are many, or zones do not hear each other, each
-   availability zone has a reader of its own.  Without this the calls grow with
-   the entries: 22 of them made 92 a second, 730 would make 3,000 of the 2,000
-   that the store allows.
-
-   Who reads is nobody's appointment: each entry works it out from the listed
-   entries and from those that did not answer it of late.  Whoever has no
-   answer in time asks the store beside the reader and takes what comes first,
-   so that a reader that died, hangs or lost the store costs its askers one
+   calls, where each call has a price.  One entry asks the store; the others
+   ask it, or in a large fleet the one of their zone that does, over ONC RPC
+   with the same calls.  Without this the calls grow with the entries: 730
+   would make 3,000 of the 2,000 a second that the store allows.  Who asks whom
+   is worked out by policy/readers.h.
+
+   Whoever has no answer in time asks the store beside the reader and takes
+   what comes first, so that a reader that died or hangs costs its askers one
    wait, and nothing depends on agreement.  An entry that cannot reach the
    store is served by one that can.
 
+   What entries tell each other and no operator needs to read goes with the
+   calls, from each entry to the one that reads for it, and from there on: as
+   rows of the store it would be a write for each entry, and a row of each told
+   to each.
+
    An answer bears the age of the store's confirmation at the reader; the asker
    counts it from when it asked.  So no belief looks younger than it is.  */
 
@@ -38,6 +40,22 @@
   uint32_t link_mbps; /* Of this instance; 0: not known.  */
 } share_options_t;
 
+/* Something for the entry that reads for this one.  */
+typedef struct
+{
+  buf_t key;
+  buf_t value;
+} share_item_t;
+
+typedef struct
+{
+  /* Fill up to MOST ITEMS, which the caller frees; return how many.  TELLS:
+     with what others told this entry.  */
+  size_t (*list) (void *arg, bool tells, share_item_t *items, size_t most);
+  /* Another entry told KEY.  */
+  void (*take) (void *arg, str_t key, str_t value);
+} share_news_t;
+
 /* STORE outlives the share; strings are copied.  Return VH_OK and *OUT, or
    VH_E_IO when it cannot listen.  */
 vh_code_t share_create (uv_loop_t *loop, clock_iface_t *clock, uint64_t seed,
@@ -54,9 +72,12 @@
 void share_put (share_t *share, str_t name, str_t zone, str_t address,
                 uint32_t link_mbps);
 void share_remove (share_t *share, str_t name);
+/* What goes along with the calls for table ROWS_OWN.  */
+void share_set_news (share_t *share, const share_news_t *news, void *arg);
 /* Read for nobody from now on: a planned stop has begun.  */
 void share_leave (share_t *share);
-/* Tell whether this entry asks the store itself.  */
+/* Tell whether this entry asks the store itself, and so has what all others
+   tell.  */
 bool share_reads (share_t *share);
 
 #endif
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -38,6 +38,8 @@
 {
   trial_sums_t sums[TRIAL_ARMS][TRIAL_CELLS];
   uint32_t old_running;
+  bool told; /* By a peer to this entry.  */
+  unsigned age_s;
 } evidence_t;
 
 /* Sums over the logarithms of the old version's times at one load.  */
@@ -324,7 +326,10 @@
       usual[i].log_ms *= TRIAL_KEEP_S;
     }
   while (map_next (trial->peers, &cursor, &key, &value))
-    evidence_fade (value);
+    {
+      evidence_fade (value);
+      ((evidence_t *)value)->age_s++;
+    }
 }
 
 void
@@ -341,16 +346,40 @@
   return trial->dirty;
 }
 
+/* Add what the peers said, with TOLD_ONLY what they told this entry.  */
+static evidence_t
+gather (const trial_t *trial, bool told_only)
+{
+  evidence_t all = trial->own;
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (trial->peers, &cursor, &key, &value))
+    {
+      const evidence_t *peer = value;
+      if (peer->age_s > TRIAL_PEER_S || (told_only && !peer->told))
+        continue;
+      all.old_running += peer->old_running;
+      for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
+        for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+          sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
+    }
+  return all;
+}
+
 /* One line: the order, what runs on the old version, then the sums.  */
 void
-trial_write (const trial_t *trial, buf_t *out)
+trial_write (trial_t *trial, bool all, buf_t *out)
 {
+  const evidence_t evidence = all ? gather (trial, true) : trial->own;
+
   buf_printf (out, "%llu %u", (unsigned long long)trial->order,
-              trial->own.old_running);
+              evidence.old_running);
   for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
     for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
       {
-        const trial_sums_t *sums = &trial->own.sums[arm][cell];
+        const trial_sums_t *sums = &evidence.sums[arm][cell];
         buf_printf (out, " %.2f %.2f %.2f %.3f %.3f", sums->count,
                     sums->failed, sums->waits, sums->log_wait,
                     sums->log_wait_squared);
@@ -358,7 +387,7 @@
           buf_printf (out, " %.2f %.2f", sums->timed[timing],
                       sums->late[timing]);
       }
-  ((trial_t *)trial)->dirty = false;
+  trial->dirty = false;
 }
 
 /* Read the next number of *REST.  */
@@ -372,9 +401,9 @@
 }
 
 vh_code_t
-trial_merge (trial_t *trial, str_t entry, str_t text)
+trial_merge (trial_t *trial, str_t entry, bool told, str_t text)
 {
-  evidence_t got = { 0 };
+  evidence_t got = { .told = told };
   double order;
   double running;
 
@@ -405,29 +434,11 @@
       map_put (trial->peers, entry, peer);
     }
   *peer = got;
+  if (told)
+    trial->dirty = true;
   return VH_OK;
 }
 
-/* Add up what is known of all entries.  */
-static evidence_t
-gather (const trial_t *trial)
-{
-  evidence_t all = trial->own;
-  size_t cursor = 0;
-  str_t key;
-  void *value;
-
-  while (map_next (trial->peers, &cursor, &key, &value))
-    {
-      const evidence_t *peer = value;
-      all.old_running += peer->old_running;
-      for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
-        for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
-          sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
-    }
-  return all;
-}
-
 /* Share of the old version's COUNT answers that FAILED, with twenty imagined
    ones of which one failed: an arm without answers, as when all requests go to
    the new version, must neither claim certainty nor hide a bad one.  */
@@ -520,7 +531,7 @@
 trial_verdict_t
 trial_judge (const trial_t *trial, uint64_t now_ms, bool alone, buf_t *why)
 {
-  evidence_t all = gather (trial);
+  evidence_t all = gather (trial, false);
   trial_sums_t sums[TRIAL_ARMS] = { 0 };
 
   if (trial->phase != TRIAL_RUNNING || trial->start_ms == 0)
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -12,9 +12,10 @@
      half these may not change their version.
    - A step is left only while the store answers: an outage must not carry a
      version to everybody while the evidence against it stays home.
-   - Evidence is the answers of both versions in cells by route, shared by all
-     entries and forgotten with a half-life of about 4 s, so that a version
-     that turns bad late is not covered by its good start.
+   - Evidence is the answers of both versions in cells by route, added up on
+   the way to the entry that reads the store for the others, which judges it,
+   and forgotten with a half-life of about 4 s, so that a version that turns
+   bad late is not covered by its good start.
    - An instance that crashes ends all its requests, at each entry: one event
      that looks like many failures of its version.  A broken connection counts
      as TRIAL_BREAK of an answer, with which a version that breaks half of its
@@ -111,6 +112,9 @@
   /* A step in force is read by all entries within a second of its writing,
      and a second of answers must be judged before the next.  */
   TRIAL_NOTICE_MS = 1000,
+  /* Entries tell what they saw each second, and one that turns to another
+     reader must not be counted by both for long.  */
+  TRIAL_PEER_S = 4,
   TRIAL_STEP_MS_MIN = 1500
 };
 
@@ -206,9 +210,11 @@
 /* Requests of this entry that run on the old version.  */
 void trial_old_running (trial_t *trial, uint32_t running);
 
-/* What this entry tells the others, and what another one told.  */
-void trial_write (const trial_t *trial, buf_t *out);
-vh_code_t trial_merge (trial_t *trial, str_t entry, str_t text);
+/* What this entry tells: what it saw and, with ALL, what others told it.  */
+void trial_write (trial_t *trial, bool all, buf_t *out);
+/* ENTRY says TEXT: TOLD to this entry, or where all can read it.  It counts
+   until TRIAL_PEER_S seconds went by without another word.  */
+vh_code_t trial_merge (trial_t *trial, str_t entry, bool told, str_t text);
 /* Tell whether anything was observed since the last write.  */
 bool trial_dirty (const trial_t *trial);
 
--- a/packages/wire/proto/wire.h
+++ b/packages/wire/proto/wire.h
@@ -23,6 +23,7 @@
 #define WIRE_BILLS_MAX 1000
 #define WIRE_SUSPECTS_MAX 256
 #define WIRE_ROWS_MAX 20000
+#define WIRE_NEWS_MAX 64
 #define WIRE_MAC_LEN 16
 
 typedef char *wire_name_t;
@@ -282,11 +283,25 @@
 };
 typedef struct wire_status_res_t wire_status_res_t;
 
+struct wire_news_t {
+	wire_name_t key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct wire_news_t wire_news_t;
+
 struct wire_rows_args_t {
 	u_int table;
 	u_quad_t after;
 	u_int wait_ms;
 	bool_t whole;
+	bool_t tells;
+	struct {
+		u_int news_len;
+		wire_news_t *news_val;
+	} news;
 };
 typedef struct wire_rows_args_t wire_rows_args_t;
 
@@ -447,6 +462,7 @@
 extern  bool_t xdr_wire_evidence_res_t (XDR *, wire_evidence_res_t*);
 extern  bool_t xdr_wire_order_args_t (XDR *, wire_order_args_t*);
 extern  bool_t xdr_wire_status_res_t (XDR *, wire_status_res_t*);
+extern  bool_t xdr_wire_news_t (XDR *, wire_news_t*);
 extern  bool_t xdr_wire_rows_args_t (XDR *, wire_rows_args_t*);
 extern  bool_t xdr_wire_row_t (XDR *, wire_row_t*);
 extern  bool_t xdr_wire_rows_res_t (XDR *, wire_rows_res_t*);
@@ -481,6 +497,7 @@
 extern bool_t xdr_wire_evidence_res_t ();
 extern bool_t xdr_wire_order_args_t ();
 extern bool_t xdr_wire_status_res_t ();
+extern bool_t xdr_wire_news_t ();
 extern bool_t xdr_wire_rows_args_t ();
 extern bool_t xdr_wire_row_t ();
 extern bool_t xdr_wire_rows_res_t ();
--- a/packages/wire/proto/wire.x
+++ b/packages/wire/proto/wire.x
@@ -15,6 +15,7 @@
 const WIRE_BILLS_MAX = 1000;
 const WIRE_SUSPECTS_MAX = 256;
 const WIRE_ROWS_MAX = 20000;
+const WIRE_NEWS_MAX = 64;
 const WIRE_MAC_LEN = 16;
 
 typedef string wire_name_t<WIRE_NAME_MAX>;
@@ -250,6 +251,13 @@
   opaque json<WIRE_TEXT_MAX>;
 };
 
+/* What the asker would else write to the store for the asked to read.  */
+struct wire_news_t
+{
+  wire_name_t key;
+  opaque value<WIRE_TEXT_MAX>;
+};
+
 /* Rows of a table of the platform's store, as the asked process knows them.  */
 struct wire_rows_args_t
 {
@@ -257,6 +265,8 @@
   unsigned hyper after;    /* Store version that the asker knows.  */
   unsigned int wait_ms;    /* Longest wait for news.  */
   bool whole;              /* All live rows, whatever AFTER is.  */
+  bool tells;              /* The asker tells others what it is told.  */
+  wire_news_t news<WIRE_NEWS_MAX>;
 };
 
 struct wire_row_t
--- a/packages/wire/proto/wire_xdr.c
+++ b/packages/wire/proto/wire_xdr.c
@@ -712,11 +712,72 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_news_t (XDR *xdrs, wire_news_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, WIRE_TEXT_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_rows_args_t (XDR *xdrs, wire_rows_args_t *objp)
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->table))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->after))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->tells))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->wait_ms);
+		IXDR_PUT_BOOL(buf, objp->whole);
+		IXDR_PUT_BOOL(buf, objp->tells);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, WIRE_NEWS_MAX,
+			sizeof (wire_news_t), (xdrproc_t) xdr_wire_news_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->table))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->after))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->tells))
+				 return FALSE;
+
+		} else {
+		objp->wait_ms = IXDR_GET_U_LONG(buf);
+		objp->whole = IXDR_GET_BOOL(buf);
+		objp->tells = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, WIRE_NEWS_MAX,
+			sizeof (wire_news_t), (xdrproc_t) xdr_wire_news_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->table))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->after))
@@ -725,6 +786,11 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->whole))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->tells))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->news.news_val, (u_int *) &objp->news.news_len, WIRE_NEWS_MAX,
+		sizeof (wire_news_t), (xdrproc_t) xdr_wire_news_t))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -370,11 +370,12 @@
       trial_observe (one, TRIAL_NEW, 1, i % 2 == 0, 100);
     }
   ck_assert_int_eq (trial_judge (other, START_MS, false, &why), TRIAL_WAIT);
-  trial_write (one, &text);
-  ck_assert_int_eq (trial_merge (other, STR ("one"), buf_str (&text)), VH_OK);
+  trial_write (one, true, &text);
+  ck_assert_int_eq (trial_merge (other, STR ("one"), false, buf_str (&text)),
+                    VH_OK);
   ck_assert_int_eq (trial_judge (other, START_MS, true, &why),
                     TRIAL_TAKE_BACK);
-  ck_assert_int_eq (trial_merge (other, STR ("one"), STR ("7 x")),
+  ck_assert_int_eq (trial_merge (other, STR ("one"), false, STR ("7 x")),
                     VH_E_PROTOCOL);
   buf_free (&text);
   buf_free (&why);
