gateway: first events of instances without a read prompt do not condemn a version

Cause: the first share goes to instances that have read no prompt yet, so their first events come late: late first events: 6 of 17, the old version 62 of 1465, 2.2 s after the first share.

Change: first events of the new version count from a second of its first share on.

--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -84,7 +84,7 @@
 
   if (trial != NULL)
     trial_time (trial, relay_arm (relay), trial_route (relay), timing,
-                relay->load, ms);
+                relay->load, ms, follow_store_ms (relay->belief->orders));
 }
 
 /* Let go of the present send.  */
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -112,6 +112,9 @@
   /* A step in force is read by all entries within a second of its writing,
      and a second of answers must be judged before the next.  */
   TRIAL_NOTICE_MS = 1000,
+  /* Instances that get their first requests have read no prompt yet: their
+     first events say nothing of the version for so long.  */
+  TRIAL_WARM_MS = 1000,
   /* Entries tell what they saw each second, and one that turns to another
      reader must not be counted by both for long.  */
   TRIAL_PEER_S = 4,
@@ -202,9 +205,10 @@
 void trial_observe (trial_t *trial, trial_arm_t arm, uint64_t route,
                     trial_outcome_t outcome, uint64_t wait_ms);
 /* A send on a route with hash ROUTE took MS for TIMING at an instance with
-   LOAD requests, of all entries.  */
+   LOAD requests, of all entries, until NOW_MS of the store's clock.  */
 void trial_time (trial_t *trial, trial_arm_t arm, uint64_t route,
-                 trial_timing_t timing, uint32_t load, double ms);
+                 trial_timing_t timing, uint32_t load, double ms,
+                 uint64_t now_ms);
 /* Forget by one second.  */
 void trial_fade (trial_t *trial);
 /* Requests of this entry that run on the old version.  */
