gateway: failures of loaded instances are judged by themselves

What callers saw: a version that fails four of ten requests at instances with half of their slots running is declared done on the large fleet (EXPOSURE).

Cause: it fails one answer in twenty to ten over all; what counts against a version is 0.15 more than the old one's share, in cells by route.

Change: the answers of instances that said that they run requests in half of their slots or more have a cell of their own, over all routes.

--- a/bench/bench_gateway.c
+++ b/bench/bench_gateway.c
@@ -138,7 +138,7 @@
       buf_t why = BUF_NULL;
       char name[32];
       trial_set_progress (trial, 1, 1, 1);
-      trial_observe (trial, TRIAL_NEW, 1, false, 100);
+      trial_observe (trial, TRIAL_NEW, 1, false, 100, false);
       trial_write (trial, true, &text);
       for (int i = 0; i < sizes[s]; i++)
         trial_merge (trial, name_of (name, sizeof name, "entry", i), false,
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -114,6 +114,7 @@
   relay->last_ms = now_ms;
   relay->send_events = 0;
   relay->load = upstream_running (relay->upstream);
+  relay->is_loaded = false;
   relay->is_ok = false;
   relay->broke = false;
   relay->unsent = false;
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -73,7 +73,7 @@
                  outcome == SEND_OK ? TRIAL_ANSWERED
                  : relay->broke     ? TRIAL_BROKE
                                     : TRIAL_FAILED,
-                 wait_ms);
+                 wait_ms, relay->is_loaded);
 }
 
 /* Tell the trial of the service how long the present send took for TIMING.  */
--- a/packages/gateway/relay_hear.c
+++ b/packages/gateway/relay_hear.c
@@ -208,6 +208,7 @@
   if (count == 3)
     {
       relay->load = (uint32_t)(numbers[0] + numbers[1]);
+      relay->is_loaded = numbers[0] * 2 >= numbers[2];
       pool_load (relay->belief->pool, relay->upstream, (uint32_t)numbers[0],
                  (uint32_t)numbers[1], (uint32_t)numbers[2]);
     }
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -53,7 +53,8 @@
   uint64_t head_ms; /* Of the answer's head.  */
   uint64_t last_ms; /* Something came.  */
   uint64_t send_events;
-  uint32_t load; /* Of the upstream when it answered.  */
+  uint32_t load;  /* Of the upstream when it answered.  */
+  bool is_loaded; /* It ran requests in half of its slots then.  */
   uint32_t prompt_left;
   bool is_ok;  /* The head said 2xx.  */
   bool broke;  /* Its connection ended early or the upstream is lost.  */
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -36,7 +36,7 @@
 
 typedef struct
 {
-  trial_sums_t sums[TRIAL_ARMS][TRIAL_CELLS];
+  trial_sums_t sums[TRIAL_ARMS][TRIAL_CELLS_ALL];
   uint32_t old_running;
   bool told; /* By a peer to this entry.  */
   unsigned age_s;
@@ -202,12 +202,18 @@
 
 void
 trial_observe (trial_t *trial, trial_arm_t arm, uint64_t route,
-               trial_outcome_t outcome, uint64_t wait_ms)
+               trial_outcome_t outcome, uint64_t wait_ms, bool is_loaded)
 {
   trial_sums_t *sums = &trial->own.sums[arm][route % TRIAL_CELLS];
-
+  trial_sums_t *loaded = &trial->own.sums[arm][TRIAL_CELLS];
   double weight = outcome == TRIAL_BROKE ? TRIAL_BREAK : 1;
 
+  if (is_loaded)
+    {
+      loaded->count += weight;
+      if (outcome != TRIAL_ANSWERED)
+        loaded->failed += weight;
+    }
   sums->count += weight;
   if (outcome != TRIAL_ANSWERED)
     sums->failed += weight;
@@ -309,7 +315,7 @@
 evidence_fade (evidence_t *evidence)
 {
   for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
-    for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+    for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
       sums_scale (&evidence->sums[arm][cell], TRIAL_KEEP_S,
                   TRIAL_KEEP_TIMES_S);
 }
@@ -365,7 +371,7 @@
         continue;
       all.old_running += peer->old_running;
       for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
-        for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+        for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
           sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
     }
   return all;
@@ -380,7 +386,7 @@
   buf_printf (out, "%llu %u", (unsigned long long)trial->order,
               evidence.old_running);
   for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
-    for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+    for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
       {
         const trial_sums_t *sums = &evidence.sums[arm][cell];
         buf_printf (out, " %.2f %.2f %.2f %.3f %.3f", sums->count,
@@ -416,7 +422,7 @@
     return VH_OK;
   got.old_running = (uint32_t)running;
   for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
-    for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+    for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
       {
         trial_sums_t *sums = &got.sums[arm][cell];
         if (!next_number (&text, &sums->count)
@@ -539,11 +545,11 @@
 
   if (trial->phase != TRIAL_RUNNING || trial->start_ms == 0)
     return TRIAL_WAIT;
-  for (size_t cell = 0; cell < TRIAL_CELLS; cell++)
+  for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
     {
       if (is_bad (&all.sums[TRIAL_OLD][cell], &all.sums[TRIAL_NEW][cell], why))
         return TRIAL_TAKE_BACK;
-      for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
+      for (size_t arm = 0; arm < TRIAL_ARMS && cell < TRIAL_CELLS; arm++)
         sums_add (&sums[arm], &all.sums[arm][cell]);
     }
   if (is_bad (&sums[TRIAL_OLD], &sums[TRIAL_NEW], why))
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -20,6 +20,9 @@
      that looks like many failures of its version.  A broken connection counts
      as TRIAL_BREAK of an answer, with which a version that breaks half of its
      requests is still found out.
+   - A version that fails only where its instances carry load is covered by the
+     answers of the others, so those of loaded instances have a cell of their
+     own.
    - A version that is still in doubt at its time limit is taken back: what
      holds it is evidence against it.
    - A version is bad when in one cell its failures exceed the old version's by
@@ -106,6 +109,8 @@
 enum
 {
   TRIAL_CELLS = 4,
+  /* One more holds the answers of loaded instances, whatever their route.  */
+  TRIAL_CELLS_ALL = TRIAL_CELLS + 1,
   TRIAL_SAMPLES = 9,
   /* Loads are told apart by their power of two.  */
   TRIAL_LOADS = 8,
@@ -201,9 +206,10 @@
 } trial_outcome_t;
 
 /* Take in what became of a send on a route with hash ROUTE; WAIT_MS until its
-   first event, 0 when there was none.  */
+   first event, 0 when there was none.  IS_LOADED: the instance ran requests in
+   half of its slots or more.  */
 void trial_observe (trial_t *trial, trial_arm_t arm, uint64_t route,
-                    trial_outcome_t outcome, uint64_t wait_ms);
+                    trial_outcome_t outcome, uint64_t wait_ms, bool is_loaded);
 /* A send on a route with hash ROUTE took MS for TIMING at an instance with
    LOAD requests, of all entries, until NOW_MS of the store's clock.  */
 void trial_time (trial_t *trial, trial_arm_t arm, uint64_t route,
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -70,10 +70,10 @@
               = version->breaks && is_new ? TRIAL_BROKE : TRIAL_FAILED;
           trial_observe (trial, is_new ? TRIAL_NEW : TRIAL_OLD, route,
                          rng_double (&rng) < fails ? broken : TRIAL_ANSWERED,
-                         is_bad ? wait_ms * version->slow : wait_ms);
+                         is_bad ? wait_ms * version->slow : wait_ms, false);
         }
       for (int i = 0; ms == version->crash_ms && ms > 0 && i < CRASH_RUNS; i++)
-        trial_observe (trial, TRIAL_NEW, 0, TRIAL_BROKE, 0);
+        trial_observe (trial, TRIAL_NEW, 0, TRIAL_BROKE, 0, false);
       if (ms == WITHIN_MS / 2 - TICK_MS)
         outcome.share_at_half = trial_share (trial, now_ms);
       if (ms % 1000 != 0)
@@ -147,6 +147,34 @@
 }
 END_TEST
 
+/* A version fails four of ten requests where its instances carry load, which
+   is one answer in eight: over all its answers that is too little to tell.  */
+START_TEST (failures_under_load_are_not_averaged_away)
+{
+  for (uint64_t seed = 1; seed <= 50; seed++)
+    {
+      trial_t *trial = trial_create (STR ("llm"), STR ("v2"), 1, WITHIN_MS);
+      trial_verdict_t verdict = TRIAL_WAIT;
+      rng_t rng = rng_make (seed);
+      buf_t why = BUF_NULL;
+      trial_set_progress (trial, START_MS, TRIAL_STEP_WIDER, START_MS);
+      for (int i = 0; i < 1200 && verdict == TRIAL_WAIT; i++)
+        {
+          trial_arm_t arm = i % 2 == 0 ? TRIAL_NEW : TRIAL_OLD;
+          bool is_loaded = i / 2 % 8 == 0;
+          bool fails
+              = arm == TRIAL_NEW && is_loaded && rng_double (&rng) < 0.4;
+          trial_observe (trial, arm, rng_below (&rng, TRIAL_CELLS),
+                         fails ? TRIAL_FAILED : TRIAL_ANSWERED, 60, is_loaded);
+          verdict = trial_judge (trial, START_MS + 1, false, &why);
+        }
+      ck_assert_int_eq (verdict, TRIAL_TAKE_BACK);
+      buf_free (&why);
+      trial_destroy (trial);
+    }
+}
+END_TEST
+
 /* Sends of both versions in a second, with their loads and times: each engine
    makes tokens more slowly the more requests it has.  */
 static void
@@ -163,7 +191,8 @@
       /* One first event in ten waits behind a long prompt.  */
       double first_ms = 60 + (rng_below (rng, 10) == 0 ? 500 : 0);
       uint64_t route = rng_below (rng, TRIAL_CELLS);
-      trial_observe (trial, arm, route, TRIAL_ANSWERED, (uint64_t)first_ms);
+      trial_observe (trial, arm, route, TRIAL_ANSWERED, (uint64_t)first_ms,
+                     false);
       trial_time (trial, arm, route, TIMING_FIRST, load, first_ms, now_ms);
       trial_time (trial, arm, route, TIMING_GAP, load, gap_ms, now_ms);
     }
@@ -239,12 +268,12 @@
   trial_set_progress (trial, START_MS, TRIAL_STEP_FIRST, START_MS);
   for (int i = 0; i < 200; i++)
     {
-      trial_observe (trial, TRIAL_OLD, 1, TRIAL_ANSWERED, 50);
+      trial_observe (trial, TRIAL_OLD, 1, TRIAL_ANSWERED, 50, false);
       trial_time (trial, TRIAL_OLD, 1, TIMING_FIRST, 4, 50, later_ms);
     }
   for (int i = 0; i < 30; i++)
     {
-      trial_observe (trial, TRIAL_NEW, 1, TRIAL_ANSWERED, 50);
+      trial_observe (trial, TRIAL_NEW, 1, TRIAL_ANSWERED, 50, false);
       trial_time (trial, TRIAL_NEW, 1, TIMING_FIRST, 4, i % 4 == 0 ? 500 : 50,
                   later_ms);
     }
@@ -270,8 +299,8 @@
       uint64_t now_ms = START_MS + ms;
       trial_time (trial, TRIAL_OLD, 1, TIMING_FIRST, 4, 50, now_ms);
       if (ms % 50 == 0)
-        trial_time (trial, TRIAL_NEW, 1, TIMING_FIRST, 4,
-                    ms < 1000 ? 400 : 50, now_ms);
+        trial_time (trial, TRIAL_NEW, 1, TIMING_FIRST, 4, ms < 1000 ? 400 : 50,
+                    now_ms);
       ck_assert_int_eq (trial_judge (trial, now_ms, false, &why), TRIAL_WAIT);
     }
   buf_free (&why);
@@ -390,8 +419,8 @@
   trial_set_progress (other, START_MS, 1, START_MS);
   for (int i = 0; i < 40; i++)
     {
-      trial_observe (one, TRIAL_OLD, 1, false, 100);
-      trial_observe (one, TRIAL_NEW, 1, i % 2 == 0, 100);
+      trial_observe (one, TRIAL_OLD, 1, false, 100, false);
+      trial_observe (one, TRIAL_NEW, 1, i % 2 == 0, 100, false);
     }
   ck_assert_int_eq (trial_judge (other, START_MS, false, &why), TRIAL_WAIT);
   trial_write (one, true, &text);
@@ -417,6 +446,7 @@
   tcase_add_test (tcase, a_good_version_is_declared_in_time);
   tcase_add_test (tcase, a_bad_version_is_taken_back);
   tcase_add_test (tcase, a_version_that_is_only_slow_is_taken_back);
+  tcase_add_test (tcase, failures_under_load_are_not_averaged_away);
   tcase_add_test (tcase, doubt_ends_at_the_limit);
   tcase_add_test (tcase, unread_prompts_do_not_condemn_a_version);
   tcase_add_test (tcase, a_crash_does_not_condemn_a_version);
