gateway: rows that a reader tells are packed together

What callers saw: nothing yet; operators would. The entry that tells others what the store said sends 1,203 KB/s at 300 entries and 3,000 instances, and that grows as the entries (power 1.07, 3.1 MB/s at 735).

Change: many rows go deflated together, and the packed answer serves all who know the same. The whole table is packed once a second at most, and told as it was then. The call has a new number, so that entries of the version before ask the store rather than take an answer without its rows.

--- a/packages/gateway/rowcache.c
+++ b/packages/gateway/rowcache.c
@@ -11,7 +11,13 @@
 {
   /* Removed rows are remembered for askers that did not hear of them; who
      asks later reads the whole table.  */
-  TOMBSTONE_MS = 30000
+  TOMBSTONE_MS = 30000,
+  /* Rows of fewer bytes in all are told as they are.  */
+  PACK_LEAST = 2048,
+  /* The whole table is told as it was so long ago at most, and the changes
+     since then to the asker's next call: entries that start together each ask
+     for it, and packing all of it for each takes longer than they wait.  */
+  WHOLE_KEEP_MS = 1000
 };
 
 typedef struct
@@ -25,6 +31,18 @@
   uint64_t deleted_ms;
 } cached_t;
 
+/* An answer of many rows that was packed, for askers to come.  */
+typedef struct
+{
+  uint64_t after;   /* Of changes.  */
+  uint64_t version; /* 0: none.  */
+  uint64_t made_ms; /* By boot time.  */
+  uint64_t confirmed_ms;
+  uint64_t said_ms;
+  buf_t bytes;
+  size_t plain_len;
+} packed_t;
+
 struct rowcache
 {
   clock_iface_t *clock;
@@ -38,6 +56,8 @@
   uint64_t now_ms;       /* The store's clock, at NOW_SEEN_MS.  */
   uint64_t now_seen_ms;
   uint64_t said_ms; /* The store's clock at its last answer.  */
+  packed_t whole;
+  packed_t changes;
 };
 
 static void
@@ -77,6 +97,8 @@
   if (cache == NULL)
     return;
   free_rows (cache);
+  buf_free (&cache->whole.bytes);
+  buf_free (&cache->changes.bytes);
   free (cache);
 }
 
@@ -217,11 +239,65 @@
   row->deleted = cached->deleted;
 }
 
-void
-rowcache_tell (rowcache_t *cache, uint64_t after, bool whole,
-               wire_rows_res_t *result)
+/* The packed answer for changes after AFTER, or of the WHOLE, that still
+   serves; else NULL.  */
+static const packed_t *
+kept_answer (const rowcache_t *cache, uint64_t after, bool whole)
+{
+  const packed_t *packed = whole ? &cache->whole : &cache->changes;
+  uint64_t age_ms = clock_boot_ms (cache->clock) - packed->made_ms;
+
+  if (packed->version == 0)
+    return NULL;
+  if (whole)
+    return age_ms < WHOLE_KEEP_MS && packed->version >= cache->floor ? packed
+                                                                     : NULL;
+  return packed->version == cache->version && packed->after == after ? packed
+                                                                     : NULL;
+}
+
+/* Deflate the ROWS together, after AFTER or WHOLE, where that makes them
+   smaller: registrations are much alike.  */
+static const packed_t *
+pack (rowcache_t *cache, wire_row_list_t *rows, uint64_t after, bool whole)
+{
+  packed_t *packed = whole ? &cache->whole : &cache->changes;
+  size_t bytes = 0;
+
+  for (u_int i = 0; i < rows->rows.rows_len; i++)
+    {
+      if (rows->rows.rows_val[i].plain_len > 0)
+        return NULL;
+      bytes += rows->rows.rows_val[i].value.value_len;
+    }
+  if (bytes < PACK_LEAST)
+    return NULL;
+  u_int room = (u_int)xdr_sizeof ((xdrproc_t)xdr_wire_row_list_t, rows);
+  char *plain = mem_alloc (room);
+  XDR xdr;
+  xdrmem_create (&xdr, plain, room, XDR_ENCODE);
+  packed->bytes.len = 0;
+  packed->version = 0;
+  if (xdr_wire_row_list_t (&xdr, rows)
+      && deflate_text (str_make (plain, room), &packed->bytes))
+    {
+      packed->after = after;
+      packed->version = cache->version;
+      packed->made_ms = clock_boot_ms (cache->clock);
+      packed->confirmed_ms = cache->confirmed_ms;
+      packed->said_ms = cache->said_ms;
+      packed->plain_len = room;
+    }
+  xdr_destroy (&xdr);
+  free (plain);
+  return packed->version != 0 ? packed : NULL;
+}
+
+/* The rows after AFTER, or all live ones when WHOLE; the list is the caller's
+   to free.  */
+static wire_row_list_t
+list_rows (rowcache_t *cache, uint64_t after, bool whole)
 {
-  uint64_t boot_ms = clock_boot_ms (cache->clock);
   wire_row_t *rows = mem_zalloc ((map_size (cache->rows) + 1) * sizeof *rows);
   size_t cursor = 0;
   u_int count = 0;
@@ -236,6 +312,22 @@
         continue;
       write_row (cached, &rows[count++]);
     }
+  return (wire_row_list_t){ .rows = { count, rows } };
+}
+
+void
+rowcache_tell (rowcache_t *cache, uint64_t after, bool whole,
+               wire_rows_res_t *result)
+{
+  uint64_t boot_ms = clock_boot_ms (cache->clock);
+  const packed_t *packed = kept_answer (cache, after, whole);
+  wire_row_list_t list = { { 0, NULL } };
+
+  if (packed == NULL)
+    {
+      list = list_rows (cache, after, whole);
+      packed = pack (cache, &list, after, whole);
+    }
   *result
       = (wire_rows_res_t){ .code = VH_OK,
                            .newest = cache->version,
@@ -243,6 +335,44 @@
                            = cache->now_ms + boot_ms - cache->now_seen_ms,
                            .age_ms = (u_int)(boot_ms - cache->confirmed_ms),
                            .said_ms = cache->said_ms };
-  result->rows.rows_val = rows;
-  result->rows.rows_len = count;
+  if (packed == NULL)
+    {
+      result->rows.rows_val = list.rows.rows_val;
+      result->rows.rows_len = list.rows.rows_len;
+      return;
+    }
+  free (list.rows.rows_val);
+  result->packed.packed_val = packed->bytes.ptr;
+  result->packed.packed_len = (u_int)packed->bytes.len;
+  result->plain_len = (u_int)packed->plain_len;
+  if (!whole)
+    return;
+  result->newest = packed->version;
+  result->age_ms = (u_int)(boot_ms - packed->confirmed_ms);
+  result->said_ms = packed->said_ms;
+}
+
+vh_code_t
+rowcache_unpack (str_t packed, size_t plain_len, wire_row_list_t *list)
+{
+  buf_t plain = BUF_NULL;
+  XDR xdr;
+
+  *list = (wire_row_list_t){ { 0, NULL } };
+  if (plain_len > WIRE_BODY_MAX)
+    return VH_E_PROTOCOL;
+  vh_code_t code = inflate_text (packed, plain_len, &plain);
+  if (code == VH_OK)
+    {
+      xdrmem_create (&xdr, plain.ptr, (u_int)plain.len, XDR_DECODE);
+      if (!xdr_wire_row_list_t (&xdr, list))
+        {
+          xdr_free ((xdrproc_t)xdr_wire_row_list_t, (char *)list);
+          *list = (wire_row_list_t){ { 0, NULL } };
+          code = VH_E_PROTOCOL;
+        }
+      xdr_destroy (&xdr);
+    }
+  buf_free (&plain);
+  return code;
 }
--- a/packages/gateway/rowcache.h
+++ b/packages/gateway/rowcache.h
@@ -11,6 +11,7 @@
 #include "gateway/rows.h"
 
 struct wire_rows_res_t;
+struct wire_row_list_t;
 typedef struct rowcache rowcache_t;
 
 /* Where an answer of the store or of a reader belongs.  */
@@ -41,9 +42,15 @@
 bool rowcache_reaches (const rowcache_t *cache, uint64_t after);
 bool rowcache_has_news (const rowcache_t *cache, uint64_t after);
 
-/* Fill RESULT with the rows after AFTER, or with all live ones when WHOLE.
-   Its rows, but not what they point at, are the caller's to free.  */
+/* Fill RESULT with the rows after AFTER, or with all live ones when WHOLE;
+   many of them are packed together.  Its rows, but not what they point at, are
+   the caller's to free; what is packed is borrowed until the next call.  */
 void rowcache_tell (rowcache_t *cache, uint64_t after, bool whole,
                     struct wire_rows_res_t *result);
 
+/* The rows that were PACKED out of PLAIN_LEN bytes, to be released by
+   xdr_free. Return VH_E_PROTOCOL with none when they cannot be read.  */
+vh_code_t rowcache_unpack (str_t packed, size_t plain_len,
+                           struct wire_row_list_t *list);
+
 #endif
--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -375,12 +375,12 @@
   return code;
 }
 
-/* Tell the caller of PENDING what a reader answered.  Return VH_E_PROTOCOL
-   with nothing told when the answer cannot be read.  */
+/* Tell the caller of PENDING the ROWS that a reader answered.  Return
+   VH_E_PROTOCOL with nothing told when they cannot be read.  */
 static vh_code_t
-take_answer (pending_t *pending, const wire_rows_res_t *answer)
+take_rows (pending_t *pending, const wire_rows_res_t *answer,
+           const wire_row_t *told, u_int count)
 {
-  u_int count = answer->rows.rows_len;
   vh_code_t code = VH_OK;
   rows_row_t *rows = mem_zalloc ((count + 1) * sizeof *rows);
   buf_t *plain = mem_zalloc ((count + 1) * sizeof *plain);
@@ -392,7 +392,7 @@
                            .said_ms = answer->said_ms };
 
   for (u_int i = 0; i < count && code == VH_OK; i++)
-    code = read_row (&answer->rows.rows_val[i], &plain[i], &rows[i]);
+    code = read_row (&told[i], &plain[i], &rows[i]);
   if (code == VH_OK)
     {
       take_result (pending, pending->asked_ms, &result);
@@ -405,6 +405,23 @@
   return code;
 }
 
+static vh_code_t
+take_answer (pending_t *pending, const wire_rows_res_t *answer)
+{
+  wire_row_list_t list;
+
+  if (answer->plain_len == 0)
+    return take_rows (pending, answer, answer->rows.rows_val,
+                      answer->rows.rows_len);
+  vh_code_t code = rowcache_unpack (
+      str_make (answer->packed.packed_val, answer->packed.packed_len),
+      answer->plain_len, &list);
+  if (code == VH_OK)
+    code = take_rows (pending, answer, list.rows.rows_val, list.rows.rows_len);
+  xdr_free ((xdrproc_t)xdr_wire_row_list_t, (char *)&list);
+  return code;
+}
+
 static void ask_reader (pending_t *pending, entry_t *entry, bool tells);
 
 /* The reader of PENDING answered that it cannot tell: ask another, then the
--- a/packages/wire/proto/wire.h
+++ b/packages/wire/proto/wire.h
@@ -317,6 +317,14 @@
 };
 typedef struct wire_row_t wire_row_t;
 
+struct wire_row_list_t {
+	struct {
+		u_int rows_len;
+		wire_row_t *rows_val;
+	} rows;
+};
+typedef struct wire_row_list_t wire_row_list_t;
+
 struct wire_rows_res_t {
 	int code;
 	u_quad_t newest;
@@ -327,6 +335,11 @@
 		u_int rows_len;
 		wire_row_t *rows_val;
 	} rows;
+	struct {
+		u_int packed_len;
+		char *packed_val;
+	} packed;
+	u_int plain_len;
 };
 typedef struct wire_rows_res_t wire_rows_res_t;
 
@@ -376,7 +389,7 @@
 #define WIRE_STATUS 13
 extern  wire_status_res_t * wire_status_1(wire_attempt_args_t , CLIENT *);
 extern  wire_status_res_t * wire_status_1_svc(wire_attempt_args_t , struct svc_req *);
-#define WIRE_ROWS 15
+#define WIRE_ROWS 16
 extern  wire_rows_res_t * wire_rows_1(wire_rows_args_t , CLIENT *);
 extern  wire_rows_res_t * wire_rows_1_svc(wire_rows_args_t , struct svc_req *);
 extern int vanillahook_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
@@ -424,7 +437,7 @@
 #define WIRE_STATUS 13
 extern  wire_status_res_t * wire_status_1();
 extern  wire_status_res_t * wire_status_1_svc();
-#define WIRE_ROWS 15
+#define WIRE_ROWS 16
 extern  wire_rows_res_t * wire_rows_1();
 extern  wire_rows_res_t * wire_rows_1_svc();
 extern int vanillahook_program_1_freeresult ();
@@ -465,6 +478,7 @@
 extern  bool_t xdr_wire_news_t (XDR *, wire_news_t*);
 extern  bool_t xdr_wire_rows_args_t (XDR *, wire_rows_args_t*);
 extern  bool_t xdr_wire_row_t (XDR *, wire_row_t*);
+extern  bool_t xdr_wire_row_list_t (XDR *, wire_row_list_t*);
 extern  bool_t xdr_wire_rows_res_t (XDR *, wire_rows_res_t*);
 
 #else /* K&R C */
@@ -500,6 +514,7 @@
 extern bool_t xdr_wire_news_t ();
 extern bool_t xdr_wire_rows_args_t ();
 extern bool_t xdr_wire_row_t ();
+extern bool_t xdr_wire_row_list_t ();
 extern bool_t xdr_wire_rows_res_t ();
 
 #endif /* K&R C */
--- a/packages/wire/proto/wire.x
+++ b/packages/wire/proto/wire.x
@@ -278,6 +278,11 @@
   bool deleted;
 };
 
+struct wire_row_list_t
+{
+  wire_row_t rows<WIRE_ROWS_MAX>;
+};
+
 struct wire_rows_res_t
 {
   int code;                /* Vh_code_t; rows are valid for VH_OK alone.  */
@@ -286,6 +291,9 @@
   unsigned int age_ms;     /* Since the store confirmed NEWEST.  */
   unsigned hyper said_ms;  /* The store's clock when it did.  */
   wire_row_t rows<WIRE_ROWS_MAX>;
+  /* In their place a wire_row_list_t, deflated, of PLAIN_LEN bytes.  */
+  opaque packed<WIRE_BODY_MAX>;
+  unsigned int plain_len;  /* 0: not packed.  */
 };
 
 program VANILLAHOOK_PROGRAM
@@ -306,6 +314,6 @@
     wire_code_res_t WIRE_ORDER (wire_order_args_t) = 12;
     wire_bills_take_res_t WIRE_BILLS_TAKE (wire_bills_take_args_t) = 14;
     wire_status_res_t WIRE_STATUS (wire_attempt_args_t) = 13;
-    wire_rows_res_t WIRE_ROWS (wire_rows_args_t) = 15;
+    wire_rows_res_t WIRE_ROWS (wire_rows_args_t) = 16;
   } = 1;
 } = 0x20564801;
--- a/packages/wire/proto/wire_xdr.c
+++ b/packages/wire/proto/wire_xdr.c
@@ -812,6 +812,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_row_list_t (XDR *xdrs, wire_row_list_t *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, WIRE_ROWS_MAX,
+		sizeof (wire_row_t), (xdrproc_t) xdr_wire_row_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_rows_res_t (XDR *xdrs, wire_rows_res_t *objp)
 {
@@ -830,5 +841,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, WIRE_ROWS_MAX,
 		sizeof (wire_row_t), (xdrproc_t) xdr_wire_row_t))
 		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->packed.packed_val, (u_int *) &objp->packed.packed_len, WIRE_BODY_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->plain_len))
+		 return FALSE;
 	return TRUE;
 }
