gateway: the table that entries share is read with the orders

Cause: the table that lists the entries was read once the orders were known, so that the first calls after the orders knew no reader.

Change: both are read at once; the shared row of a roll-out is kept until its order is known.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -63,10 +63,18 @@
   uint64_t returned_ms;   /* When the store came back, monotonic.  */
   bool commit_pending;    /* Of a roll-out's row.  */
   uint64_t want_ms;       /* Since when a row is to be written; 0: none is.  */
-  map_t *rollout_rows;    /* Service to the version of its shared row.  */
+  map_t *rollout_rows;    /* Service to its shared_row_t.  */
 };
 
+/* The shared row of a roll-out as it was read last.  */
+typedef struct
+{
+  uint64_t version; /* The store's.  */
+  buf_t text;
+} shared_row_t;
+
 static void drop_trial (belief_t *belief, str_t service);
+static void apply_rollout_row (duties_t *duties, str_t service);
 
 /* Orders.  */
 
@@ -118,8 +126,9 @@
 }
 
 static void
-take_rollout (belief_t *belief, const rows_row_t *row)
+take_rollout (duties_t *duties, const rows_row_t *row)
 {
+  belief_t *belief = duties->belief;
   rollout_order_t order;
   void *holder = NULL;
   vh_code_t code = belief->dialect->read_rollout (row->value, &order, &holder);
@@ -147,6 +156,7 @@
                  field_text (FIELD_VERSION, order.version),
                  field_number (FIELD_WITHIN_MS, order.within_ms),
                  field_number (FIELD_ORDER, row->version));
+      apply_rollout_row (duties, order.service);
     }
   belief->dialect->free_holder (holder);
 }
@@ -170,7 +180,7 @@
       take_catalog (duties, row);
       break;
     case ORDER_ROLLOUT:
-      take_rollout (belief, row);
+      take_rollout (duties, row);
       break;
     case ORDER_ZONE_OUT:
       log_event (EVENT_ZONE_OUT, field_text (FIELD_ZONE, name));
@@ -301,17 +311,19 @@
     }
 }
 
-/* A roll-out's shared row: ORDER START STEP FROM PHASE VERSION..., the
-   versions that were taken back before.  */
+/* Take in what the shared row of SERVICE's roll-out says, ORDER START STEP
+   FROM PHASE VERSION..., the versions that were taken back before.  The row
+   may be read sooner than its order is known.  */
 static void
-take_rollout_row (duties_t *duties, str_t service, const rows_row_t *row)
+apply_rollout_row (duties_t *duties, str_t service)
 {
   trial_t *trial = map_get (duties->belief->trials, service);
-  str_t rest = row->value;
+  const shared_row_t *row = map_get (duties->rollout_rows, service);
   uint64_t numbers[4];
 
-  map_put (duties->rollout_rows, service, (void *)(uintptr_t)row->version);
-  duties->want_ms = 0;
+  if (row == NULL)
+    return;
+  str_t rest = buf_str (&row->text);
   for (size_t i = 0; i < 4; i++)
     if (rest.ptr == NULL
         || !str_to_u64 (str_cut (rest, ' ', &rest), &numbers[i]))
@@ -338,6 +350,32 @@
   trial_set_written (trial, final);
 }
 
+static void
+take_rollout_row (duties_t *duties, str_t service, const rows_row_t *row)
+{
+  shared_row_t *shared = map_get (duties->rollout_rows, service);
+
+  if (shared == NULL)
+    {
+      shared = mem_zalloc (sizeof *shared);
+      map_put (duties->rollout_rows, service, shared);
+    }
+  shared->version = row->version;
+  shared->text.len = 0;
+  buf_append_str (&shared->text, row->value);
+  duties->want_ms = 0;
+  apply_rollout_row (duties, service);
+}
+
+/* The store's version of the shared row of SERVICE's roll-out; 0: none.  */
+static uint64_t
+rollout_row_version (const duties_t *duties, str_t service)
+{
+  const shared_row_t *shared = map_get (duties->rollout_rows, service);
+
+  return shared != NULL ? shared->version : 0;
+}
+
 /* Take in an entry that listed itself: ZONE ADDRESS LINK.  */
 static void
 take_entry (share_t *share, str_t name, str_t text)
@@ -540,7 +578,7 @@
   writes[0].key = buf_str (&key);
   writes[0].value = buf_str (&value);
   writes[0].conditional = true;
-  writes[0].expected = (uintptr_t)map_get (duties->rollout_rows, service);
+  writes[0].expected = rollout_row_version (duties, service);
   writes[1].table = ROWS_STATUS;
   writes[1].key = buf_str (&status_key);
   writes[1].value = buf_str (&status);
@@ -718,29 +756,17 @@
                                               .wait_ms = INSTANCES_WAIT_MS,
                                               .retry_last_ms = RETRY_LAST_MS,
                                               .slack_ms = INSTANCES_SLACK_MS };
-  static const follow_options_t own = { .table = ROWS_OWN,
-                                        .name = "own",
-                                        .wait_ms = OWN_WAIT_MS,
-                                        .retry_last_ms = RETRY_LAST_MS,
-                                        .slack_ms = OWN_SLACK_MS,
-                                        .gap_ms = OWN_GAP_MS };
-  static const follow_events_t instance_events
+  static const follow_events_t events
       = { on_instance_put, on_instance_removed, on_instances_caught_up,
           on_instances_reach };
-  static const follow_events_t own_events
-      = { on_own_put, on_own_removed, on_own_caught_up, NULL };
   duties_t *duties = arg;
   belief_t *belief = duties->belief;
 
   (void)full;
-  if (duties->instances != NULL)
-    return;
-  duties->own
-      = follow_create (belief->loop, belief->clock, duties->rows,
-                       rng_u64 (&belief->rng), &own, &own_events, duties);
-  duties->instances = follow_create (belief->loop, belief->clock, duties->rows,
-                                     rng_u64 (&belief->rng), &instances,
-                                     &instance_events, duties);
+  if (duties->instances == NULL)
+    duties->instances
+        = follow_create (belief->loop, belief->clock, duties->rows,
+                         rng_u64 (&belief->rng), &instances, &events, duties);
 }
 
 /* The store is back: the other tables are read at once.  */
@@ -750,10 +776,11 @@
   duties_t *duties = arg;
 
   note_reach (duties, down);
-  if (down || duties->instances == NULL)
+  if (down)
     return;
-  follow_retry (duties->instances);
   follow_retry (duties->own);
+  if (duties->instances != NULL)
+    follow_retry (duties->instances);
 }
 
 duties_t *
@@ -766,6 +793,14 @@
   static const follow_events_t order_events
       = { on_order_put, on_order_removed, on_orders_caught_up,
           on_orders_reach };
+  static const follow_options_t own = { .table = ROWS_OWN,
+                                        .name = "own",
+                                        .wait_ms = OWN_WAIT_MS,
+                                        .retry_last_ms = RETRY_LAST_MS,
+                                        .slack_ms = OWN_SLACK_MS,
+                                        .gap_ms = OWN_GAP_MS };
+  static const follow_events_t own_events
+      = { on_own_put, on_own_removed, on_own_caught_up, NULL };
   static const share_news_t news = { list_news, on_news };
   duties_t *duties = mem_zalloc (sizeof *duties);
 
@@ -780,6 +815,10 @@
   belief->orders
       = follow_create (belief->loop, belief->clock, rows,
                        rng_u64 (&belief->rng), &orders, &order_events, duties);
+  /* With the orders, as it tells who reads them for this entry.  */
+  duties->own
+      = follow_create (belief->loop, belief->clock, rows,
+                       rng_u64 (&belief->rng), &own, &own_events, duties);
   uv_timer_init (belief->loop, &duties->tick);
   duties->tick.data = duties;
   uv_timer_start (&duties->tick, on_tick,
@@ -801,6 +840,15 @@
 {
   duties_t *duties = handle->data;
 
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (duties->rollout_rows, &cursor, &key, &value))
+    {
+      buf_free (&((shared_row_t *)value)->text);
+      free (value);
+    }
   map_destroy (duties->rollout_rows);
   free (duties);
 }
