gateway: an order's time runs from when it was seen

Cause: the entry that writes the first row is cut off when the order comes, the next one writes it 1.4 s later, and the schedule counted from then.

Change: it counts from when the writer saw the order. test_gateway, a store that refuses writes for 1.5 s: the row began 1.5 s late, now within 0.7 s.

--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -151,6 +151,7 @@
       drop_trial (belief, order.service);
       trial = trial_create (order.service, order.version, row->version,
                             order.within_ms);
+      trial_set_seen (trial, follow_store_ms (belief->orders));
       map_put (belief->trials, order.service, trial);
       log_event (EVENT_ROLLOUT, field_text (FIELD_SERVICE, order.service),
                  field_text (FIELD_VERSION, order.version),
@@ -700,7 +701,10 @@
 
   if (trial_start (trial) == 0)
     {
-      write_rollout (duties, service, trial, now_ms, 0, now_ms);
+      /* The order's time runs from when it was seen, however late the row.  */
+      uint64_t start_ms
+          = trial_seen (trial) != 0 ? trial_seen (trial) : now_ms;
+      write_rollout (duties, service, trial, start_ms, 0, start_ms);
       return;
     }
   if (trial_phase (trial) == TRIAL_RUNNING)
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -55,6 +55,7 @@
   char *version;
   uint64_t order;
   uint64_t within_ms;
+  uint64_t seen_ms;
   uint64_t start_ms;
   uint32_t step;
   uint64_t from_ms; /* When STEP holds; the one before it until then.  */
@@ -155,6 +156,18 @@
   trial->from_ms = from_ms;
 }
 
+void
+trial_set_seen (trial_t *trial, uint64_t seen_ms)
+{
+  trial->seen_ms = seen_ms;
+}
+
+uint64_t
+trial_seen (const trial_t *trial)
+{
+  return trial->seen_ms;
+}
+
 uint64_t
 trial_start (const trial_t *trial)
 {
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -157,6 +157,9 @@
 /* ORDER tells one order from the next for the same version.  */
 trial_t *trial_create (str_t service, str_t version, uint64_t order,
                        uint64_t within_ms);
+/* When this entry saw the order, by the store's clock; 0: not known.  */
+void trial_set_seen (trial_t *trial, uint64_t seen_ms);
+uint64_t trial_seen (const trial_t *trial);
 void trial_destroy (trial_t *trial);
 str_t trial_version (const trial_t *trial);
 uint64_t trial_order (const trial_t *trial);
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -49,11 +49,18 @@
   uint64_t forgotten; /* Watches after less than this end.  */
   uint64_t extra_ms;
   bool down;
+  bool refuses_writes;
   bool held[ROWS_OWN + 1];
   size_t calls;
   list_t pending;
 };
 
+uint64_t
+fake_rows_now_ms (const fake_rows_t *fake)
+{
+  return STORE_START_MS + uv_now (fake->loop) + fake->extra_ms;
+}
+
 static stored_t *
 find_row (const fake_rows_t *fake, rows_table_t table, str_t key)
 {
@@ -86,12 +93,11 @@
   rows_cb_t cb = call->cb;
   void *arg = call->arg;
   uint64_t limit = fake->stale != 0 ? fake->stale : fake->version;
-  rows_result_t result
-      = { .rows = rows,
-          .version = limit,
-          .now_ms = STORE_START_MS + uv_now (fake->loop) + fake->extra_ms,
-          .direct = true,
-          .said_ms = STORE_START_MS + uv_now (fake->loop) + fake->extra_ms };
+  rows_result_t result = { .rows = rows,
+                           .version = limit,
+                           .now_ms = fake_rows_now_ms (fake),
+                           .direct = true,
+                           .said_ms = fake_rows_now_ms (fake) };
   vh_code_t code = fake->down ? VH_E_STORE_DOWN : call->code;
 
   if (call->kind == CALL_WATCH && call->after < fake->forgotten)
@@ -202,7 +208,9 @@
   fake_call_t *call = call_add (fake, CALL_COMMIT, ROWS_OWN, 0, 1, cb, arg);
 
   (void)timeout_ms;
-  if (fake->down)
+  if (fake->refuses_writes)
+    call->code = VH_E_STORE_DOWN;
+  if (fake->down || fake->refuses_writes)
     return;
   for (size_t i = 0; i < count; i++)
     {
@@ -290,6 +298,12 @@
   return row == NULL || row->deleted ? NULL : row->value;
 }
 
+void
+fake_rows_refuse_writes (fake_rows_t *fake, bool refuses)
+{
+  fake->refuses_writes = refuses;
+}
+
 void
 fake_rows_down (fake_rows_t *fake, bool down)
 {
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -20,6 +20,8 @@
                            const char *key);
 /* From now on all calls fail, or are answered again.  */
 void fake_rows_down (fake_rows_t *fake, bool down);
+/* From now on writes are refused, or taken again.  */
+void fake_rows_refuse_writes (fake_rows_t *fake, bool refuses);
 /* Calls on TABLE are not answered, as on a connection that is cut, or are
    again.  */
 void fake_rows_hold (fake_rows_t *fake, rows_table_t table, bool hold);
@@ -30,6 +32,8 @@
 void fake_rows_forget (fake_rows_t *fake);
 /* The store's clock moves on by MS.  */
 void fake_rows_advance (fake_rows_t *fake, uint64_t ms);
+/* The store's clock.  */
+uint64_t fake_rows_now_ms (const fake_rows_t *fake);
 size_t fake_rows_calls (const fake_rows_t *fake);
 
 #endif
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -859,6 +859,41 @@
 }
 END_TEST
 
+/* The entry that writes a roll-out's first row is cut off when the order
+   comes, and the next one writes it seconds later: the operators' time limit
+   does not wait for that.  */
+START_TEST (a_late_first_row_does_not_move_the_time_limit)
+{
+  enum
+  {
+    LATE_MS = 1500,
+    SEEN_MS = 700
+  };
+  gateway_fixture_t f;
+  uint64_t order;
+  uint64_t start_ms;
+  str_t rest;
+
+  gateway_fixture_setup (&f, 2);
+  pass (&f, 500);
+  uint64_t ordered_ms = fake_rows_now_ms (f.rows);
+  fake_rows_refuse_writes (f.rows, true);
+  fake_rows_put (f.rows, ROWS_ORDERS, "rollout/llm", "llm v2 12000");
+  pass (&f, LATE_MS);
+  ck_assert_ptr_null (fake_rows_get (f.rows, ROWS_OWN, "rollout/llm"));
+  fake_rows_refuse_writes (f.rows, false);
+  for (int i = 0; i < 50; i++)
+    if (fake_rows_get (f.rows, ROWS_OWN, "rollout/llm") == NULL)
+      pass (&f, 100);
+  str_t text = str_from (fake_rows_get (f.rows, ROWS_OWN, "rollout/llm"));
+  ck_assert (str_to_u64 (str_cut (text, ' ', &rest), &order));
+  ck_assert (str_to_u64 (str_cut (rest, ' ', &rest), &start_ms));
+  ck_assert_uint_ge (start_ms + 50, ordered_ms);
+  ck_assert_uint_le (start_ms, ordered_ms + SEEN_MS);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* A version that fails is ordered: it is taken back, and gets no request after
    that.  Callers see none of its failures: what failed there is sent again to
    the old version.  */
@@ -933,6 +968,7 @@
   tcase_add_test (tcase, rows_that_cannot_be_read_are_left_out);
   tcase_add_test (tcase, a_planned_stop_cuts_nothing);
   tcase_add_test (tcase, a_good_version_is_rolled_out);
+  tcase_add_test (tcase, a_late_first_row_does_not_move_the_time_limit);
   tcase_add_test (tcase, a_bad_version_is_taken_back);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
