--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -76,6 +76,24 @@
 /* Cut what is left at the end of a planned stop; return how many.  */
 size_t relay_cut_all (belief_t *belief);
 
+enum
+{
+  /* A write that the store is silent on for so long may have been done.  */
+  DUTIES_COMMIT_MS = 2000
+};
+
+/* Split KEY of a row that entries share at its first slash; *REST is empty
+   without one.  */
+static inline str_t
+row_kind (str_t key, str_t *rest)
+{
+  str_t kind = str_cut (key, '/', rest);
+
+  if (rest->ptr == NULL)
+    *rest = STR ("");
+  return kind;
+}
+
 /* Duties: follows the store and does what entries do together.  */
 typedef struct duties duties_t;
 
