--- a/packages/gateway/share.c
+++ b/packages/gateway/share.c
@@ -125,7 +125,7 @@
   void *owner;
 
   return !share->leaving
-         && readers_choose (share->readers, &owner) == READS_STORE;
+         && readers_choose (share->readers, &owner) == ASKS_STORE;
 }
 
 /* Serving.  */
@@ -191,11 +191,11 @@
     return true;
   switch (readers_choose (share->readers, &owner))
     {
-    case READS_STORE:
+    case ASKS_STORE:
       return true;
-    case READS_ROOT:
+    case ASKS_ROOT:
       return !tells;
-    case READS_HEAD:
+    case ASKS_HEAD:
       break;
     }
   return false;
@@ -226,10 +226,10 @@
       return;
     }
   const rowcache_t *cache = share->caches[ask->table];
-  bool tells = may_tell (share, ask->tells);
-  if (tells)
+  bool answers = may_tell (share, ask->tells);
+  if (answers)
     take_news (share, ask);
-  if (!rowcache_is_complete (cache) || rowcache_is_down (cache) || !tells)
+  if (!rowcache_is_complete (cache) || rowcache_is_down (cache) || !answers)
     reply_code (request, VH_E_STORE_DOWN);
   else if (ask->whole)
     reply_rows (share, request, ask->table, 0, true);
@@ -547,10 +547,10 @@
   readers_role_t role = readers_choose (pending->share->readers, &entry);
 
   /* A page of the store can only be followed by its next one.  */
-  if (role == READS_STORE || (pending->is_read && !pending->first_page))
+  if (role == ASKS_STORE || (pending->is_read && !pending->first_page))
     ask_store (pending, from);
   else
-    ask_reader (pending, entry, role == READS_ROOT);
+    ask_reader (pending, entry, role == ASKS_ROOT);
 }
 
 static pending_t *
--- a/packages/policy/readers.c
+++ b/packages/policy/readers.c
@@ -154,7 +154,7 @@
 {
   if (other == NULL
       || (!is_unfit (readers, now_ms) && is_first (readers, other)))
-    return READS_STORE;
+    return ASKS_STORE;
   *owner = other->owner;
   return role;
 }
@@ -168,12 +168,12 @@
 
   *owner = NULL;
   if (!is_large (readers))
-    return choose_root (readers, other, READS_HEAD, now_ms, owner);
+    return choose_root (readers, other, ASKS_HEAD, now_ms, owner);
   const entry_t *near = first_other (readers, true, now_ms);
   if (is_first (readers, near))
-    return choose_root (readers, other, READS_ROOT, now_ms, owner);
+    return choose_root (readers, other, ASKS_ROOT, now_ms, owner);
   *owner = near->owner;
-  return READS_HEAD;
+  return ASKS_HEAD;
 }
 
 void *
--- a/packages/policy/readers.h
+++ b/packages/policy/readers.h
@@ -17,9 +17,9 @@
    - A store that is away is found out by all at once.  An entry that is told
      so by its reader asks the root, and then the store itself, at most once in
      READERS_PROBE_MS for each entry of the fleet; without this each of them
-     asked for each table, 260 times a second with 68 of them.  The store may
-     refuse some machines alone, so no entry waits longer than
-     READERS_PROBE_LAST_MS, and one that is answered goes on asking.  */
+     asks for each table.  The store may refuse some machines alone, so no
+   entry waits longer than READERS_PROBE_LAST_MS, and one that is answered goes
+   on asking.  */
 
 #ifndef POLICY_READERS_H
 #define POLICY_READERS_H
@@ -49,9 +49,9 @@
 
 typedef enum
 {
-  READS_STORE, /* Asks the store, tells everybody.  */
-  READS_ROOT,  /* Asks the root, tells its zone.  */
-  READS_HEAD   /* Asks the head of its zone, tells nobody.  */
+  ASKS_STORE, /* Asks the store, tells everybody.  */
+  ASKS_ROOT,  /* Asks the root, tells its zone.  */
+  ASKS_HEAD   /* Asks the head of its zone, tells nobody.  */
 } readers_role_t;
 
 readers_t *readers_create (clock_iface_t *clock, uint64_t seed, str_t name,
@@ -66,7 +66,7 @@
 /* This entry reads for nobody from now on.  */
 void readers_leave (readers_t *readers);
 
-/* What this entry does, and in *OWNER whom it asks; NULL with READS_STORE.  */
+/* What this entry does, and in *OWNER whom it asks; NULL with ASKS_STORE.  */
 readers_role_t readers_choose (readers_t *readers, void **owner);
 /* Whom to ask when the one asked before has nothing to tell: the root, and of
    an entry that the store refused one after the other.  NULL: nobody.  */
--- a/tests/test_readers.c
+++ b/tests/test_readers.c
@@ -64,7 +64,7 @@
   void *owner;
   readers_role_t role = readers_choose (fleet->entries[index], &owner);
 
-  ck_assert ((role == READS_STORE) == (owner == NULL));
+  ck_assert ((role == ASKS_STORE) == (owner == NULL));
   return owner != NULL ? *(size_t *)owner : SIZE_MAX;
 }
 
