--- a/tests/test_allotment.c
+++ b/tests/test_allotment.c
@@ -11,6 +11,7 @@
 enum
 {
   ENTRIES_MAX = 1000,
+  NAME_ROOM = 32,
   OBJECTS = 40,
   DRAWS = 60
 };
@@ -26,9 +27,9 @@
 } fleet_t;
 
 static str_t
-name_of (size_t index, char out[16])
+name_of (size_t index, char out[NAME_ROOM])
 {
-  snprintf (out, 16, "entry-%zu", index);
+  snprintf (out, NAME_ROOM, "entry-%zu", index);
   return str_from (out);
 }
 
@@ -41,7 +42,7 @@
 static void
 fleet_init (fleet_t *fleet, size_t count)
 {
-  char name[16];
+  char name[NAME_ROOM];
 
   fleet->clock = clock_manual_create (0);
   fleet->count = count;
@@ -62,7 +63,7 @@
 static void
 lists (fleet_t *fleet, size_t at, size_t from, size_t to)
 {
-  char name[16];
+  char name[NAME_ROOM];
 
   for (size_t i = from; i < to; i++)
     allotment_put (fleet->entries[at], name_of (i, name), zone_of (i));
