--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -6,7 +6,7 @@
 
 #include "base/eventlog.h"
 #include "gateway/loader.h"
-#include "gateway/rollouts.h"
+#include "gateway/rolloutsint.h"
 
 #include <stdlib.h>
 
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -1,4 +1,4 @@
-#include "gateway/rollouts.h"
+#include "gateway/rolloutsint.h"
 
 #include "base/eventlog.h"
 
--- a/packages/gateway/rollouts.h
+++ b/packages/gateway/rolloutsint.h
@@ -5,8 +5,8 @@
    it is as the writer saw it, by an entry that reads the store for the others,
    or by any when that one is late; evidence comes to it with their calls.  */
 
-#ifndef GATEWAY_ROLLOUTS_H
-#define GATEWAY_ROLLOUTS_H
+#ifndef GATEWAY_ROLLOUTSINT_H
+#define GATEWAY_ROLLOUTSINT_H
 
 #include "gateway/gatewayint.h"
 
