one rendezvous weight, one question who judges

pool.c and policy/allotment.c mixed two hashes by the same four lines: hash_weight in base/str.h serves both. may_write asked again what is_judge tells; drop_trial had one caller. No behaviour changed.

--- a/packages/base/str.h
+++ b/packages/base/str.h
@@ -79,6 +79,17 @@
 /* Return a 64-bit hash of S, the same in every process.  */
 uint64_t str_hash (str_t s, uint64_t seed);
 
+/* Weight of A for B, both of them hashes, to rank the A by for a B: rendezvous
+   hashing.  */
+static inline uint64_t
+hash_weight (uint64_t a, uint64_t b)
+{
+  uint64_t hash = (a ^ b) * 0x9e3779b97f4a7c15u;
+
+  hash ^= hash >> 32;
+  return hash * 0xd6e8feb86659fd93u;
+}
+
 /* A growable byte buffer.  Zero-initialise before the first use.  */
 typedef struct
 {
--- a/packages/gateway/duties.c
+++ b/packages/gateway/duties.c
@@ -456,9 +456,7 @@
 static void
 on_tick_closed (uv_handle_t *handle)
 {
-  duties_t *duties = handle->data;
-
-  free (duties);
+  free (handle->data);
 }
 
 void
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -461,16 +461,6 @@
   return count > 0 ? sum / count : 0;
 }
 
-/* Rank of UPSTREAM for KEY; the higher the closer.  */
-static uint64_t
-affinity (const upstream_t *upstream, uint64_t key)
-{
-  uint64_t hash = (upstream->id_hash ^ key) * 0x9e3779b97f4a7c15u;
-
-  hash ^= hash >> 32;
-  return hash * 0xd6e8feb86659fd93u;
-}
-
 /* Load with what another zone costs put in the same unit.  */
 static double
 badness (const upstream_t *upstream, uint64_t now_ms)
@@ -501,7 +491,7 @@
                uint64_t now_ms, home_t *home)
 {
   bool own = upstream->is_own_zone;
-  uint64_t rank = affinity (upstream, want->key);
+  uint64_t rank = hash_weight (upstream->id_hash, want->key);
 
   if (want->key == 0 || load_of (upstream, now_ms) > hot)
     return;
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -28,12 +28,6 @@
   map_t *shared;       /* Service to shared_row_t.  */
 };
 
-static void
-drop_trial (belief_t *belief, str_t service)
-{
-  trial_destroy (map_remove (belief->trials, service));
-}
-
 /* Take in the versions that were taken back before, as words of TEXT: this
    entry may have started after that.  */
 static void
@@ -137,7 +131,7 @@
         pool_withdraw (belief->pool, order.service, trial_version (trial),
                        true);
       pool_withdraw (belief->pool, order.service, order.version, false);
-      drop_trial (belief, order.service);
+      trial_destroy (map_remove (belief->trials, order.service));
       trial = trial_create (order.service, order.version, row->version,
                             order.within_ms);
       trial_set_seen (trial, follow_store_ms (belief->orders));
@@ -184,6 +178,13 @@
     log_event (EVENT_ROLLOUT_WRITE, field_number (FIELD_CODE, code));
 }
 
+/* Tell whether this entry has the evidence of others, and is to judge it.  */
+static bool
+is_judge (const rollouts_t *rollouts)
+{
+  return rollouts->share == NULL || share_reads (rollouts->share);
+}
+
 /* Tell whether this entry is to write a roll-out's row now.  All entries come
    to the same decision at the same time: without this each writes it, 114
    calls of the store on a day of 22 entries, all but five of them in vain.  */
@@ -194,8 +195,7 @@
 
   if (rollouts->want_ms == 0)
     rollouts->want_ms = now_ms;
-  return rollouts->share == NULL || share_reads (rollouts->share)
-         || now_ms - rollouts->want_ms >= WRITER_LATE_MS;
+  return is_judge (rollouts) || now_ms - rollouts->want_ms >= WRITER_LATE_MS;
 }
 
 /* Write the state of TRIAL with STEP from FROM_MS on for the entries and for
@@ -259,14 +259,6 @@
   buf_append_str (out, rollouts->belief->options.name);
 }
 
-/* Tell whether this entry has the evidence of others, and is to judge it.  One
-   that cannot reach the store still judges what it saw.  */
-static bool
-is_judge (rollouts_t *rollouts)
-{
-  return rollouts->share == NULL || share_reads (rollouts->share);
-}
-
 /* What the entry that reads for this one is told of the roll-outs.  */
 static size_t
 list_news (void *arg, bool tells, share_item_t *items, size_t most)
@@ -317,6 +309,7 @@
   bool alone = follow_down (rollouts->belief->orders);
   buf_t why = BUF_NULL;
 
+  /* One that cannot reach the store still judges what it saw.  */
   if (!alone && !is_judge (rollouts))
     return;
   trial_verdict_t verdict = trial_judge (trial, now_ms, alone, &why);
--- a/packages/policy/allotment.c
+++ b/packages/policy/allotment.c
@@ -157,22 +157,12 @@
   return allotment->generation;
 }
 
-/* Weight of MEMBER for OBJECT; the greatest goes first.  */
-static uint64_t
-weight (const member_t *member, uint64_t object)
-{
-  uint64_t hash = (member->hash ^ object) * 0x9e3779b97f4a7c15u;
-
-  hash ^= hash >> 32;
-  return hash * 0xd6e8feb86659fd93u;
-}
-
 size_t
 allotment_rank (const allotment_t *allotment, uint64_t object, str_t zone)
 {
   const member_t *self = allotment->members;
   uint64_t zone_hash = str_hash (zone, 0);
-  uint64_t own = weight (self, object);
+  uint64_t own = hash_weight (self->hash, object);
   bool is_near = self->zone == zone_hash;
   size_t rank = 0;
 
@@ -180,7 +170,8 @@
     {
       const member_t *other = &allotment->members[i];
       bool other_near = other->zone == zone_hash;
-      if (other_near != is_near ? other_near : weight (other, object) > own)
+      if (other_near != is_near ? other_near
+                                : hash_weight (other->hash, object) > own)
         rank++;
     }
   return rank;
