rowcache: a table too large to unpack is told as it is

What callers saw: nothing yet. An asker unpacks up to 4 MB; a whole table of more was packed all the same, so each asker would refuse it, pass its reader for unfit and read the store for itself, at some 13,000 registrations of 300 bytes.

Cause: pack did not ask for the bound that rowcache_unpack keeps.

test_rowcache, 2,000 rows of 3,000 bytes: packed into a text of 6,063,604 bytes before, told plain now. test_share, test_gateway, test_pool, test_allotment and test_trial pass plainly and under the sanitizers.

--- a/packages/gateway/rowcache.c
+++ b/packages/gateway/rowcache.c
@@ -257,7 +257,8 @@
 }
 
 /* Deflate the ROWS together, after AFTER or WHOLE, where that makes them
-   smaller: registrations are much alike.  */
+   smaller: registrations are much alike.  NULL: they are told as they are, as
+   few rows are and those that an asker would not unpack.  */
 static const packed_t *
 pack (rowcache_t *cache, wire_row_list_t *rows, uint64_t after, bool whole)
 {
@@ -273,6 +274,8 @@
   if (bytes < PACK_LEAST)
     return NULL;
   u_int room = (u_int)xdr_sizeof ((xdrproc_t)xdr_wire_row_list_t, rows);
+  if (room > WIRE_BODY_MAX)
+    return NULL;
   char *plain = mem_alloc (room);
   XDR xdr;
   xdrmem_create (&xdr, plain, room, XDR_ENCODE);
--- a/tests/test_rowcache.c
+++ b/tests/test_rowcache.c
@@ -140,6 +140,43 @@
 }
 END_TEST
 
+/* A table that is larger than what an asker takes as packed is told as it is:
+   packed, each asker would refuse it and read the store for itself.  */
+START_TEST (a_table_too_large_to_unpack_is_told_plain)
+{
+  enum
+  {
+    LARGE_ROWS = 2000,
+    VALUE_BYTES = 3000
+  };
+  static char value[VALUE_BYTES + 1];
+  static char keys[LARGE_ROWS][32];
+  static rows_row_t rows[LARGE_ROWS];
+  const rowcache_answer_t answer = { .is_read = true, .is_first_page = true };
+  const rows_result_t result
+      = { .rows = rows, .count = LARGE_ROWS, .version = 5 };
+  clock_iface_t *clock = clock_manual_create (0);
+  rowcache_t *cache = rowcache_create (clock);
+  wire_rows_res_t told;
+
+  memset (value, 'x', VALUE_BYTES);
+  for (size_t i = 0; i < LARGE_ROWS; i++)
+    {
+      snprintf (keys[i], sizeof keys[i], "i-%zu", i);
+      rows[i] = (rows_row_t){ .key = str_from (keys[i]),
+                              .value = str_from (value),
+                              .version = 5 };
+    }
+  rowcache_take (cache, &answer, &result);
+  rowcache_tell (cache, 0, true, &told);
+  ck_assert_uint_eq (told.plain_len, 0);
+  ck_assert_uint_eq (told.rows.rows_len, LARGE_ROWS);
+  free (told.rows.rows_val);
+  rowcache_destroy (cache);
+  clock_manual_destroy (clock);
+}
+END_TEST
+
 /* What a peer packed is checked before it is believed.  */
 START_TEST (bytes_that_are_no_rows_are_refused)
 {
@@ -168,6 +205,7 @@
 
   tcase_add_test (tcase, many_rows_are_told_small);
   tcase_add_test (tcase, a_kept_answer_is_told_to_none_but_its_like);
+  tcase_add_test (tcase, a_table_too_large_to_unpack_is_told_plain);
   tcase_add_test (tcase, bytes_that_are_no_rows_are_refused);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
