gateway: a version under trial keeps to the operators' bound on exposure

Change: what a version's shares add up to is a part of what the operators allow (exposure-share, from the platform's settings). Nobody asks any more what runs on the old version.

--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -84,6 +84,8 @@
      NULL)                                                                    \
   X ("cold-factor", VALUE_DOUBLE, false, pub.cold_factor, 0.1, 100, NULL)     \
   X ("cold-slack", VALUE_DOUBLE, false, pub.cold_slack, 0, 100000, NULL)      \
+  X ("exposure-share", VALUE_DOUBLE, false, pub.exposure_share, 0.001, 1,     \
+     NULL)                                                                    \
   X ("link-mbps", VALUE_DOUBLE, false, pub.link_mbps, 0, 10000000, NULL)      \
   X ("answer-worth", VALUE_DOUBLE, false, pub.answer_worth, 0, 1000000, NULL) \
   X ("rank-part", VALUE_DOUBLE, false, pub.rank_part, 0, 1, NULL)             \
@@ -313,6 +315,7 @@
   pub->extra_slack = 10;
   pub->extra_window_s = 10;
   pub->cold_factor = 1;
+  pub->exposure_share = 0.1;
   /* What the users pay for a good answer of three kinds, by rank: 0.45 to
      0.56, 0.25 to 0.28 and 0.14 to 0.17 for 1,000 of its size; three tenths of
      that when late, a twentieth when poor.  */
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -129,9 +129,11 @@
   double extra_ratio;  /* Extra sends for each request.  */
   double extra_slack;  /* Extra sends in a window besides.  */
   double extra_window_s;
-  double cold_factor;  /* Over a cold instance's rate ...  */
-  double cold_slack;   /* ... and more requests in a second.  */
-  double link_mbps;    /* Of this instance's own link; 0: not known.  */
+  double cold_factor;    /* Over a cold instance's rate ...  */
+  double cold_slack;     /* ... and more requests in a second.  */
+  double exposure_share; /* Part of its service's requests that a version
+                            under trial may get within its order's time.  */
+  double link_mbps;      /* Of this instance's own link; 0: not known.  */
   double answer_worth; /* Of a good answer of rank 0, for 1,000 of its size. */
   double rank_part;    /* Of that for each rank further.  */
   double late_part;    /* Of its worth that a late answer has.  */
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -96,6 +96,7 @@
     .retry_window_ms = (uint64_t)(settings->extra_window_s * MS_PER_S),
     .cold_factor = settings->cold_factor,
     .cold_slack = settings->cold_slack,
+    .exposure = settings->exposure_share,
     .escalation = { .worth = settings->answer_worth,
                     .rank_part = settings->rank_part,
                     .late_part = settings->late_part,
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -87,6 +87,8 @@
   double cold_factor;
   escalation_options_t escalation;
   double cold_slack;
+  double exposure; /* Part of its service's requests that a version under
+                      trial may get within its order's time.  */
 } gateway_options_t;
 
 /* Start on LOOP.  ROWS and DIALECT outlive the gateway; strings of OPTIONS are
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -758,18 +758,3 @@
 {
   return upstream->running;
 }
-
-uint32_t
-pool_running_other_versions (const pool_t *pool, str_t service, str_t version)
-{
-  uint32_t running = 0;
-
-  LIST_EACH (at, &pool->upstreams)
-    {
-      const upstream_t *upstream = CONTAINER_OF (at, upstream_t, link);
-      if (str_eq (str_from (upstream->service), service)
-          && !str_eq (str_from (upstream->version), version))
-        running += upstream->running;
-    }
-  return running;
-}
--- a/packages/gateway/pool.h
+++ b/packages/gateway/pool.h
@@ -157,10 +157,6 @@
 /* How many instances of ARM of SERVICE are in service, counted up to MOST.  */
 size_t pool_count (pool_t *pool, str_t service, version_arm_t arm,
                    str_t version, size_t most);
-/* Requests of this entry that run at instances of SERVICE of any version but
-   VERSION, also at those that are no longer listed.  */
-uint32_t pool_running_other_versions (const pool_t *pool, str_t service,
-                                      str_t version);
 /* A request with PROMPT tokens left for UPSTREAM, which the sender holds
    until pool_finished.  */
 void pool_started (pool_t *pool, upstream_t *upstream, uint32_t prompt);
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -133,7 +133,7 @@
       pool_withdraw (belief->pool, order.service, order.version, false);
       trial_destroy (map_remove (belief->trials, order.service));
       trial = trial_create (order.service, order.version, row->version,
-                            order.within_ms);
+                            order.within_ms, belief->options.exposure);
       trial_set_seen (trial, follow_store_ms (belief->orders));
       map_put (belief->trials, order.service, trial);
       log_event (EVENT_ROLLOUT, field_text (FIELD_SERVICE, order.service),
@@ -354,9 +354,6 @@
     {
       if (is_second)
         trial_fade (trial);
-      trial_old_running (
-          trial, pool_running_other_versions (rollouts->belief->pool, service,
-                                              trial_version (trial)));
       judge_trial (rollouts, service, trial);
     }
   /* A decision is written again until the shared row has it or another.  */
