escalation: a middle model answers what is a little too hard for the small one

Callers' answers that the smallest model doubted were all made again by the largest one, at twice the cost of the model between and four times its pace; and requests just below the bar got the small model's answer, poor in one of three.

Cause: the cascade knew two models. What the small one rates 40 to 60 the middle one mostly answers well.

Change: the larger models are weighed against each other. How far a model's opinions lead the smallest's is learnt from requests that both answered; after a middle model's answer both opinions count.

Tests: the_middle_model_gets_what_is_a_little_too_hard, a_middle_model_that_is_no_better_gets_nothing, two_opinions_say_more_than_one; they ask for choices that the code before could not make.

--- a/bench/bench_gateway.c
+++ b/bench/bench_gateway.c
@@ -203,17 +203,19 @@
           upstream_t *upstream;
           if (pool_choose (pool, &want, &upstream) != VH_OK)
             abort ();
+          const escalation_choice_t choice = {
+            .model = 1, .cost = 0.25, .beside = upstream_load (pool, upstream)
+          };
           const escalation_case_t request
-              = { .larger = 1,
-                  .cost = 0.017,
-                  .larger_cost = 0.25,
+              = { .cost = 0.017,
                   .read = (uint32_t)rng_below (&rng, 30000),
                   .generated = 300,
                   .opinion = (uint32_t)rng_below (&rng, 101),
                   .objective_ms = 2000,
                   .pause_ms = 1200,
-                  .beside = upstream_load (pool, upstream) };
-          gained += escalation_gain (escalation, &request);
+                  .choices = &choice,
+                  .choice_count = 1 };
+          gained += escalation_gain (escalation, &request, 0);
         }
       costs[round] = (cpu_ns () - begin) / BATCH;
     }
--- a/packages/gateway/relay_hear.c
+++ b/packages/gateway/relay_hear.c
@@ -242,11 +242,12 @@
 {
   str_t text = call_header (head, relay->belief->names->confidence);
   uint64_t confidence;
+  size_t larger;
 
   if (relay->started || relay->terms.route->model_count == 0
       || relay->model + 1 >= relay->terms.route->model_count
       || text.ptr == NULL || !str_to_u64 (text, &confidence)
-      || relay_weigh (relay, confidence) <= 0
+      || (larger = relay_larger (relay, confidence)) == relay->model
       || relay->runs + 1 >= relay->terms.route->attempts_max
       || !take_extra (relay))
     return false;
@@ -256,7 +257,7 @@
              field_number (FIELD_CONFIDENCE, confidence),
              field_number (FIELD_EXTRA, extra_left (relay)));
   relay->runs++;
-  relay->model = relay->terms.route->model_count - 1;
+  relay->model = larger;
   relay_end_send (relay, SEND_DROPPED);
   relay_send (relay);
   return true;
--- a/packages/gateway/relay_want.c
+++ b/packages/gateway/relay_want.c
@@ -124,45 +124,62 @@
   return pool_choose (relay->belief->pool, &want, &upstream) != VH_E_FULL;
 }
 
-/* Requests at the engine that would read the prompt if it went to the largest
-   model now; all that an engine can carry when none would.  That is the home
-   of its shared parts also for a long prompt: sent to the idlest engine, long
-   reads spread over all of them (mean worth of six days on three fleets 0.727,
-   0.751, 0.756 from home and 0.707, 0.756, 0.748 from the idlest).  */
+/* Requests at the engine that would read the prompt if it went to the route's
+   model at INDEX now; all that an engine can carry when none would.  That is
+   the home of its shared parts also for a long prompt: sent to the idlest
+   engine, long reads spread over all of them.  */
 static double
-load_beside (const relay_t *relay)
+load_beside (const relay_t *relay, size_t index)
 {
   pool_want_t want;
   upstream_t *upstream;
 
-  want_for (relay, relay->terms.route->model_count - 1, &want);
+  want_for (relay, index, &want);
   if (pool_choose (relay->belief->pool, &want, &upstream) != VH_OK)
     return upstream_slots (relay->upstream);
   return upstream_load (relay->belief->pool, upstream);
 }
 
-/* What it is worth to drop the present answer, of which its model has OPINION,
-   for that of the largest model.  */
-double
-relay_weigh (const relay_t *relay, uint64_t opinion)
+size_t
+relay_larger (relay_t *relay, uint64_t opinion)
 {
   const terms_t *terms = &relay->terms;
+  const route_t *route = terms->route;
+  escalation_t *escalation
+      = belief_escalation (relay->belief, terms->service->name);
   size_t model = relay_service_model (relay, relay->model);
-  size_t larger = relay_service_model (relay, terms->route->model_count - 1);
+  uint32_t points = opinion < 100 ? (uint32_t)opinion : 100;
+  escalation_choice_t choices[SERVICE_MODELS_MAX];
+  size_t count = 0;
+
+  if (relay->model == 0)
+    relay->first_opinion = points;
+  else if (relay->has_opinion)
+    escalation_compared (escalation, model, relay->first_opinion, points);
+  for (size_t i = relay->model + 1;
+       i < route->model_count && count < SERVICE_MODELS_MAX; i++)
+    {
+      size_t larger = relay_service_model (relay, i);
+      choices[count++]
+          = (escalation_choice_t){ .model = larger,
+                                   .cost = model_cost (relay, larger),
+                                   .beside = load_beside (relay, i) };
+    }
   const escalation_case_t request
       = { .model = model,
-          .larger = larger,
           .cost = model_cost (relay, model),
-          .larger_cost = model_cost (relay, larger),
           .read = terms->prompt,
           .generated = terms->generated,
-          .rank = terms->route->priority,
-          .opinion = opinion < 100 ? (uint32_t)opinion : 100,
+          .rank = route->priority,
+          .opinion = points,
+          .has_first = relay->has_opinion,
+          .first = relay->first_opinion,
           .elapsed_ms = relay->last_ms - terms->arrived_ms,
-          .objective_ms = terms->route->objective_ms,
-          .pause_ms = terms->route->pause_ms,
-          .beside = load_beside (relay) };
-
-  return escalation_gain (
-      belief_escalation (relay->belief, terms->service->name), &request);
+          .objective_ms = route->objective_ms,
+          .pause_ms = route->pause_ms,
+          .choices = choices,
+          .choice_count = count };
+  relay->has_opinion = true;
+  size_t chosen = escalation_choose (escalation, &request);
+  return chosen < count ? relay->model + 1 + chosen : relay->model;
 }
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -43,7 +43,9 @@
   httpd_req_t *req;
   terms_t terms;
   char *attempt_id;
-  size_t model;  /* Index into the route's models.  */
+  size_t model;     /* Index into the route's models.  */
+  bool has_opinion; /* The smallest model told its opinion: ...  */
+  uint32_t first_opinion;
   bound_t bound; /* Until the next moment at which something is due.  */
   /* The present send.  */
   call_t *call;
@@ -117,9 +119,9 @@
 /* Index among the service's models of the route's model at INDEX;
    SERVICE_MODELS_MAX when the service does not list it.  */
 size_t relay_service_model (const relay_t *relay, size_t index);
-/* What it is worth to drop the present answer, of which its model has OPINION,
-   for that of the largest model.  */
-double relay_weigh (const relay_t *relay, uint64_t opinion);
+/* The route's model that is to answer in place of the present one, which has
+   OPINION of its answer; the present one where that is kept.  */
+size_t relay_larger (relay_t *relay, uint64_t opinion);
 
 /* Sending and hearing.  */
 
--- a/packages/policy/escalation.c
+++ b/packages/policy/escalation.c
@@ -34,11 +34,19 @@
   double waits[TERMS];          /* Sums of y x^0 to y x^2.  */
 } curve_t;
 
+/* Sums of the points by which a model's opinions exceed the smallest's.  */
+typedef struct
+{
+  double count;
+  double points;
+} lead_t;
+
 struct escalation
 {
   escalation_options_t options;
   double pressure;
   curve_t curves[ESCALATION_MODELS];
+  lead_t leads[ESCALATION_MODELS];
   double worth; /* Mean, of a request; 0: none came.  */
 };
 
@@ -189,13 +197,37 @@
   return 1 / (1 + exp ((limit - value) / (limit * ESCALATION_SCATTER)));
 }
 
-/* The chance that an answer with OPINION is good.  */
+void
+escalation_compared (escalation_t *escalation, size_t model, uint32_t first,
+                     uint32_t opinion)
+{
+  /* At the ends of their scale opinions say less than they mean.  */
+  if (model >= ESCALATION_MODELS || first == 0 || first >= 100 || opinion == 0
+      || opinion >= 100)
+    return;
+  lead_t *lead = &escalation->leads[model];
+  lead->count = lead->count * ESCALATION_KEEP_CURVE + 1;
+  lead->points = lead->points * ESCALATION_KEEP_CURVE + opinion - first;
+}
+
+double
+escalation_lead (const escalation_t *escalation, size_t model)
+{
+  if (model == 0 || model >= ESCALATION_MODELS)
+    return 0;
+  const lead_t *lead = &escalation->leads[model];
+  return (lead->points + ESCALATION_LEAD * ESCALATION_LEAD_COUNT)
+         / (lead->count + ESCALATION_LEAD_COUNT);
+}
+
+/* The chance that an answer is good of which a model has OPINION, a mean of
+   COUNT opinions.  */
 static double
-good_part (const escalation_t *escalation, double opinion)
+good_part (const escalation_t *escalation, double opinion, double count)
 {
   return 0.5
-         * erfc ((50 - opinion)
-                 / (escalation->options.opinion_width * sqrt (2)));
+         * erfc ((50 - opinion) * sqrt (count / 2)
+                 / escalation->options.opinion_width);
 }
 
 /* Points that are added to an opinion at the present pressure.  */
@@ -219,62 +251,107 @@
          * pow (escalation->options.rank_part, request->rank) * size / kilo;
 }
 
-/* What a second answer costs in the use of models: the first is not generated
-   to its end.  */
+/* What a second answer of CHOICE costs in the use of models: the first is not
+   generated to its end.  */
 static double
-cost_of (const escalation_case_t *request)
+cost_of (const escalation_case_t *request, const escalation_choice_t *choice)
 {
   double generated = request->generated / kilo;
   double read = request->read / kilo * read_cost_part;
 
-  return request->larger_cost * (generated + read) - request->cost * generated;
+  return choice->cost * (generated + read) - request->cost * generated;
 }
 
-/* Fill what the larger model would take until its first event, and how much of
-   that is for reading.  */
+/* Fill what CHOICE would take until its first event, and how much of that is
+   for reading.  */
 static void
 foresee (const escalation_t *escalation, const escalation_case_t *request,
-         double *wait_ms, double *reading_ms)
+         const escalation_choice_t *choice, double *wait_ms,
+         double *reading_ms)
 {
   double terms[TERMS];
   double ratio = 1;
 
-  if (!model_terms (escalation, request->larger, terms))
+  if (!model_terms (escalation, choice->model, terms))
     {
       /* Not seen yet: it takes longer than the small one as it costs more. */
       if (!model_terms (escalation, request->model, terms))
         terms[0] = terms[1] = terms[2] = 0;
       else if (request->cost > 0)
-        ratio = request->larger_cost / request->cost;
+        ratio = choice->cost / request->cost;
     }
   *reading_ms = (at (terms, request->read) - terms[0]) * ratio;
   *wait_ms = terms[0] + *reading_ms;
 }
 
+/* Fill the opinion of the answer in points of its model, as the mean of
+ *COUNT.  */
+static double
+opinion_of (const escalation_t *escalation, const escalation_case_t *request,
+            double *count)
+{
+  *count = 1;
+  if (!request->has_first || request->model == 0)
+    return request->opinion;
+  *count = 2;
+  return (request->opinion + request->first
+          + escalation_lead (escalation, request->model))
+         / 2;
+}
+
 double
-escalation_gain (escalation_t *escalation, const escalation_case_t *request)
+escalation_gain (const escalation_t *escalation,
+                 const escalation_case_t *request, size_t index)
 {
   const escalation_options_t *options = &escalation->options;
+  const escalation_choice_t *choice = &request->choices[index];
   double worth = worth_of (escalation, request);
-  double good
-      = good_part (escalation, request->opinion + pressed_points (escalation));
+  double count;
+  double opinion
+      = opinion_of (escalation, request, &count) + pressed_points (escalation);
+  double lead = escalation_lead (escalation, choice->model)
+                - escalation_lead (escalation, request->model);
+  double kept = good_part (escalation, opinion, count);
+  double good = index + 1 == request->choice_count
+                    ? 1
+                    : good_part (escalation, opinion + lead, count);
   double wait_ms;
   double reading_ms;
   double harm = 0;
 
-  escalation->worth = escalation->worth == 0 ? worth
-                                             : escalation->worth * keep_mean
-                                                   + worth * (1 - keep_mean);
-  foresee (escalation, request, &wait_ms, &reading_ms);
+  foresee (escalation, request, choice, &wait_ms, &reading_ms);
   double late = request->objective_ms > 0
                     ? beyond ((double)request->elapsed_ms + wait_ms,
                               (double)request->objective_ms)
                     : 0;
   if (request->pause_ms > 0)
     harm = beyond (reading_ms, (double)request->pause_ms * ESCALATION_PAUSES)
-           * request->beside * escalation->worth * (1 - options->late_part);
-  double larger_part = 1 - late * (1 - options->late_part);
-  double kept_part = good + (1 - good) * options->poor_part;
+           * choice->beside * (1 - options->late_part)
+           * (escalation->worth > 0 ? escalation->worth : worth);
+  double larger_part = (good + (1 - good) * options->poor_part)
+                       * (1 - late * (1 - options->late_part));
+  double kept_part = kept + (1 - kept) * options->poor_part;
   return worth * (larger_part - kept_part - ESCALATION_MARGIN)
-         - cost_of (request) - harm;
+         - cost_of (request, choice) - harm;
+}
+
+size_t
+escalation_choose (escalation_t *escalation, const escalation_case_t *request)
+{
+  double worth = worth_of (escalation, request);
+  size_t best = request->choice_count;
+  double best_gain = 0;
+
+  escalation->worth = escalation->worth == 0 ? worth
+                                             : escalation->worth * keep_mean
+                                                   + worth * (1 - keep_mean);
+  for (size_t i = 0; i < request->choice_count; i++)
+    {
+      double gain = escalation_gain (escalation, request, i);
+      if (gain <= best_gain)
+        continue;
+      best = i;
+      best_gain = gain;
+    }
+  return best;
 }
--- a/packages/policy/escalation.h
+++ b/packages/policy/escalation.h
@@ -18,7 +18,12 @@
    each rank further.
    - The kept part is the chance that the answer is good: the opinion is taken
      for a noisy one, with 50 for `as likely as not'.  A poor answer is worth
-     POOR_PART.  The larger's is 1, or LATE_PART when it comes late.
+     POOR_PART.  The largest model's is good, and worth LATE_PART when late.
+   - A model between the two answers well what is a little too hard for the
+     small one, at half of the cost: its opinions lead those of the small one
+     by so many points, which is learnt from requests that both answered, and
+     the chance that it answers well follows from the small one's opinion and
+     that lead.  When it has answered, both opinions count.
    - Whether it comes late is told from the time that the larger model has
      taken of late for its first event, as a curve over the tokens of the
      prompt.
@@ -52,6 +57,9 @@
 /* What an observation leaves of the pressure: a second's worth of an entry's
    requests.  */
 #define ESCALATION_KEEP_PRESSURE 0.92
+/* The lead of a model before any was seen, as so many observations.  */
+#define ESCALATION_LEAD 10
+#define ESCALATION_LEAD_COUNT 4
 /* What an observation leaves of the curves: some 20 s at ten a second.  */
 #define ESCALATION_KEEP_CURVE 0.995
 /* Width of the step from on time to late, in what is allowed: that much do
@@ -89,21 +97,30 @@
                            the standard deviation of its noise.  */
 } escalation_options_t;
 
+/* A model that may answer next.  */
+typedef struct
+{
+  size_t model;  /* Index, smallest first.  */
+  double cost;   /* For 1,000 tokens generated or 4,000 read.  */
+  double beside; /* Requests at the engine that would read the prompt.  */
+} escalation_choice_t;
+
 /* One request and its answer so far.  */
 typedef struct
 {
-  size_t model;       /* Index of the one that answered, smallest first.  */
-  size_t larger;      /* Index of the one that would.  */
-  double cost;        /* Of MODEL, for 1,000 tokens generated or 4,000 read. */
-  double larger_cost; /* Of LARGER.  */
-  uint32_t read;      /* Tokens of the prompt.  */
-  uint32_t generated; /* Tokens to come, as far as known.  */
-  uint32_t rank;      /* Of the kind of request; 0 is the highest.  */
-  uint32_t opinion;   /* Of MODEL on its answer, 0 to 100.  */
+  size_t model;        /* Index of the one that answered.  */
+  double cost;         /* Of MODEL.  */
+  uint32_t read;       /* Tokens of the prompt.  */
+  uint32_t generated;  /* Tokens to come, as far as known.  */
+  uint32_t rank;       /* Of the kind of request; 0 is the highest.  */
+  uint32_t opinion;    /* Of MODEL on its answer, 0 to 100.  */
+  bool has_first;      /* The smallest model answered before MODEL ...  */
+  uint32_t first;      /* ... and had this opinion of its answer.  */
   uint64_t elapsed_ms; /* Since the caller asked.  */
   uint64_t objective_ms;
   uint64_t pause_ms; /* Longest between events that is on time; 0: any.  */
-  double beside;     /* Requests at the engine that would read it.  */
+  const escalation_choice_t *choices; /* The larger models, smallest first.  */
+  size_t choice_count;
 } escalation_case_t;
 
 escalation_t *escalation_create (const escalation_options_t *options);
@@ -113,10 +130,19 @@
    was due after OBJECTIVE_MS.  */
 void escalation_heard (escalation_t *escalation, size_t model, uint32_t read,
                        uint64_t wait_ms, uint64_t objective_ms);
-/* What it is worth to drop the answer; it is kept where that is not above 0.
+/* MODEL had OPINION of its answer to a request of which the smallest model had
+   opinion FIRST.  */
+void escalation_compared (escalation_t *escalation, size_t model,
+                          uint32_t first, uint32_t opinion);
+/* Points by which MODEL's opinions exceed those of the smallest model.  */
+double escalation_lead (const escalation_t *escalation, size_t model);
+/* What it is worth to drop the answer for that of choice INDEX.  */
+double escalation_gain (const escalation_t *escalation,
+                        const escalation_case_t *request, size_t index);
+/* The choice that gains most, or the count of choices when the answer is kept.
    The request is taken into account for those that come beside others.  */
-double escalation_gain (escalation_t *escalation,
-                        const escalation_case_t *request);
+size_t escalation_choose (escalation_t *escalation,
+                          const escalation_case_t *request);
 /* Mean part of its objective that a first event takes now.  */
 double escalation_pressure (const escalation_t *escalation);
 /* Time to the first event of MODEL for a prompt of READ tokens; 0: not known.
--- a/tests/test_escalation.c
+++ b/tests/test_escalation.c
@@ -10,6 +10,7 @@
 enum
 {
   SMALL,
+  MIDDLE,
   LARGE,
   OBJECTIVE_MS = 2000,
   PAUSE_MS = 1200,
@@ -58,14 +59,18 @@
     escalation_heard (escalation, SMALL, 500, 100, OBJECTIVE_MS);
 }
 
+static const escalation_choice_t large_alone[]
+    = { { .model = LARGE, .cost = 0.25, .beside = RUNNING } };
+static const escalation_choice_t middle_too[]
+    = { { .model = MIDDLE, .cost = 0.12, .beside = RUNNING },
+        { .model = LARGE, .cost = 0.25, .beside = RUNNING } };
+
 /* A draft, a question or a label of the usual size.  */
 static escalation_case_t
 draft (uint32_t opinion)
 {
   return (escalation_case_t){ .model = SMALL,
-                              .larger = LARGE,
                               .cost = 0.017,
-                              .larger_cost = 0.25,
                               .read = 12000,
                               .generated = 385,
                               .rank = 1,
@@ -73,7 +78,8 @@
                               .elapsed_ms = 150,
                               .objective_ms = OBJECTIVE_MS,
                               .pause_ms = PAUSE_MS,
-                              .beside = RUNNING };
+                              .choices = large_alone,
+                              .choice_count = 1 };
 }
 
 static escalation_case_t
@@ -105,7 +111,7 @@
   for (uint32_t opinion = 0; opinion <= 100; opinion++)
     {
       const escalation_case_t request = make (opinion);
-      if (escalation_gain (escalation, &request) <= 0)
+      if (escalation_choose (escalation, &request) == request.choice_count)
         return opinion;
     }
   return 101;
@@ -158,9 +164,9 @@
   escalation_case_t request = draft (10);
 
   teach (escalation, 1);
-  ck_assert_double_gt (escalation_gain (escalation, &request), 0);
+  ck_assert_double_gt (escalation_gain (escalation, &request, 0), 0);
   request.read = 40000;
-  ck_assert_double_lt (escalation_gain (escalation, &request), 0);
+  ck_assert_double_lt (escalation_gain (escalation, &request, 0), 0);
   escalation_destroy (escalation);
 }
 END_TEST
@@ -175,9 +181,11 @@
   teach (escalation, 1);
   request.read = 40000;
   request.objective_ms = 4 * OBJECTIVE_MS;
-  ck_assert_double_lt (escalation_gain (escalation, &request), 0);
-  request.beside = 0;
-  ck_assert_double_gt (escalation_gain (escalation, &request), 0);
+  ck_assert_double_lt (escalation_gain (escalation, &request, 0), 0);
+  escalation_choice_t alone = large_alone[0];
+  alone.beside = 0;
+  request.choices = &alone;
+  ck_assert_double_gt (escalation_gain (escalation, &request, 0), 0);
   escalation_destroy (escalation);
 }
 END_TEST
@@ -190,9 +198,9 @@
   escalation_case_t request = draft (48);
 
   teach (escalation, 1);
-  ck_assert_double_gt (escalation_gain (escalation, &request), 0);
+  ck_assert_double_gt (escalation_gain (escalation, &request, 0), 0);
   request.elapsed_ms = 1900;
-  ck_assert_double_lt (escalation_gain (escalation, &request), 0);
+  ck_assert_double_lt (escalation_gain (escalation, &request, 0), 0);
   escalation_destroy (escalation);
 }
 END_TEST
@@ -246,11 +254,91 @@
 START_TEST (the_first_answers_are_judged_too)
 {
   escalation_t *escalation = escalation_create (&options);
-  escalation_case_t request = { .larger = LARGE, .opinion = 10 };
+  const escalation_choice_t large = { .model = LARGE };
+  escalation_case_t request
+      = { .opinion = 10, .choices = &large, .choice_count = 1 };
 
-  ck_assert_double_gt (escalation_gain (escalation, &request), 0);
+  ck_assert_double_gt (escalation_gain (escalation, &request, 0), 0);
   request.opinion = 100;
-  ck_assert_double_lt (escalation_gain (escalation, &request), 0);
+  ck_assert_double_lt (escalation_gain (escalation, &request, 0), 0);
+  escalation_destroy (escalation);
+}
+END_TEST
+
+/* Teach ESCALATION that the middle model answers well what is harder by LEAD
+   points, from opinions that are wrong by some.  */
+static void
+compare (escalation_t *escalation, uint32_t lead, uint64_t seed)
+{
+  rng_t rng = rng_make (seed);
+
+  for (int i = 0; i < 100; i++)
+    {
+      uint32_t first = 35 + (uint32_t)rng_below (&rng, 20);
+      escalation_compared (escalation, MIDDLE, first,
+                           first + lead + (uint32_t)rng_below (&rng, 21) - 10);
+    }
+}
+
+/* What OPINION of the smallest model on a draft leads to: 0 and 1 for the
+   middle and the largest one, 2 when the answer is kept.  */
+static size_t
+next (escalation_t *escalation, uint32_t opinion)
+{
+  escalation_case_t request = draft (opinion);
+
+  request.choices = middle_too;
+  request.choice_count = 2;
+  return escalation_choose (escalation, &request);
+}
+
+/* Requests that are a little too hard for the smallest model go to the largest
+   at twice the cost of the middle one, which answers them well.  */
+START_TEST (the_middle_model_gets_what_is_a_little_too_hard)
+{
+  escalation_t *escalation = escalation_create (&options);
+
+  teach (escalation, 1);
+  compare (escalation, 14, 1);
+  ck_assert_double_le (fabs (escalation_lead (escalation, MIDDLE) - 14), 2);
+  ck_assert_uint_eq (next (escalation, 10), 1);
+  ck_assert_uint_eq (next (escalation, 50), 0);
+  ck_assert_uint_eq (next (escalation, 80), 2);
+  escalation_destroy (escalation);
+}
+END_TEST
+
+/* A middle model that answers no better than the smallest one gets nothing,
+   once that has been seen.  */
+START_TEST (a_middle_model_that_is_no_better_gets_nothing)
+{
+  escalation_t *escalation = escalation_create (&options);
+
+  teach (escalation, 1);
+  compare (escalation, 0, 1);
+  for (uint32_t opinion = 0; opinion <= 100; opinion++)
+    ck_assert_uint_ne (next (escalation, opinion), 0);
+  escalation_destroy (escalation);
+}
+END_TEST
+
+/* The middle model doubts its answer by chance: the opinion of the smallest
+   one, by its lead, still speaks for it.  */
+START_TEST (two_opinions_say_more_than_one)
+{
+  escalation_t *escalation = escalation_create (&options);
+  escalation_case_t request = draft (50);
+
+  teach (escalation, 1);
+  compare (escalation, 14, 1);
+  request.model = MIDDLE;
+  request.cost = middle_too[0].cost;
+  ck_assert_uint_eq (escalation_choose (escalation, &request), 0);
+  request.has_first = true;
+  request.first = 48;
+  ck_assert_uint_eq (escalation_choose (escalation, &request), 1);
+  request.first = 30;
+  ck_assert_uint_eq (escalation_choose (escalation, &request), 0);
   escalation_destroy (escalation);
 }
 END_TEST
@@ -269,6 +357,9 @@
   tcase_add_test (tcase, pressed_engines_keep_doubtful_answers);
   tcase_add_test (tcase, one_stray_wait_changes_little);
   tcase_add_test (tcase, the_first_answers_are_judged_too);
+  tcase_add_test (tcase, the_middle_model_gets_what_is_a_little_too_hard);
+  tcase_add_test (tcase, a_middle_model_that_is_no_better_gets_nothing);
+  tcase_add_test (tcase, two_opinions_say_more_than_one);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
