gateway: a version under trial is crowded a little, and must be seen on each route

Cause: the new version's instances were as loaded as the old one's until it was done, and more from then on, as their caches are cold. Sessions differ in how much they ask, so one route's share may be next to nothing.

Change: the share goes to four fifths of the instances that would make them as loaded as the old ones. A route that gave a hundred answers of the old version must have given two of the new one.

Test: a_route_without_answers_is_no_proof (the version was declared good before).

--- a/packages/gateway/relay_want.c
+++ b/packages/gateway/relay_want.c
@@ -38,8 +38,12 @@
          > 0;
 }
 
-/* How many instances of the version under TRIAL get its share of the requests,
-   so that they are as loaded as those of the old one.  */
+/* Load of the instances that get a version's share, over that of the old
+   version's: it must be seen to bear more than it will get on a calm day.  */
+static const double crowding = 1.25;
+
+/* How many instances of the version under TRIAL get its share of the requests.
+ */
 static size_t
 few_of (const relay_t *relay, const trial_t *trial)
 {
@@ -47,7 +51,7 @@
   double share = trial_share (trial, follow_store_ms (belief->orders));
   size_t old = pool_count (belief->pool, relay->terms.service->name, ARM_OLD,
                            trial_version (trial), SIZE_MAX);
-  size_t few = (size_t)ceil (share * (double)old);
+  size_t few = (size_t)ceil (share * (double)old / crowding);
   return few > FEW_LEAST ? few : FEW_LEAST;
 }
 
--- a/packages/gateway/trial.c
+++ b/packages/gateway/trial.c
@@ -550,12 +550,13 @@
 }
 
 /* Tell whether the new version has failed more in one cell since its first
-   answer, by too little to condemn it: over all cells that may not show.  */
+   answer, by too little to condemn it, or has hardly been seen in one that is
+   asked often: over all cells neither may show.  */
 static bool
 is_doubtful (const trial_sums_t *old, const trial_sums_t *new)
 {
   if (new->all_count < TRIAL_ENOUGH)
-    return false;
+    return new->all_count < TRIAL_SEEN && old->all_count >= TRIAL_OFTEN;
   return fails_more (old->all_failed, old->all_count, new->all_failed,
                      new->all_count, TRIAL_CELL_PROVEN, TRIAL_CELL_SIGMAS);
 }
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -90,6 +90,10 @@
    standard errors.  */
 #define TRIAL_CELL_PROVEN 0.13
 #define TRIAL_CELL_SIGMAS 2.0
+/* In one that gave so many answers of the old version the new one must have
+   given some.  */
+#define TRIAL_OFTEN 100.0
+#define TRIAL_SEEN 2.0
 #define TRIAL_ENOUGH 4.0
 #define TRIAL_PATIENCE 3
 
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -167,6 +167,33 @@
 }
 END_TEST
 
+/* Sessions differ in how much they ask, so a version may get hardly any
+   requests of one route: it is not declared good on those of the others.  */
+START_TEST (a_route_without_answers_is_no_proof)
+{
+  const uint64_t end_ms = START_MS + WITHIN_MS - TRIAL_DOUBT_MS;
+
+  for (int answers = 0; answers <= TRIAL_SEEN; answers += TRIAL_SEEN)
+    {
+      trial_t *trial
+          = trial_create (STR ("llm"), STR ("v2"), 1, WITHIN_MS, EXPOSURE);
+      buf_t why = BUF_NULL;
+      trial_set_progress (trial, START_MS, TRIAL_STEP_WIDER, START_MS);
+      for (int i = 0; i < 400; i++)
+        trial_observe (trial, TRIAL_OLD, (uint64_t)i % 2, TRIAL_ANSWERED, 50,
+                       false);
+      for (int i = 0; i < 40; i++)
+        trial_observe (trial, TRIAL_NEW, 0, TRIAL_ANSWERED, 50, false);
+      for (int i = 0; i < answers; i++)
+        trial_observe (trial, TRIAL_NEW, 1, TRIAL_ANSWERED, 50, false);
+      ck_assert_int_eq (trial_judge (trial, end_ms, false, &why),
+                        answers > 0 ? TRIAL_FINISH : TRIAL_TAKE_BACK);
+      buf_free (&why);
+      trial_destroy (trial);
+    }
+}
+END_TEST
+
 /* A version fails only under a load that its instances do not have within its
    order's time, so nothing tells it from a good one: what it gets until then
    keeps to the operators' bound, and it is declared good in time.  */
@@ -501,6 +528,7 @@
   tcase_add_test (tcase,
                   a_version_whose_faults_do_not_show_keeps_to_its_bound);
   tcase_add_test (tcase, failures_of_one_route_are_not_averaged_away);
+  tcase_add_test (tcase, a_route_without_answers_is_no_proof);
   tcase_add_test (tcase, a_version_that_is_only_slow_is_taken_back);
   tcase_add_test (tcase, failures_under_load_are_not_averaged_away);
   tcase_add_test (tcase, doubt_ends_at_the_limit);
