--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -323,8 +323,6 @@
   pub->rank_part = 0.5;
   pub->late_part = 0.3;
   pub->poor_part = 0.05;
-  /* Mean worth of six days on three fleets with 20, 10 and 5: 0.691, 0.748 and
-     0.741; 0.705, 0.753 and 0.756; 0.708, 0.754 and 0.759.  */
   pub->opinion_width = 5;
 }
 
--- a/packages/gateway/pool.c
+++ b/packages/gateway/pool.c
@@ -484,8 +484,7 @@
 
 /* Take UPSTREAM as a home of WANT's subject where it is closer.  A subject has
    a home in each zone: bytes between zones cost more than a prompt's shared
-   parts read once more (jabaldrift quiet-1: 0.025 and 0.006 of a day's worth
-   with one home for all zones, 0.004 and 0.012 with one in each).  */
+   parts read once more.  */
 static void
 consider_home (upstream_t *upstream, const pool_want_t *want, double hot,
                uint64_t now_ms, home_t *home)
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -49,8 +49,7 @@
 
 /* How soon an engine is to begin the request.  Engines read one prompt after
    the other: without this a short question waits behind the long drafts that
-   came before it.  Ranks go from 0 on, most of them few.  Mean worth of six
-   days on two fleets of 40 engines: 0.655 without, 0.658 with it.  */
+   came before it.  Ranks go from 0 on, most of them few.  */
 static uint32_t
 urgency_of (const relay_t *relay)
 {
@@ -332,9 +331,8 @@
 /* Tell whether RELAY waits until this process, which has just started, knows
    what it needs.  All entries were lost at once and their callers come back
    together, each for the last time: a refusal for the tenth of a second that
-   the first read takes would be final (391 of 440 requests in the second after
-   such a loss).  Later, or with the store away, who knows nothing says so at
-   once.  */
+   the first read takes would be final.  Later, or with the store away, who
+   knows nothing says so at once.  */
 static bool
 may_wait_for_start (const relay_t *relay)
 {
--- a/packages/gateway/trial.h
+++ b/packages/gateway/trial.h
@@ -37,9 +37,7 @@
      first event and between events, at instances as loaded as those of the old
      one: a time that is so many times the usual one there is late, and late
      answers count as failures do.  Without the load a version eight times as
-     slow passes: its instances are nearly empty, and first events come at 98
-   ms from them and at 63 ms from the old ones, which have thirty requests
-   each; between events it is 85 to 120 ms against 23.  */
+     slow passes, as its instances are nearly empty.  */
 
 #ifndef GATEWAY_TRIAL_H
 #define GATEWAY_TRIAL_H
@@ -56,11 +54,8 @@
    must exceed by TRIAL_LATE_HARM too.
 
    First events wait behind prompts, which makes all late that are at one
-   instance together: one in twelve of a good version takes four times the
-   middle one, and 10 of 44 were late when two of its instances had a queue.
-   The gaps between events depend on the size of the batch alone: one in a
-   hundred takes 2.5 times the middle one, and those of a slow version 8 of 8.
- */
+   instance together.  The gaps between events depend on the size of the batch
+   alone.  */
 #define TRIAL_TIMINGS(X)                                                      \
   X (TIMING_FIRST, 4.0, 16, 4.5, "first events")                              \
   X (TIMING_GAP, 2.5, 8, 4.0, "gaps between events")
@@ -71,8 +66,8 @@
 #define TRIAL_DOUBT_SIGMAS 1.5
 /* At the end a doubt cannot be waited out: it decides against the version.  */
 #define TRIAL_LAST_SIGMAS 3.0
-/* A crash that ends four requests in the first share takes a good version back
-   in 4 of 200 draws at most, and in 200 of 200 when each counts whole.  */
+/* A broken connection counts as this part of a failure: a crash breaks several
+   at once.  */
 #define TRIAL_BREAK 0.2
 /* ... and as this much where the version has to show that it is good.  */
 #define TRIAL_BREAK_PROVEN 0.5
