--- a/packages/policy/escalation.h
+++ b/packages/policy/escalation.h
@@ -30,9 +30,6 @@
    - An engine reads a prompt in chunks between the tokens of its other
      requests.  One that takes longer than the longest pause that is on time
      makes all of them late, so what it does to them grows with their number.
-     On a fleet whose large model needs a second and more for one prompt in
-     twenty, 66 and 89 of 2,822 streams were late in place of 192 and 185 once
-     this was weighed.
 
    Under pressure, when first events take a greater part of their objectives,
    ever worse opinions are kept: without this the second answers are what fills
@@ -66,9 +63,7 @@
    times scatter about their curve.  */
 #define ESCALATION_SCATTER 0.15
 /* Pauses that are on time for which a prompt must be read to make late what
-   runs beside it: a shorter read falls into two gaps between events.  Mean
-   worth of six days on three fleets with 1: 0.709, 0.753, 0.756; with 1.25:
-   0.706, 0.759, 0.757.  */
+   runs beside it: a shorter read falls into two gaps between events.  */
 #define ESCALATION_PAUSES 1.25
 
 /* Part of its worth by which a request must gain: a drop that gains less than
