policy: choice of an instance, roll-outs and extra sends stand with the decisions

Pool, trial and allowance decide without sockets, with the clock passed in, and stood among the gateway's own files. They move to packages/policy beside escalation, allotment and readers; names and behaviour stay.

--- a/bench/bench_gateway.c
+++ b/bench/bench_gateway.c
@@ -3,9 +3,9 @@
 #include "points.h"
 
 #include "gateway/catalog.h"
-#include "gateway/pool.h"
-#include "gateway/trial.h"
 #include "policy/escalation.h"
+#include "policy/pool.h"
+#include "policy/trial.h"
 
 #include "base/rng.h"
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -8,11 +8,11 @@
 
 #include "base/clock.h"
 #include "base/metric.h"
-#include "policy/escalation.h"
 #include "gateway/catalog.h"
 #include "gateway/names.h"
-#include "gateway/pool.h"
 #include "gateway/rows.h"
+#include "policy/escalation.h"
+#include "policy/pool.h"
 
 #include <uv.h>
 
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -7,16 +7,16 @@
 #include "base/map.h"
 #include "base/mem.h"
 #include "base/rng.h"
-#include "gateway/allowance.h"
 #include "gateway/billing.h"
 #include "gateway/follow.h"
 #include "gateway/gateway.h"
 #include "gateway/reach.h"
 #include "gateway/share.h"
 #include "gateway/tally.h"
-#include "gateway/trial.h"
 #include "policy/allotment.h"
+#include "policy/allowance.h"
 #include "policy/escalation.h"
+#include "policy/trial.h"
 #include "wire/httpd.h"
 
 /* X (field, help): plain counters of a gateway.  */
--- a/packages/gateway/allowance.c
+++ b/packages/policy/allowance.c
@@ -1,4 +1,4 @@
-#include "gateway/allowance.h"
+#include "policy/allowance.h"
 
 #include "base/mem.h"
 
--- a/packages/gateway/allowance.h
+++ b/packages/policy/allowance.h
@@ -10,8 +10,8 @@
    ALLOWANCE_USE of the bound is used: the windows of the one who counts do not
    begin with ours.  */
 
-#ifndef GATEWAY_ALLOWANCE_H
-#define GATEWAY_ALLOWANCE_H
+#ifndef POLICY_ALLOWANCE_H
+#define POLICY_ALLOWANCE_H
 
 #include "base/clock.h"
 
--- a/packages/gateway/pool.c
+++ b/packages/policy/pool.c
@@ -1,4 +1,4 @@
-#include "gateway/pool.h"
+#include "policy/pool.h"
 
 #include "base/map.h"
 #include "base/mem.h"
--- a/packages/gateway/pool.h
+++ b/packages/policy/pool.h
@@ -22,11 +22,11 @@
      as loaded as those of the old version.  Spread over all, a tenth of the
      traffic leaves them idle, and a version that is slow, or bad under load,
      looks good until it has everything.
-   - An instance that went silent: it is looked at (reach.h), and out at once
+   - An instance that went silent: it is looked at, and out at once
      when it takes no connection.  */
 
-#ifndef GATEWAY_POOL_H
-#define GATEWAY_POOL_H
+#ifndef POLICY_POOL_H
+#define POLICY_POOL_H
 
 #include "base/clock.h"
 #include "base/code.h"
--- a/packages/gateway/trial.c
+++ b/packages/policy/trial.c
@@ -1,4 +1,4 @@
-#include "gateway/trial.h"
+#include "policy/trial.h"
 
 #include "base/map.h"
 #include "base/mem.h"
--- a/packages/gateway/trial.h
+++ b/packages/policy/trial.h
@@ -39,8 +39,8 @@
      answers count as failures do.  Without the load a version eight times as
      slow passes, as its instances are nearly empty.  */
 
-#ifndef GATEWAY_TRIAL_H
-#define GATEWAY_TRIAL_H
+#ifndef POLICY_TRIAL_H
+#define POLICY_TRIAL_H
 
 #include "base/code.h"
 #include "base/str.h"
--- a/tests/test_allowance.c
+++ b/tests/test_allowance.c
@@ -1,6 +1,6 @@
 /* The bound on sends beyond the first.  */
 
-#include "gateway/allowance.h"
+#include "policy/allowance.h"
 #include "suite.h"
 
 /* An upstream fails every request and each is sent again where the bound
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -1,6 +1,6 @@
 /* Which instance gets a request: hot subjects, cold instances, failures.  */
 
-#include "gateway/pool.h"
+#include "policy/pool.h"
 #include "suite.h"
 
 #include <stdio.h>
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -1,6 +1,6 @@
 /* Roll-outs of good and bad versions, with a seeded stream of answers.  */
 
-#include "gateway/trial.h"
+#include "policy/trial.h"
 #include "suite.h"
 
 #include "base/rng.h"
