--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -338,32 +338,24 @@
 }
 
 static void
-sums_scale (trial_sums_t *sums, double factor, double times_factor)
-{
-  sums->count *= factor;
-  sums->failed *= factor;
-  sums->broken *= factor;
-  sums->waits *= factor;
-  sums->log_wait *= factor;
-  sums->log_wait_squared *= factor;
+sums_fade (trial_sums_t *sums)
+{
+#define X(field, decimals, keep) sums->field *= keep;
+  TRIAL_SUMS (X)
+#undef X
   for (size_t timing = 0; timing < TIMINGS; timing++)
     {
-      sums->timed[timing] *= times_factor;
-      sums->late[timing] *= times_factor;
+      sums->timed[timing] *= TRIAL_KEEP_TIMES_S;
+      sums->late[timing] *= TRIAL_KEEP_TIMES_S;
     }
 }
 
 static void
 sums_add (trial_sums_t *to, const trial_sums_t *from)
 {
-  to->count += from->count;
-  to->failed += from->failed;
-  to->broken += from->broken;
-  to->all_count += from->all_count;
-  to->all_failed += from->all_failed;
-  to->waits += from->waits;
-  to->log_wait += from->log_wait;
-  to->log_wait_squared += from->log_wait_squared;
+#define X(field, decimals, keep) to->field += from->field;
+  TRIAL_SUMS (X)
+#undef X
   for (size_t timing = 0; timing < TIMINGS; timing++)
     {
       to->timed[timing] += from->timed[timing];
@@ -376,8 +368,7 @@
 {
   for (size_t arm = 0; arm < TRIAL_ARMS; arm++)
     for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
-      sums_scale (&evidence->sums[arm][cell], TRIAL_KEEP_S,
-                  TRIAL_KEEP_TIMES_S);
+      sums_fade (&evidence->sums[arm][cell]);
 }
 
 void
@@ -439,10 +430,10 @@
     for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
       {
         const trial_sums_t *sums = &evidence.sums[arm][cell];
-        buf_printf (out, " %.2f %.2f %.2f %.1f %.1f %.2f %.3f %.3f",
-                    sums->count, sums->failed, sums->broken, sums->all_count,
-                    sums->all_failed, sums->waits, sums->log_wait,
-                    sums->log_wait_squared);
+#define X(field, decimals, keep)                                              \
+  buf_printf (out, " %.*f", decimals, sums->field);
+        TRIAL_SUMS (X)
+#undef X
         for (size_t timing = 0; timing < TIMINGS; timing++)
           buf_printf (out, " %.2f %.2f", sums->timed[timing],
                       sums->late[timing]);
@@ -474,15 +465,11 @@
     for (size_t cell = 0; cell < TRIAL_CELLS_ALL; cell++)
       {
         trial_sums_t *sums = &got.sums[arm][cell];
-        if (!next_number (&text, &sums->count)
-            || !next_number (&text, &sums->failed)
-            || !next_number (&text, &sums->broken)
-            || !next_number (&text, &sums->all_count)
-            || !next_number (&text, &sums->all_failed)
-            || !next_number (&text, &sums->waits)
-            || !next_number (&text, &sums->log_wait)
-            || !next_number (&text, &sums->log_wait_squared))
-          return VH_E_PROTOCOL;
+#define X(field, decimals, keep)                                              \
+  if (!next_number (&text, &sums->field))                                     \
+    return VH_E_PROTOCOL;
+        TRIAL_SUMS (X)
+#undef X
         for (size_t timing = 0; timing < TIMINGS; timing++)
           if (!next_number (&text, &sums->timed[timing])
               || !next_number (&text, &sums->late[timing]))
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -160,21 +160,30 @@
   TRIAL_ARMS
 } trial_arm_t;
 
+/* X (field, decimals as told, what a second leaves): sums over answers, in the
+   order in which they are told.  */
+#define TRIAL_SUMS(X)                                                         \
+  X (count, 2, TRIAL_KEEP_S)                                                  \
+  X (failed, 2, TRIAL_KEEP_S)                                                 \
+  /* By a broken connection; not weighted.  */                                \
+  X (broken, 2, TRIAL_KEEP_S)                                                 \
+  /* As count and failed, but nothing is forgotten and broken connections do  \
+     not count.  */                                                           \
+  X (all_count, 1, 1)                                                         \
+  X (all_failed, 1, 1)                                                        \
+  /* Answers with a first event.  */                                          \
+  X (waits, 2, TRIAL_KEEP_S)                                                  \
+  X (log_wait, 3, TRIAL_KEEP_S)                                               \
+  X (log_wait_squared, 3, TRIAL_KEEP_S)
+
 /* Sums over the answers of one arm in one cell.  */
 typedef struct
 {
-  double count;
-  double failed;
-  double broken; /* By a broken connection; not weighted.  */
-  double waits;  /* Answers with a first event.  */
-  double log_wait;
-  double log_wait_squared;
+#define X(field, decimals, keep) double field;
+  TRIAL_SUMS (X)
+#undef X
   double timed[TIMINGS];
   double late[TIMINGS]; /* Of these.  */
-  /* As count and failed, of which nothing is forgotten and without broken
-     connections.  */
-  double all_count;
-  double all_failed;
 } trial_sums_t;
 
 /* ORDER tells one order from the next for the same version.  EXPOSURE: part of
