escalation: the smallest model is the one that answered first

A relay's flag for a first opinion followed from its model, and a model counted as the smallest by its place in the service's list: a route that begins with another one would have given that one a lead over itself. Whether a smaller model answered before is asked of the relay's model, in one place. On routes that name the service's models in order nothing changes.

--- a/packages/gateway/relay_want.c
+++ b/packages/gateway/relay_want.c
@@ -158,7 +158,7 @@
 
   if (relay->model == 0)
     relay->first_opinion = points;
-  else if (relay->has_opinion)
+  else
     escalation_compared (escalation, model, relay->first_opinion, points);
   for (size_t i = relay->model + 1;
        i < route->model_count && count < SERVICE_MODELS_MAX; i++)
@@ -176,14 +176,13 @@
           .generated = terms->generated,
           .rank = route->priority,
           .opinion = points,
-          .has_first = relay->has_opinion,
+          .has_first = relay->model > 0,
           .first = relay->first_opinion,
           .elapsed_ms = relay->last_ms - terms->arrived_ms,
           .objective_ms = route->objective_ms,
           .pause_ms = route->pause_ms,
           .choices = choices,
           .choice_count = count };
-  relay->has_opinion = true;
   size_t chosen = escalation_choose (escalation, &request);
   return chosen < count ? relay->model + 1 + chosen : relay->model;
 }
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -43,9 +43,9 @@
   httpd_req_t *req;
   terms_t terms;
   char *attempt_id;
-  size_t model;     /* Index into the route's models.  */
-  bool has_opinion; /* The smallest model told its opinion: ...  */
-  uint32_t first_opinion;
+  size_t model;           /* Index into the route's models.  */
+  uint32_t first_opinion; /* Of the route's smallest model, once a larger one
+                             is asked.  */
   bound_t bound; /* Until the next moment at which something is due.  */
   /* The present send.  */
   call_t *call;
--- a/packages/policy/escalation.c
+++ b/packages/policy/escalation.c
@@ -213,7 +213,7 @@
 double
 escalation_lead (const escalation_t *escalation, size_t model)
 {
-  if (model == 0 || model >= ESCALATION_MODELS)
+  if (model >= ESCALATION_MODELS)
     return 0;
   const lead_t *lead = &escalation->leads[model];
   return (lead->points + ESCALATION_LEAD * ESCALATION_LEAD_COUNT)
@@ -284,14 +284,14 @@
   *wait_ms = terms[0] + *reading_ms;
 }
 
-/* Fill the opinion of the answer in points of its model, as the mean of
- *COUNT.  */
+/* The opinion of the answer, in points of its model; COUNT gets of how many
+   opinions that is the mean.  */
 static double
 opinion_of (const escalation_t *escalation, const escalation_case_t *request,
             double *count)
 {
   *count = 1;
-  if (!request->has_first || request->model == 0)
+  if (!request->has_first)
     return request->opinion;
   *count = 2;
   return (request->opinion + request->first
@@ -309,8 +309,9 @@
   double count;
   double opinion
       = opinion_of (escalation, request, &count) + pressed_points (escalation);
-  double lead = escalation_lead (escalation, choice->model)
-                - escalation_lead (escalation, request->model);
+  double lead = escalation_lead (escalation, choice->model);
+  if (request->has_first)
+    lead -= escalation_lead (escalation, request->model);
   double kept = good_part (escalation, opinion, count);
   double good = index + 1 == request->choice_count
                     ? 1
--- a/packages/policy/escalation.h
+++ b/packages/policy/escalation.h
@@ -129,7 +129,8 @@
    opinion FIRST.  */
 void escalation_compared (escalation_t *escalation, size_t model,
                           uint32_t first, uint32_t opinion);
-/* Points by which MODEL's opinions exceed those of the smallest model.  */
+/* Points by which the opinions of MODEL, not the smallest, exceed those of the
+   smallest.  */
 double escalation_lead (const escalation_t *escalation, size_t model);
 /* What it is worth to drop the answer for that of choice INDEX.  */
 double escalation_gain (const escalation_t *escalation,
