--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -19,11 +19,11 @@
      POOL_OUT_FIRST_MS, doubled up to POOL_OUT_LAST_MS.  When all are out, all
      are in: then it is not the instances.
    - The first share of a new version: it goes to as few instances as make them
-     as loaded as those of the old version.  Spread over all, a tenth of the
-     traffic leaves them idle, and a version that is slow, or bad under load,
-     looks good until it has everything.
-   - An instance that went silent: it is looked at, and out at once
-     when it takes no connection.  */
+     a little more loaded than those of the old version.  Spread over all, a
+     tenth of the traffic leaves them idle, and a version that is slow, or bad
+     under load, looks good until it has everything.
+   - An instance that went silent: it is looked at, and out at once when it
+     takes no connection.  */
 
 #ifndef POLICY_POOL_H
 #define POLICY_POOL_H
