--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -340,7 +340,7 @@
 static void
 sums_fade (trial_sums_t *sums)
 {
-#define X(field, decimals, keep) sums->field *= keep;
+#define X(field, decimals, keep) sums->field *= (keep);
   TRIAL_SUMS (X)
 #undef X
   for (size_t timing = 0; timing < TIMINGS; timing++)
