gateway, pool: announced rate limits are recorded and logged

Change: the header has a name in the dialect; the pool keeps the rate that an instance announced last. Lines pool.limited (rate, before), pool.limit-ended (known_ms) and pool.limit-unreadable (value); a counter of sends to such instances and a gauge of their number. No decision depends on it yet.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -59,6 +59,12 @@
      "A registration is left out")                                            \
   X (EVENT_LOOKED, "pool", "looked", INFO, 50,                                \
      "A silent instance was looked at")                                       \
+  X (EVENT_LIMIT, "pool", "limited", NOTICE, 50,                              \
+     "An instance announced a rate limit")                                    \
+  X (EVENT_LIMIT_END, "pool", "limit-ended", NOTICE, 50,                      \
+     "An instance no longer announces a rate limit")                          \
+  X (EVENT_LIMIT_BAD, "pool", "limit-unreadable", WARNING, 5,                 \
+     "An announced rate limit cannot be read and is ignored")                 \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
   X (EVENT_ZONE_BACK, "zone", "back", NOTICE, 20, "A zone is taken back")     \
   X (EVENT_ENTRIES, "entries", "count", INFO, 20,                             \
@@ -124,6 +130,10 @@
   X (FIELD_READ_MS, "read_ms", "Milliseconds since a later text arrived")     \
   X (FIELD_TOOK_MS, "took_ms", "Milliseconds since the call was made")        \
   X (FIELD_READER, "reader", "Entry that reads the store for this one")       \
+  X (FIELD_RATE, "rate",                                                      \
+     "Requests a second that the instance accepts from all entries")          \
+  X (FIELD_KNOWN_MS, "known_ms", "For how long it was known here")            \
+  X (FIELD_VALUE, "value", "Text that cannot be read")                        \
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
   X (FIELD_COLD_MS, "cold_ms", "For how much longer it is cold")              \
   X (FIELD_KEEP_MS, "keep_ms", "For how much longer it is used")              \
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -166,6 +166,9 @@
   set_gauge (gateway, "vanillahook_gateway_entries", "",
              "Gateway processes that share the retry budgets.",
              state->gateway_count);
+  set_gauge (gateway, "vanillahook_gateway_limited_instances", "",
+             "Instances that announce a rate limit.",
+             (double)pool_count_rate_limits (state->pool));
   set_gauge (gateway, "vanillahook_gateway_ready", "",
              "1: the readiness check succeeds.", is_ready (gateway));
   set_gauge (gateway, "vanillahook_gateway_bills_waiting", "",
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -29,6 +29,7 @@
   X (left, "Callers that disconnected before the end of their response.")     \
   X (sends, "Requests sent to upstreams.")                                    \
   X (resends, "Sends beyond the first of a request.")                         \
+  X (limited_sends, "Sends to upstreams that announced a rate limit.")        \
   X (resumes, "Interrupted streams resumed by another send.")                 \
   X (escalations, "Responses discarded to escalate to a larger model.")       \
   X (events, "Events of streams forwarded to callers.")
--- a/packages/gateway/header_names.h
+++ b/packages/gateway/header_names.h
@@ -32,6 +32,9 @@
   X (not_run, "vanillahook-not-run")                                          \
   /* Milliseconds until the upstream has finished warming up.  */             \
   X (cold_ms, "vanillahook-cold-ms")                                          \
+  /* Requests a second that the upstream accepts from all gateways together,  \
+     a decimal number.  */                                                    \
+  X (rate_limit, "vanillahook-rate-limit")                                    \
   X (urgency, "vanillahook-urgency")                                          \
   X (session, "vanillahook-session-id")                                       \
   /* Confidence of a model in its own answer, 0 to 100.  */                   \
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -127,6 +127,7 @@
                         relay->attrs.prompt_tokens);
   relay->phase = PHASE_AWAITING_RESPONSE;
   relay->sent_ms = now_ms;
+  relay->dispatched_ms = now_ms;
   relay->last_activity_ms = now_ms;
   relay->send_event_count = 0;
   relay->upstream_request_count = upstream_running_count (relay->upstream);
@@ -136,6 +137,8 @@
   relay->has_connect_failed = false;
   relay->send_count++;
   counter_add (state->counters.sends, 1);
+  if (upstream_rate_limit (relay->upstream)->is_announced)
+    counter_add (state->counters.limited_sends, 1);
   const forward_params_t params = {
     .names = state->names,
     .upstream_id = upstream_id (relay->upstream),
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -1,6 +1,7 @@
 #include "gateway/relayint.h"
 
 #include "gateway/forward.h"
+#include "gateway/announced_limits.h"
 
 enum
 {
@@ -189,8 +190,8 @@
   relay_destroy (relay);
 }
 
-/* Record the load in HEAD in RELAY and in the pool, and the warm-up time in
-   HEAD in the pool.  */
+/* Record the load in HEAD in RELAY and in the pool, and the warm-up time and
+   the rate limit in HEAD in the pool.  */
 static void
 record_upstream_load (relay_t *relay, const http_exchange_head_t *head)
 {
@@ -217,6 +218,8 @@
   if (cold_header.ptr != NULL && str_to_u64 (cold_header, &cold_ms)
       && cold_ms > 0)
     pool_set_cold (relay->state->pool, relay->upstream, cold_ms);
+  announced_limits_observe (relay->state->pool, relay->upstream, head,
+                            names->rate_limit, relay->dispatched_ms);
 }
 
 /* Return whether HEAD is a valid response of an upstream to this request.  */
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -63,6 +63,8 @@
   uint64_t sent_ms; /* Monotonic time of the send, in ms.  Set to the current
                        time when a timeout is postponed because no retry is
                        possible.  */
+  uint64_t dispatched_ms; /* Monotonic time of the send, in ms; not changed
+                             when a timeout is postponed.  */
   uint64_t head_received_ms;
   uint64_t last_activity_ms; /* Monotonic time of the last bytes received from
                                 the upstream, in ms.  Equal to SENT_MS before
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -59,6 +59,7 @@
   /* Requests of other gateways in the last load report.  */
   double other_requests;
   uint64_t reported_ms;
+  rate_limit_t rate_limit; /* Limit that the instance announced.  */
   uint64_t send_times[POOL_SEND_TIMES_MAX]; /* Ring buffer of the last send
                                                times. */
   size_t send_time_index;
@@ -781,6 +782,46 @@
   upstream->cold_until_ms = clock_ms (pool->clock) + cold_ms;
 }
 
+bool
+pool_announce_rate_limit (pool_t *pool, upstream_t *upstream,
+                          double rate_per_s)
+{
+  return rate_limit_announce (&upstream->rate_limit, rate_per_s,
+                              clock_ms (pool->clock));
+}
+
+bool
+pool_end_rate_limit (pool_t *pool, upstream_t *upstream)
+{
+  (void)pool;
+  return rate_limit_end (&upstream->rate_limit);
+}
+
+size_t
+pool_count_rate_limits (const pool_t *pool)
+{
+  size_t count = 0;
+  size_t cursor = 0;
+  str_t id;
+  void *value;
+
+  while (map_next (pool->by_id, &cursor, &id, &value))
+    count += ((const upstream_t *)value)->rate_limit.is_announced;
+  return count;
+}
+
+uint64_t
+pool_now_ms (const pool_t *pool)
+{
+  return clock_ms (pool->clock);
+}
+
+const rate_limit_t *
+upstream_rate_limit (const upstream_t *upstream)
+{
+  return &upstream->rate_limit;
+}
+
 str_t
 upstream_id (const upstream_t *upstream)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -36,6 +36,7 @@
 #include "base/code.h"
 #include "base/str.h"
 #include "policy/allotment.h"
+#include "policy/ratelimit.h"
 
 #define POOL_HOT_LOAD_FACTOR 1.5
 
@@ -209,9 +210,22 @@
 /* Record that UPSTREAM stays cold for another COLD_MS.  */
 void pool_set_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms);
 
+/* Record that UPSTREAM announced a limit of RATE_PER_S, at least 0.  Return
+   whether it had no limit before, or one of another rate.  */
+bool pool_announce_rate_limit (pool_t *pool, upstream_t *upstream,
+                               double rate_per_s);
+/* Record that UPSTREAM no longer announces a limit.  Return whether it had
+   one.  */
+bool pool_end_rate_limit (pool_t *pool, upstream_t *upstream);
+/* Return the number of instances that announce a rate limit.  */
+size_t pool_count_rate_limits (const pool_t *pool);
+/* Return the monotonic time of the pool's clock, in ms.  */
+uint64_t pool_now_ms (const pool_t *pool);
+
 str_t upstream_id (const upstream_t *upstream);
 str_t upstream_address (const upstream_t *upstream);
 str_t upstream_version (const upstream_t *upstream);
+const rate_limit_t *upstream_rate_limit (const upstream_t *upstream);
 /* Return the number of requests that run or wait at UPSTREAM: those of this
    gateway, and those of others according to the last load report.  */
 double upstream_request_count (const pool_t *pool, const upstream_t *upstream);
