tests: gateways exceed an announced rate limit (red)

Four gateways with a store in memory and real sockets, 50 requests a second, three instances of which one announces 1 or 2.5 requests a second in every response.

The logs decide between the hypotheses: every gateway reads the announcement with its first response and goes on as before.

--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -24,6 +24,9 @@
   fake_action_t actions[ACTIONS_MAX];
   size_t action_count;
   size_t next_action;
+  char *rate_limit; /* Value of the rate limit header; NULL: none.  */
+  uint64_t *arrivals_ms;
+  size_t arrivals_capacity;
   size_t requests;
   size_t abort_count;
   buf_t last_request;
@@ -139,6 +142,9 @@
               STR_ARG (names->attempt_id),
               STR_ARG (request_header (conn, names->attempt_id.ptr)),
               STR_ARG (names->answer_mac), conn->upstream->id);
+  if (conn->upstream->rate_limit != NULL)
+    buf_printf (out, "%.*s: %s\r\n", STR_ARG (names->rate_limit),
+                conn->upstream->rate_limit);
 }
 
 static void
@@ -279,6 +285,21 @@
          >= (size_t)(end - conn->input.ptr) + 4 + (size_t)length;
 }
 
+static void
+record_arrival (fake_upstream_t *upstream)
+{
+  if (upstream->requests == upstream->arrivals_capacity)
+    {
+      upstream->arrivals_capacity = upstream->arrivals_capacity > 0
+                                        ? 2 * upstream->arrivals_capacity
+                                        : 64;
+      upstream->arrivals_ms = mem_realloc (
+          upstream->arrivals_ms,
+          upstream->arrivals_capacity * sizeof *upstream->arrivals_ms);
+    }
+  upstream->arrivals_ms[upstream->requests++] = uv_now (upstream->loop);
+}
+
 static void
 on_conn_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
@@ -297,7 +318,7 @@
   buf_append (&conn->input, buf->base, (size_t)got);
   if (!is_request_complete (conn))
     return;
-  upstream->requests++;
+  record_arrival (upstream);
   upstream->last_request.len = 0;
   buf_append_str (&upstream->last_request, buf_str (&conn->input));
   buf_append_char (&upstream->last_request, '\0');
@@ -345,6 +366,8 @@
   fake_upstream_t *upstream = handle->data;
 
   free (upstream->id);
+  free (upstream->rate_limit);
+  free (upstream->arrivals_ms);
   buf_free (&upstream->last_request);
   free (upstream);
 }
@@ -378,6 +401,19 @@
   upstream->next_action = 0;
 }
 
+void
+fake_upstream_set_rate_limit (fake_upstream_t *upstream, const char *text)
+{
+  free (upstream->rate_limit);
+  upstream->rate_limit = text != NULL ? str_dup (str_from (text)) : NULL;
+}
+
+const uint64_t *
+fake_upstream_arrivals_ms (const fake_upstream_t *upstream)
+{
+  return upstream->arrivals_ms;
+}
+
 size_t
 fake_upstream_request_count (const fake_upstream_t *upstream)
 {
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -41,6 +41,13 @@
 /* Set the actions for the next requests.  The last action is repeated.  */
 void fake_upstream_script (fake_upstream_t *upstream,
                            const fake_action_t *actions, size_t count);
+/* Set the value of the rate limit header in the responses; NULL: the responses
+   have no such header.  TEXT is copied.  */
+void fake_upstream_set_rate_limit (fake_upstream_t *upstream,
+                                   const char *text);
+/* Return the loop times, in ms, at which the requests arrived, in order. Owned
+   by UPSTREAM and valid until the next request.  */
+const uint64_t *fake_upstream_arrivals_ms (const fake_upstream_t *upstream);
 /* Return the number of complete requests received.  */
 size_t fake_upstream_request_count (const fake_upstream_t *upstream);
 /* Return the text of the last request, owned by UPSTREAM, or NULL before the
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -354,16 +354,17 @@
     }
 }
 
-void
-gateway_fixture_setup_without_store (gateway_fixture_t *f, size_t count)
+gateway_t *
+gateway_fixture_start_gateway (gateway_fixture_t *f, const char *name,
+                               uint64_t seed)
 {
   const gateway_options_t options = {
-    .name = STR ("gateway-1"),
+    .name = str_from (name),
     .zone = STR ("zone-a"),
     .listen = STR ("127.0.0.1:0"),
     .ready_listen = STR ("127.0.0.1:0"),
     .admin_listen = STR (""),
-    .seed = 1,
+    .seed = seed,
     .drain_grace_ms = 500,
     .drain_timeout_ms = 5000,
     .config_max_age_ms = 3500,
@@ -379,6 +380,18 @@
                     .poor_value_ratio = 0.05,
                     .confidence_stddev = 5 },
   };
+  gateway_t *gateway;
+
+  ck_assert_int_eq (gateway_create (&f->loop, clock_system (),
+                                    fake_rows_iface (f->rows), &test_dialect,
+                                    &options, &gateway),
+                    VH_OK);
+  return gateway;
+}
+
+void
+gateway_fixture_setup_without_store (gateway_fixture_t *f, size_t count)
+{
   static const fake_action_t answer[] = { ACT_RESPOND };
   char id[32];
 
@@ -396,10 +409,7 @@
       gateway_fixture_register (f, i, "v1", "ready");
     }
   f->upstream_count = count;
-  ck_assert_int_eq (gateway_create (&f->loop, clock_system (),
-                                    fake_rows_iface (f->rows), &test_dialect,
-                                    &options, &f->gateway),
-                    VH_OK);
+  f->gateway = gateway_fixture_start_gateway (f, "gateway-1", 1);
 }
 
 void
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -36,7 +36,7 @@
 {
   uv_loop_t loop;
   fake_rows_t *rows;
-  gateway_t *gateway;
+  gateway_t *gateway; /* Gateway to which callers connect.  */
   fake_upstream_t *upstreams[4];
   size_t upstream_count;
   loop_wait_t wait;
@@ -50,6 +50,10 @@
    until fake_rows_set_down (f->rows, false).  */
 void gateway_fixture_setup_without_store (gateway_fixture_t *f, size_t count);
 void gateway_fixture_teardown (gateway_fixture_t *f);
+/* Start a further gateway, which uses the same store and upstreams.  The
+   caller destroys it before gateway_fixture_teardown.  */
+gateway_t *gateway_fixture_start_gateway (gateway_fixture_t *f,
+                                          const char *name, uint64_t seed);
 /* Run the loop until COND holds.  Fail the test after ten seconds.  */
 #define gateway_fixture_wait(f, cond) LOOP_WAIT (&(f)->wait, cond)
 
--- /dev/null
+++ b/tests/test_announced_limits.c
@@ -0,0 +1,205 @@
+/* Several gateways, over real sockets, before instances that announce a rate
+   limit in their responses.  */
+
+#include "base/mem.h"
+#include "gateway_fixture.h"
+#include "suite.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define REQUEST_HEADERS                                                       \
+  "Authorization: Bearer key-1\r\nvanillahook-attempt-id: a1\r\n"
+
+enum
+{
+  GATEWAYS_MAX = 8,
+  CALLERS_MAX = 2048,
+  /* Instances with index 0 announce the limit.  */
+  UPSTREAMS = 3,
+  CALL_INTERVAL_MS = 20,
+  /* The span for which the limit is promised.  */
+  SPAN_MS = 4000,
+  /* Time after which every gateway has learned the limit.  */
+  SETTLE_MS = 500
+};
+
+/* A fleet of gateways under a constant load of callers.  */
+typedef struct
+{
+  gateway_fixture_t fixture;
+  gateway_t *gateways[GATEWAYS_MAX]; /* NULL: stopped.  */
+  size_t gateway_count;
+  caller_t *callers;
+  size_t caller_count;
+  size_t next_gateway;
+  uv_timer_t timer;
+} fleet_t;
+
+static void
+fleet_add_gateway (fleet_t *fleet)
+{
+  char name[32];
+
+  snprintf (name, sizeof name, "gateway-%zu", fleet->gateway_count + 1);
+  fleet->gateways[fleet->gateway_count] = gateway_fixture_start_gateway (
+      &fleet->fixture, name, fleet->gateway_count + 1);
+  fleet->gateway_count++;
+}
+
+static void
+fleet_setup (fleet_t *fleet, size_t gateways)
+{
+  gateway_fixture_t *f = &fleet->fixture;
+
+  memset (fleet, 0, sizeof *fleet);
+  fleet->callers = mem_zalloc (CALLERS_MAX * sizeof *fleet->callers);
+  gateway_fixture_setup (f, UPSTREAMS);
+  fleet->gateways[fleet->gateway_count++] = f->gateway;
+  while (fleet->gateway_count < gateways)
+    fleet_add_gateway (fleet);
+  for (size_t i = 0; i < gateways; i++)
+    {
+      f->gateway = fleet->gateways[i];
+      gateway_fixture_wait (f, gateway_fixture_ready_status (f) == 200);
+    }
+  uv_timer_init (&f->loop, &fleet->timer);
+  fleet->timer.data = fleet;
+}
+
+/* Send one request through the next gateway that runs.  */
+static void
+on_call_due (uv_timer_t *timer)
+{
+  fleet_t *fleet = timer->data;
+
+  do
+    fleet->next_gateway = (fleet->next_gateway + 1) % fleet->gateway_count;
+  while (fleet->gateways[fleet->next_gateway] == NULL);
+  fleet->fixture.gateway = fleet->gateways[fleet->next_gateway];
+  ck_assert_uint_lt (fleet->caller_count, CALLERS_MAX);
+  caller_start (&fleet->fixture, &fleet->callers[fleet->caller_count++], "GET",
+                "/read/a", REQUEST_HEADERS, "");
+}
+
+static void
+fleet_start_load (fleet_t *fleet)
+{
+  uv_timer_start (&fleet->timer, on_call_due, CALL_INTERVAL_MS,
+                  CALL_INTERVAL_MS);
+}
+
+static void
+fleet_run_for (fleet_t *fleet, uint64_t ms)
+{
+  uint64_t end_ms = uv_now (&fleet->fixture.loop) + ms;
+
+  gateway_fixture_wait (&fleet->fixture,
+                        uv_now (&fleet->fixture.loop) >= end_ms);
+}
+
+/* Return how many callers got a response with STATUS.  */
+static size_t
+count_status (const fleet_t *fleet, int status)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < fleet->caller_count; i++)
+    count += caller_status (&fleet->callers[i]) == status;
+  return count;
+}
+
+/* End the load and wait for the last responses.  */
+static void
+fleet_stop_load (fleet_t *fleet)
+{
+  uv_timer_stop (&fleet->timer);
+  for (size_t i = 0; i < fleet->caller_count; i++)
+    gateway_fixture_wait (&fleet->fixture, fleet->callers[i].closed);
+}
+
+static void
+fleet_teardown (fleet_t *fleet)
+{
+  gateway_fixture_t *f = &fleet->fixture;
+
+  for (size_t i = 0; i < fleet->caller_count; i++)
+    caller_free (f, &fleet->callers[i]);
+  free (fleet->callers);
+  uv_close ((uv_handle_t *)&fleet->timer, NULL);
+  for (size_t i = 1; i < fleet->gateway_count; i++)
+    gateway_destroy (fleet->gateways[i]);
+  f->gateway = fleet->gateways[0];
+  gateway_fixture_teardown (f);
+}
+
+/* Return the largest number of requests that UPSTREAM got in a span of SPAN_MS
+   after START_MS.  */
+static size_t
+max_arrivals_in_span (const fake_upstream_t *upstream, uint64_t start_ms)
+{
+  const uint64_t *arrivals_ms = fake_upstream_arrivals_ms (upstream);
+  size_t count = fake_upstream_request_count (upstream);
+  size_t max = 0;
+
+  for (size_t first = 0, end = 0; first < count; first++)
+    {
+      if (arrivals_ms[first] < start_ms)
+        continue;
+      if (end < first)
+        end = first;
+      while (end < count && arrivals_ms[end] < arrivals_ms[first] + SPAN_MS)
+        end++;
+      if (end - first > max)
+        max = end - first;
+    }
+  return max;
+}
+
+/* Return the requests that an instance with a limit of RATE_PER_S may get in
+   SPAN_MS: one and a half times the limit, plus 5.  */
+static size_t
+allowed_in_span (double rate_per_s)
+{
+  return (size_t)(1.5 * rate_per_s * SPAN_MS / 1000) + 5;
+}
+
+/* Each gateway alone keeps an announced limit, and all together exceed it.  */
+START_TEST (gateways_together_exceed_an_announced_rate_limit)
+{
+  static const struct
+  {
+    const char *text;
+    double rate_per_s;
+  } cases[] = { { "1", 1 }, { "2.5", 2.5 } };
+  fleet_t fleet;
+
+  fleet_setup (&fleet, 4);
+  fake_upstream_t *limited = fleet.fixture.upstreams[0];
+  fake_upstream_set_rate_limit (limited, cases[_i].text);
+  fleet_start_load (&fleet);
+  fleet_run_for (&fleet, SETTLE_MS);
+  uint64_t start_ms = uv_now (&fleet.fixture.loop);
+  fleet_run_for (&fleet, SPAN_MS * 3 / 2);
+  fleet_stop_load (&fleet);
+  ck_assert_uint_le (max_arrivals_in_span (limited, start_ms),
+                     allowed_in_span (cases[_i].rate_per_s));
+  ck_assert_uint_eq (count_status (&fleet, 200), fleet.caller_count);
+  fleet_teardown (&fleet);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("announced_limits");
+  TCase *tcase = tcase_create ("announced_limits");
+
+  signal (SIGPIPE, SIG_IGN);
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (tcase, gateways_together_exceed_an_announced_rate_limit,
+                       0, 2);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
