pool: gateways keep an announced rate limit together

Seen by the operators: two engines that had announced 1 and 1.1 requests a second got 13, 21 and 22 requests in 4 s, where 11, 11 and 12 are allowed (1.5 times the limit, plus 5).

Cause: a bound on all gateways together, which none of them knew of. The header had no name in the dialect; the only limit on the rate at an instance was that of a cold one.

Change: policy/ratelimit divides the rate into time slots on the store's clock. Slot K belongs to the gateway whose rank for the instance is K mod N, permits one request and expires. The pool checks it for each kind of send, as all take their instance from pool_select. Extra sends take a limited instance only if no other may get them. If each instance that may run a request is at its announced limit, the request is refused at once (VH_E_LIMITED, reason limited) with the time of a slot that no other caller was told.

Why it holds: a slot is valid for 2 s and two intervals, so a span of 4 s uses at most 6 R + 3 slots, whatever the number of gateways and whenever they were idle; the bound is 6 R + 5.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -155,6 +155,9 @@
 #define LOG_CAUSES(X)                                                         \
   X ("full", "Every instance that may run it has all its slots taken, or "    \
              "had its share of requests this second.")                        \
+  X ("limited", "Every instance that may run it announced a rate limit, and " \
+                "this entry has no request left of it now; see "              \
+                "pool.limited.")                                              \
   X ("shed", "Each upstream asked said that it is full and did not run it.")  \
   X ("no-upstream", "No instance of the service and version is in service: "  \
                     "none is listed, or all are leaving or in a zone that "   \
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -100,6 +100,14 @@
       criteria.tried_count = 0;
       code = pool_select (state->pool, &criteria, &relay->upstream);
     }
+  if (code == VH_E_LIMITED)
+    {
+      relay->upstream = NULL;
+      relay->retry_after_min_ms = pool_promise_slot (
+          state->pool, &criteria, relay->attrs.deadline_at_ms - now_ms);
+      relay_fail (relay, code, "limited", 0);
+      return;
+    }
   if (code != VH_OK)
     {
       relay->upstream = NULL;
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -201,6 +201,8 @@
   if (retry_ms > 0)
     {
       retry_after_ms = retry_ms / 2 + rng_below (&state->rng, retry_ms);
+      if (retry_after_ms < relay->retry_after_min_ms)
+        retry_after_ms = relay->retry_after_min_ms;
       buf_printf (&retry_after, "%.3f", (double)retry_after_ms / 1000);
       headers[count].name = STR ("retry-after");
       headers[count++].value = buf_str (&retry_after);
--- a/packages/gateway/relay_select.c
+++ b/packages/gateway/relay_select.c
@@ -108,6 +108,7 @@
     .cold_rate_per_s = attrs->service->cold_requests_per_s,
     .affinity_key
     = attrs->prefix_hash != 0 ? attrs->prefix_hash ^ (index + 1) : 0,
+    .is_extra_send = relay->send_count > 0,
     .tried = relay->tried,
     .tried_count = relay->tried_count,
   };
@@ -133,7 +134,8 @@
   if (relay->upstream != NULL)
     tried[criteria.tried_count++] = relay->upstream;
   criteria.tried = tried;
-  return pool_select (relay->state->pool, &criteria, &upstream) != VH_E_FULL;
+  vh_code_t code = pool_select (relay->state->pool, &criteria, &upstream);
+  return code != VH_E_FULL && code != VH_E_LIMITED;
 }
 
 /* Return the number of requests at the engine that the request would be sent
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -106,6 +106,7 @@
                        request.  */
   trial_send_history_t trial_sends; /* Sends of the request during a roll-out,
                                        by version.  */
+  uint64_t retry_after_min_ms;      /* Shortest Retry-After of a refusal.  */
   const char *failure_reason; /* Reason of the last failed send, for the log;
                                  NULL if no send failed.  */
 } relay_t;
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -386,7 +386,10 @@
   store_sync_t *sync = timer->data;
   gateway_state_t *state = sync->state;
   bool has_second_elapsed = ++sync->tick_count % TICKS_PER_S == 0;
+  uint64_t store_now_ms = table_sync_store_now_ms (state->operator_rows_sync);
 
+  if (store_now_ms != 0)
+    pool_set_shared_time (state->pool, store_now_ms);
   if (state->stopping_ms != 0 || !sync->has_read_shared_rows)
     return;
   if (!sync->is_registered && !sync->is_registration_pending
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -4,6 +4,7 @@
 #include "base/mem.h"
 #include "base/rng.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /* Multiple of its share of the rate limit that this gateway may use at a warm
@@ -59,7 +60,9 @@
   /* Requests of other gateways in the last load report.  */
   double other_requests;
   uint64_t reported_ms;
-  rate_limit_t rate_limit; /* Limit that the instance announced.  */
+  rate_limit_t rate_limit;  /* Limit that the instance announced.  */
+  double promised_until_ms; /* Shared time up to whose slots of RATE_LIMIT all
+                               are promised to callers that return.  */
   uint64_t send_times[POOL_SEND_TIMES_MAX]; /* Ring buffer of the last send
                                                times. */
   size_t send_time_index;
@@ -69,6 +72,7 @@
 {
   clock_iface_t *clock;
   rng_t rng;
+  int64_t shared_time_offset_ms; /* Shared time minus monotonic time.  */
   char *zone;
   double cold_factor;
   double cold_slack;
@@ -355,14 +359,16 @@
     }
 }
 
-/* Return this gateway's share of a limit of BOUND requests to UPSTREAM.  */
-static uint32_t
-gateway_share (const pool_t *pool, upstream_t *upstream, double bound)
+/* Return the number of gateways that share the limits, and set *RANK to the
+   rank of this gateway for UPSTREAM.  */
+static size_t
+gateway_rank (const pool_t *pool, upstream_t *upstream, size_t *rank)
 {
   const allotment_t *gateways = pool->gateways;
 
+  *rank = 0;
   if (gateways == NULL)
-    return allotment_share (bound, 0, 1);
+    return 1;
   uint64_t generation = allotment_generation (gateways);
   if (upstream->rank_generation != generation)
     {
@@ -370,8 +376,54 @@
                                        str_from (upstream->zone));
       upstream->rank_generation = generation;
     }
-  return allotment_share (bound, upstream->rank,
-                          allotment_gateway_count (gateways));
+  *rank = upstream->rank;
+  return allotment_gateway_count (gateways);
+}
+
+/* Return this gateway's share of a limit of BOUND requests to UPSTREAM.  */
+static uint32_t
+gateway_share (const pool_t *pool, upstream_t *upstream, double bound)
+{
+  size_t rank;
+  size_t count = gateway_rank (pool, upstream, &rank);
+
+  return allotment_share (bound, rank, count);
+}
+
+static uint64_t
+shared_time_ms (const pool_t *pool, uint64_t now_ms)
+{
+  return now_ms + (uint64_t)pool->shared_time_offset_ms;
+}
+
+/* Return whether UPSTREAM has a rate limit to enforce, and set *SLOTS to the
+   slots of this gateway.  */
+static bool
+rate_limit_slots (const pool_t *pool, upstream_t *upstream, uint64_t now_ms,
+                  rate_limit_slots_t *slots)
+{
+  slots->rate_per_s
+      = rate_limit_enforced_per_s (&upstream->rate_limit, now_ms);
+  if (slots->rate_per_s == 0)
+    return false;
+  slots->gateway_count = gateway_rank (pool, upstream, &slots->rank);
+  return true;
+}
+
+/* Return whether the rate limit that UPSTREAM announced allows this gateway
+   another request now.  */
+static bool
+is_below_announced_limit (const pool_t *pool, upstream_t *upstream,
+                          uint64_t now_ms)
+{
+  rate_limit_slots_t slots;
+
+  if (!rate_limit_slots (pool, upstream, now_ms, &slots))
+    return true;
+  if (pool->gateways != NULL && !allotment_is_loaded (pool->gateways))
+    return false;
+  return rate_limit_has_slot (&upstream->rate_limit, &slots,
+                              shared_time_ms (pool, now_ms));
 }
 
 /* Return the number of requests that this gateway may send to UPSTREAM in a
@@ -459,6 +511,8 @@
   return true;
 }
 
+/* Return whether UPSTREAM has a free slot and may get another request, apart
+   from the limit that it announced.  */
 static bool
 has_capacity (const pool_t *pool, upstream_t *upstream,
               const pool_criteria_t *criteria, uint64_t now_ms)
@@ -582,13 +636,28 @@
   return bound;
 }
 
-/* Return the best instance for CRITERIA that has free slots: the affinity
-   instance if there is one, otherwise the least loaded instance.  Return NULL
-   if there is none.  Ejected instances are included if INCLUDE_EJECTED is set.
-   Set *ANY_ELIGIBLE if at least one instance was eligible, even if full.  */
+/* Which instances a selection may return besides the usual ones.  */
+typedef struct
+{
+  bool include_ejected;
+  bool include_limited; /* Instances that announce a rate limit.  */
+} selection_scope_t;
+
+/* Eligible instances that a selection found.  */
+typedef struct
+{
+  bool any;      /* There is one, even if it may get no request now.  */
+  bool any_full; /* One may get no request now for another reason than the rate
+                    limit that it announced.  */
+} eligible_instances_t;
+
+/* Return the best instance for CRITERIA in SCOPE that may get a request: the
+   affinity instance if there is one, otherwise the least loaded instance.
+   Return NULL if there is none.  Update *ELIGIBLE.  */
 static upstream_t *
 select_best (pool_t *pool, const pool_criteria_t *criteria,
-             bool include_ejected, uint64_t now_ms, bool *any_eligible)
+             selection_scope_t scope, uint64_t now_ms,
+             eligible_instances_t *eligible)
 {
   const service_group_t *group = find_or_add_group (pool, criteria->service);
   uint64_t version_hash = str_hash (criteria->version, 0);
@@ -605,11 +674,17 @@
     {
       upstream_t *upstream = group->upstreams[i];
       if (!is_eligible (upstream, criteria, version_hash, now_ms)
-          || (!include_ejected && now_ms < upstream->ejected_until_ms)
-          || upstream->id_hash > max_id_hash)
+          || (!scope.include_ejected && now_ms < upstream->ejected_until_ms)
+          || upstream->id_hash > max_id_hash
+          || (!scope.include_limited && upstream->rate_limit.is_announced))
         continue;
-      *any_eligible = true;
+      eligible->any = true;
       if (!has_capacity (pool, upstream, criteria, now_ms))
+        {
+          eligible->any_full = true;
+          continue;
+        }
+      if (!is_below_announced_limit (pool, upstream, now_ms))
         continue;
       update_affinity_choice (upstream, criteria, max_load, now_ms, &affinity);
       double cost = selection_cost (upstream, now_ms);
@@ -628,22 +703,68 @@
 vh_code_t
 pool_select (pool_t *pool, const pool_criteria_t *criteria, upstream_t **out)
 {
+  const selection_scope_t unlimited = { 0 };
+  const selection_scope_t listed = { .include_limited = true };
+  const selection_scope_t all
+      = { .include_limited = true, .include_ejected = true };
   uint64_t now_ms = clock_ms (pool->clock);
-  bool any_eligible = false;
+  eligible_instances_t eligible = { 0 };
 
   remove_expired_upstreams (pool, now_ms);
-  *out = select_best (pool, criteria, false, now_ms, &any_eligible);
+  *out = NULL;
+  if (criteria->is_extra_send)
+    *out = select_best (pool, criteria, unlimited, now_ms, &eligible);
+  if (*out == NULL)
+    *out = select_best (pool, criteria, listed, now_ms, &eligible);
   if (*out == NULL && criteria->max_instances > 0)
     {
       pool_criteria_t all_instances = *criteria;
       all_instances.max_instances = 0;
       return pool_select (pool, &all_instances, out);
     }
-  if (*out == NULL && !any_eligible)
-    *out = select_best (pool, criteria, true, now_ms, &any_eligible);
+  if (*out == NULL && !eligible.any)
+    *out = select_best (pool, criteria, all, now_ms, &eligible);
   if (*out != NULL)
     return VH_OK;
-  return any_eligible ? VH_E_FULL : VH_E_NO_UPSTREAM;
+  if (!eligible.any)
+    return VH_E_NO_UPSTREAM;
+  return eligible.any_full ? VH_E_FULL : VH_E_LIMITED;
+}
+
+uint64_t
+pool_promise_slot (pool_t *pool, const pool_criteria_t *criteria,
+                   uint64_t max_wait_ms)
+{
+  const service_group_t *group = find_or_add_group (pool, criteria->service);
+  uint64_t version_hash = str_hash (criteria->version, 0);
+  uint64_t now_ms = clock_ms (pool->clock);
+  double shared_now_ms = (double)shared_time_ms (pool, now_ms);
+  upstream_t *earliest = NULL;
+  double earliest_ms = 0;
+
+  for (size_t i = 0; i < group->count; i++)
+    {
+      upstream_t *upstream = group->upstreams[i];
+      rate_limit_slots_t slots;
+      if (!is_eligible (upstream, criteria, version_hash, now_ms)
+          || !rate_limit_slots (pool, upstream, now_ms, &slots))
+        continue;
+      double start_ms = rate_limit_slot_after_ms (
+          &slots, upstream->promised_until_ms > shared_now_ms
+                      ? upstream->promised_until_ms
+                      : shared_now_ms);
+      if (earliest == NULL || start_ms < earliest_ms)
+        {
+          earliest = upstream;
+          earliest_ms = start_ms;
+        }
+    }
+  if (earliest == NULL)
+    return 0;
+  uint64_t wait_ms = (uint64_t)ceil (earliest_ms - shared_now_ms);
+  if (wait_ms <= max_wait_ms)
+    earliest->promised_until_ms = earliest_ms;
+  return wait_ms;
 }
 
 size_t
@@ -676,6 +797,11 @@
   upstream->send_times[upstream->send_time_index] = clock_ms (pool->clock);
   upstream->send_time_index
       = (upstream->send_time_index + 1) % POOL_SEND_TIMES_MAX;
+  uint64_t now_ms = clock_ms (pool->clock);
+  rate_limit_slots_t slots;
+  if (rate_limit_slots (pool, upstream, now_ms, &slots))
+    rate_limit_use_slot (&upstream->rate_limit, &slots,
+                         shared_time_ms (pool, now_ms));
 }
 
 void
@@ -786,15 +912,16 @@
 pool_announce_rate_limit (pool_t *pool, upstream_t *upstream,
                           double rate_per_s)
 {
-  return rate_limit_announce (&upstream->rate_limit, rate_per_s,
-                              clock_ms (pool->clock));
+  uint64_t now_ms = clock_ms (pool->clock);
+
+  return rate_limit_announce (&upstream->rate_limit, rate_per_s, now_ms,
+                              shared_time_ms (pool, now_ms));
 }
 
 bool
 pool_end_rate_limit (pool_t *pool, upstream_t *upstream)
 {
-  (void)pool;
-  return rate_limit_end (&upstream->rate_limit);
+  return rate_limit_end (&upstream->rate_limit, clock_ms (pool->clock));
 }
 
 size_t
@@ -810,6 +937,19 @@
   return count;
 }
 
+void
+pool_set_shared_time (pool_t *pool, uint64_t shared_now_ms)
+{
+  pool->shared_time_offset_ms
+      = (int64_t)(shared_now_ms - clock_ms (pool->clock));
+}
+
+upstream_t *
+pool_find (const pool_t *pool, str_t id)
+{
+  return map_get (pool->by_id, id);
+}
+
 uint64_t
 pool_now_ms (const pool_t *pool)
 {
@@ -828,6 +968,12 @@
   return str_from (upstream->id);
 }
 
+uint64_t
+upstream_incarnation (const upstream_t *upstream)
+{
+  return upstream->incarnation;
+}
+
 str_t
 upstream_address (const upstream_t *upstream)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -15,6 +15,11 @@
      share of that limit (policy/allotment.h).  Instances turn cold without
      notice, so warm instances are limited too, at the rate above which a cold
      instance fails.
+   - An instance that announces a rate limit (policy/ratelimit.h) gets requests
+     in this gateway's time slots only; others take the rest, also those with
+     affinity to it.  Extra sends (retries, resumed streams, escalations) go to
+     it only if no other instance may get them, so that the limit serves first
+     sends.
    - A full instance: its load report keeps requests away for
      POOL_FULL_DECAY_MS.
    - A failing instance: POOL_EJECTION_FAILURES consecutive failures eject it
@@ -136,6 +141,7 @@
      ones at every gateway; 0 for all.  */
   size_t max_instances;
   uint64_t affinity_key; /* Hash of the shared prompt prefix; 0 for none.  */
+  bool is_extra_send;    /* The request was sent before.  */
   /* Instances that this request was already sent to; none is selected
      again.  */
   const upstream_t *const *tried;
@@ -172,10 +178,17 @@
 void pool_set_zone_disabled (pool_t *pool, str_t zone, bool disabled);
 
 /* Select an instance for CRITERIA and store it in *OUT.  Return VH_OK,
-   VH_E_NO_UPSTREAM if no instance is eligible, or VH_E_FULL if all eligible
-   instances are at their slot or rate limit.  */
+   VH_E_NO_UPSTREAM if no instance is eligible, VH_E_LIMITED if each eligible
+   instance announced a rate limit of which this gateway has nothing left now,
+   or VH_E_FULL if the eligible instances are at some limit.  */
 vh_code_t pool_select (pool_t *pool, const pool_criteria_t *criteria,
                        upstream_t **out);
+/* Return the time in ms until this gateway has a slot of an announced limit
+   for CRITERIA that it has not promised to another caller yet; 0 if no
+   instance for CRITERIA has a limit.  Promise the slot if the time is at most
+   MAX_WAIT_MS, the longest time that the caller can wait.  */
+uint64_t pool_promise_slot (pool_t *pool, const pool_criteria_t *criteria,
+                            uint64_t max_wait_ms);
 /* Return the number of instances of SERVICE in ARM that may get requests, or
    MAX_COUNT if there are more.  VERSION is the version on trial.  */
 size_t pool_count_instances (pool_t *pool, str_t service, version_arm_t arm,
@@ -217,12 +230,19 @@
 /* Record that UPSTREAM no longer announces a limit.  Return whether it had
    one.  */
 bool pool_end_rate_limit (pool_t *pool, upstream_t *upstream);
+/* Set the current time of a clock that all gateways share, in ms.  Without a
+   call, the pool's own clock is used.  */
+void pool_set_shared_time (pool_t *pool, uint64_t shared_now_ms);
+/* Return the instance ID, or NULL if there is none.  */
+upstream_t *pool_find (const pool_t *pool, str_t id);
 /* Return the number of instances that announce a rate limit.  */
 size_t pool_count_rate_limits (const pool_t *pool);
 /* Return the monotonic time of the pool's clock, in ms.  */
 uint64_t pool_now_ms (const pool_t *pool);
 
 str_t upstream_id (const upstream_t *upstream);
+/* Return the number that differs for each process start under the id.  */
+uint64_t upstream_incarnation (const upstream_t *upstream);
 str_t upstream_address (const upstream_t *upstream);
 str_t upstream_version (const upstream_t *upstream);
 const rate_limit_t *upstream_rate_limit (const upstream_t *upstream);
