gateway: gateways share announced limits and their ends through the store

Seen: a gateway learns a limit only from a response of the instance. With 735 gateways each sends one request before it knows the limit, and one that has a slot every 735 s learns its end that late.

Change: the first gateway that sees a change writes a row limit/ID with the rate and the incarnation, which all gateways read with the table that they share already; the end of the limit deletes it. A gateway whose own response says something newer keeps that until its write is done. Rows of instances that are gone are deleted after 30 s, by gateways in turn. In an outage of the store each gateway goes on with what it knows. pool.limited tells the share, the number of gateways and whether a response or a peer was the source.

With the rows left out (trial in a scratch copy) its tests end_of_a_limit_reaches_gateways_without_a_part and unreadable_limits_are_ignored fail: the row of the limit stays. New tests too for gateways killed and added, for refusals when all instances are limited, and for values that are no rate.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -65,6 +65,8 @@
      "An instance no longer announces a rate limit")                          \
   X (EVENT_LIMIT_BAD, "pool", "limit-unreadable", WARNING, 5,                 \
      "An announced rate limit cannot be read and is ignored")                 \
+  X (EVENT_LIMIT_WRITE, "pool", "limit-write-failed", WARNING, 5,             \
+     "A rate limit could not be written for the other entries")               \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
   X (EVENT_ZONE_BACK, "zone", "back", NOTICE, 20, "A zone is taken back")     \
   X (EVENT_ENTRIES, "entries", "count", INFO, 20,                             \
@@ -132,6 +134,9 @@
   X (FIELD_READER, "reader", "Entry that reads the store for this one")       \
   X (FIELD_RATE, "rate",                                                      \
      "Requests a second that the instance accepts from all entries")          \
+  X (FIELD_SHARE, "share", "Part of the rate that this entry may use")        \
+  X (FIELD_SOURCE, "source",                                                  \
+     "How it became known: response of the instance, or peer entry")          \
   X (FIELD_KNOWN_MS, "known_ms", "For how long it was known here")            \
   X (FIELD_VALUE, "value", "Text that cannot be read")                        \
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -41,6 +41,9 @@
 #undef X
 } gateway_counters_t;
 
+/* Rate limits that instances announced; see announced_limits.h.  */
+typedef struct announced_limits announced_limits_t;
+
 /* State that the request path reads.  */
 typedef struct
 {
@@ -51,8 +54,9 @@
   gateway_options_t options;
   rng_t rng;
   pool_t *pool;
-  prober_t *prober;   /* Probes instances of POOL that have sent no data for
-                         some time.  */
+  prober_t *prober; /* Probes instances of POOL that have sent no data for
+                       some time.  */
+  announced_limits_t *announced_limits;
   catalog_t *catalog; /* Configuration in force; NULL if none is known.  */
   uint64_t config_load_started_ms; /* Time at which the loading of a newer
                                       configuration began, in ms of the boot
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -218,8 +218,8 @@
   if (cold_header.ptr != NULL && str_to_u64 (cold_header, &cold_ms)
       && cold_ms > 0)
     pool_set_cold (relay->state->pool, relay->upstream, cold_ms);
-  announced_limits_observe (relay->state->pool, relay->upstream, head,
-                            names->rate_limit, relay->dispatched_ms);
+  announced_limits_observe (relay->state->announced_limits, relay->upstream,
+                            head, relay->dispatched_ms);
 }
 
 /* Return whether HEAD is a valid response of an upstream to this request.  */
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -6,6 +6,7 @@
 #include "gateway/gatewayint.h"
 
 #include "base/eventlog.h"
+#include "gateway/announced_limits.h"
 #include "gateway/loader.h"
 #include "gateway/rolloutsint.h"
 
@@ -189,6 +190,7 @@
              log_field_number (FIELD_DRAINING, info.draining),
              log_field_number (FIELD_COLD_MS, info.cold_ms));
   pool_put (state->pool, &info);
+  announced_limits_apply_registration (state->announced_limits, info.id);
   state->dialect->free_holder (holder);
 }
 
@@ -281,6 +283,8 @@
     rollouts_apply_state_row (sync->rollouts, rest, row);
   else if (str_eq (kind, STR ("evidence")))
     rollouts_apply_evidence (sync->rollouts, row->key, false, row->value);
+  else if (str_eq (kind, STR ("limit")) && rest.len > 0)
+    announced_limits_apply_row (sync->state->announced_limits, rest, row);
   else if (str_eq (kind, STR ("entry")) && rest.len > 0)
     {
       str_t after_zone;
@@ -296,8 +300,11 @@
 {
   store_sync_t *sync = arg;
   str_t rest;
+  str_t kind = row_key_first_segment (key, &rest);
 
-  if (str_eq (row_key_first_segment (key, &rest), STR ("entry")))
+  if (str_eq (kind, STR ("limit")))
+    announced_limits_remove_row (sync->state->announced_limits, rest);
+  else if (str_eq (kind, STR ("entry")))
     {
       allotment_remove (sync->state->allotment, rest);
       if (sync->peer_rows != NULL)
@@ -397,6 +404,7 @@
     write_registration (sync, false);
   if (has_second_elapsed)
     divide_limits (sync);
+  announced_limits_tick (state->announced_limits);
   rollouts_tick (sync->rollouts, has_second_elapsed);
 }
 
@@ -469,6 +477,7 @@
   sync->rows = rows;
   sync->peer_rows = peer_rows;
   sync->rollouts = rollouts_create (state, rows, peer_rows);
+  state->announced_limits = announced_limits_create (state, rows);
   sync->loader = loader_create (state->loop, state->dialect->read_catalog,
                                 on_catalog, sync);
   state->operator_rows_sync = table_sync_create (
@@ -512,6 +521,8 @@
   table_sync_destroy (sync->instances_sync);
   table_sync_destroy (sync->shared_rows_sync);
   rollouts_destroy (sync->rollouts);
+  announced_limits_destroy (sync->state->announced_limits);
+  sync->state->announced_limits = NULL;
   sync->rows->ops->cancel (sync->rows, sync);
   uv_close ((uv_handle_t *)&sync->tick_timer, on_tick_closed);
 }
--- a/tests/test_announced_limits.c
+++ b/tests/test_announced_limits.c
@@ -21,7 +21,7 @@
   CALL_INTERVAL_MS = 20,
   /* The span for which the limit is promised.  */
   SPAN_MS = 4000,
-  /* Time after which every gateway has learned the limit.  */
+  /* Time after which every gateway has learned and shared the limit.  */
   SETTLE_MS = 500
 };
 
@@ -190,6 +190,150 @@
 }
 END_TEST
 
+/* Gateways that leave without notice or join must not raise the sum.  */
+START_TEST (limit_holds_while_gateways_are_killed_and_added)
+{
+  fleet_t fleet;
+
+  fleet_setup (&fleet, 4);
+  fake_upstream_t *limited = fleet.fixture.upstreams[0];
+  fake_upstream_set_rate_limit (limited, "2");
+  fleet_start_load (&fleet);
+  fleet_run_for (&fleet, SETTLE_MS);
+  uint64_t start_ms = uv_now (&fleet.fixture.loop);
+  size_t before = fake_upstream_request_count (limited);
+  fleet_run_for (&fleet, 1000);
+  gateway_destroy (fleet.gateways[1]);
+  fleet.gateways[1] = NULL;
+  fleet_run_for (&fleet, 1000);
+  fleet_add_gateway (&fleet);
+  fleet_run_for (&fleet, SPAN_MS);
+  fleet_stop_load (&fleet);
+  ck_assert_uint_le (max_arrivals_in_span (limited, start_ms),
+                     allowed_in_span (2));
+  ck_assert_uint_ge (fake_upstream_request_count (limited) - before, 4);
+  fleet_teardown (&fleet);
+}
+END_TEST
+
+/* A gateway that has no part of the limit for long gets no response that would
+   tell it that the limit has ended.  */
+START_TEST (end_of_a_limit_reaches_gateways_without_a_part)
+{
+  fleet_t fleet;
+
+  fleet_setup (&fleet, GATEWAYS_MAX);
+  fake_upstream_t *limited = fleet.fixture.upstreams[0];
+  fake_upstream_set_rate_limit (limited, "0.5");
+  fleet_start_load (&fleet);
+  fleet_run_for (&fleet, SPAN_MS);
+  ck_assert_ptr_nonnull (
+      fake_rows_get (fleet.fixture.rows, ROWS_SHARED, "limit/app-0"));
+  fake_upstream_set_rate_limit (limited, NULL);
+  uint64_t end_ms = uv_now (&fleet.fixture.loop);
+  fleet_run_for (&fleet, 5500);
+  fleet_run_for (&fleet, 5500);
+  ck_assert_ptr_null (
+      fake_rows_get (fleet.fixture.rows, ROWS_SHARED, "limit/app-0"));
+  size_t before = fake_upstream_request_count (limited);
+  fleet_run_for (&fleet, 1000);
+  size_t share = 1000 / CALL_INTERVAL_MS / UPSTREAMS;
+  ck_assert_uint_ge (fake_upstream_request_count (limited) - before,
+                     share / 2);
+  fleet_stop_load (&fleet);
+  /* Without a burst: in no span more than this instance's share.  */
+  ck_assert_uint_le (max_arrivals_in_span (limited, end_ms),
+                     share * SPAN_MS / 1000 * 3 / 2);
+  ck_assert_uint_eq (count_status (&fleet, 200), fleet.caller_count);
+  fleet_teardown (&fleet);
+}
+END_TEST
+
+/* If no other instance may run them, requests are refused at once, and told to
+   return at different times.  */
+START_TEST (requests_over_the_limit_of_all_instances_are_refused_at_once)
+{
+  fleet_t fleet;
+  size_t refused = 0;
+  double first_s = 0;
+  double last_s = 0;
+
+  fleet_setup (&fleet, 2);
+  for (size_t i = 0; i < UPSTREAMS; i++)
+    fake_upstream_set_rate_limit (fleet.fixture.upstreams[i], "2");
+  fleet_start_load (&fleet);
+  fleet_run_for (&fleet, SPAN_MS);
+  fleet_stop_load (&fleet);
+  for (size_t i = 0; i < fleet.caller_count; i++)
+    {
+      const char *header;
+      if (caller_status (&fleet.callers[i]) != 503)
+        continue;
+      ck_assert (caller_response_contains (&fleet.callers[i], "limited"));
+      header = strstr (fleet.callers[i].response.ptr, "retry-after: ");
+      ck_assert_ptr_nonnull (header);
+      last_s = strtod (header + strlen ("retry-after: "), NULL);
+      if (refused++ == 0)
+        first_s = last_s;
+    }
+  ck_assert_uint_eq (refused + count_status (&fleet, 200), fleet.caller_count);
+  ck_assert_uint_ge (refused, fleet.caller_count / 2);
+  /* The slots of the next seconds are told to earlier callers.  */
+  ck_assert_double_gt (last_s, first_s + 0.5);
+  fleet_teardown (&fleet);
+}
+END_TEST
+
+/* Return whether the row of instance app-0 starts with START, or is absent if
+   START is NULL.  */
+static bool
+limit_row_starts_with (const gateway_fixture_t *f, const char *start)
+{
+  const char *row = fake_rows_get (f->rows, ROWS_SHARED, "limit/app-0");
+
+  if (row == NULL || start == NULL)
+    return row == NULL && start == NULL;
+  return strncmp (row, start, strlen (start)) == 0;
+}
+
+/* Values that are no rate must neither set nor end a limit, and only a
+   successful response without a value may end it.  */
+START_TEST (unreadable_limits_are_ignored)
+{
+  static const fake_action_t respond = ACT_RESPOND;
+  static const fake_action_t error = ACT_ERROR;
+  static const struct
+  {
+    const char *text;
+    const char *row; /* Start of the row afterwards; NULL: no row.  */
+    const fake_action_t *action;
+  } cases[] = {
+    { "-1", NULL, &respond },    { "nan", NULL, &respond },
+    { "inf", NULL, &respond },   { "1, 2", NULL, &respond },
+    { "", NULL, &respond },      { "soon", NULL, &respond },
+    { "900", "900 ", &respond }, { "soon", "900 ", &respond },
+    { NULL, "900 ", &error },    { "950.5", "950.5 ", &error },
+    { NULL, NULL, &respond },    { "0", "0 ", &respond },
+  };
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 1);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      fake_upstream_set_rate_limit (f.upstreams[0], cases[i].text);
+      fake_upstream_script (f.upstreams[0], cases[i].action, 1);
+      gateway_fixture_request (&f, &caller, "POST", "/book/a", REQUEST_HEADERS,
+                               "");
+      caller_free (&f, &caller);
+      uint64_t end_ms = uv_now (&f.loop) + SETTLE_MS;
+      gateway_fixture_wait (&f, uv_now (&f.loop) >= end_ms);
+      gateway_fixture_wait (&f, limit_row_starts_with (&f, cases[i].row));
+    }
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -200,6 +344,11 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, gateways_together_exceed_an_announced_rate_limit,
                        0, 2);
+  tcase_add_test (tcase, limit_holds_while_gateways_are_killed_and_added);
+  tcase_add_test (tcase, end_of_a_limit_reaches_gateways_without_a_part);
+  tcase_add_test (
+      tcase, requests_over_the_limit_of_all_instances_are_refused_at_once);
+  tcase_add_test (tcase, unreadable_limits_are_ignored);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
