gateway: request.sent tells how many instances were passed over for their limits

The log told why a request was refused for announced limits, but not that one went to another instance for them. New field limited, counted by the selection; no decision changes.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -137,6 +137,8 @@
   X (FIELD_SHARE, "share", "Part of the rate that this entry may use")        \
   X (FIELD_SOURCE, "source",                                                  \
      "How it became known: response of the instance, or peer entry")          \
+  X (FIELD_LIMITED, "limited",                                                \
+     "Instances passed over for the rates that they announced")               \
   X (FIELD_KNOWN_MS, "known_ms", "For how long it was known here")            \
   X (FIELD_VALUE, "value", "Text that cannot be read")                        \
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -124,6 +124,7 @@
       log_field_text (FIELD_MODEL, relay_model_name (relay, STR ("-"))),
       log_field_number (FIELD_RUNNING,
                         upstream_running_count (relay->upstream)),
+      log_field_number (FIELD_LIMITED, pool_passed_over_count (state->pool)),
       log_field_number (FIELD_SENDS, relay->send_count + 1),
       log_field_number (FIELD_LEFT_MS, relay->attrs.deadline_at_ms - now_ms),
       log_field_number (FIELD_REVISION,
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -72,6 +72,8 @@
 {
   clock_iface_t *clock;
   rng_t rng;
+  size_t passed_over_count;   /* Instances that the last selection passed over
+                                 for their announced limits.  */
   int64_t shared_time_offset_ms; /* Shared time minus monotonic time.  */
   char *zone;
   double cold_factor;
@@ -649,6 +651,8 @@
   bool any;      /* There is one, even if it may get no request now.  */
   bool any_full; /* One may get no request now for another reason than the rate
                     limit that it announced.  */
+  size_t limited_count; /* Instances that may get no request now only because
+                           of the rate limit that they announced.  */
 } eligible_instances_t;
 
 /* Return the best instance for CRITERIA in SCOPE that may get a request: the
@@ -685,7 +689,10 @@
           continue;
         }
       if (!is_below_announced_limit (pool, upstream, now_ms))
-        continue;
+        {
+          eligible->limited_count++;
+          continue;
+        }
       update_affinity_choice (upstream, criteria, max_load, now_ms, &affinity);
       double cost = selection_cost (upstream, now_ms);
       if (least_loaded != NULL && cost > lowest_cost)
@@ -724,6 +731,7 @@
     }
   if (*out == NULL && !eligible.any)
     *out = select_best (pool, criteria, all, now_ms, &eligible);
+  pool->passed_over_count = eligible.limited_count;
   if (*out != NULL)
     return VH_OK;
   if (!eligible.any)
@@ -731,6 +739,12 @@
   return eligible.any_full ? VH_E_FULL : VH_E_LIMITED;
 }
 
+size_t
+pool_passed_over_count (const pool_t *pool)
+{
+  return pool->passed_over_count;
+}
+
 uint64_t
 pool_promise_slot (pool_t *pool, const pool_criteria_t *criteria,
                    uint64_t max_wait_ms)
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -183,6 +183,9 @@
    or VH_E_FULL if the eligible instances are at some limit.  */
 vh_code_t pool_select (pool_t *pool, const pool_criteria_t *criteria,
                        upstream_t **out);
+/* Return how many instances the last selection passed over only because of the
+   rate limits that they announced.  */
+size_t pool_passed_over_count (const pool_t *pool);
 /* Return the time in ms until this gateway has a slot of an announced limit
    for CRITERIA that it has not promised to another caller yet; 0 if no
    instance for CRITERIA has a limit.  Promise the slot if the time is at most
