pool: half of an announced rate while the store is down

Seen in a new test of the fix: with the store down from the start of four gateways on, an instance that announced 2 a second got 21 requests in 4 s, 17 allowed. Cause: gateways that joined last are unknown to the others for as long as the store is down, so the older ones divide the rate by too few: in the worst case the sum is twice the rate.

Change: while the store does not answer, a gateway uses half of the rate, as policy/allotment.h advises for lists that differ. test_ratelimit with three quarters of the gateways unknown to the others, without the change: 150, 144 and 21 requests where 125, 125 and 20 are allowed (4, 12 and 68 gateways); with it within the bound, and a quarter of the limit or more in use. The test with the store down keeps the bound too, and the limit ends after the outage.

--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -397,6 +397,9 @@
 
   if (store_now_ms != 0)
     pool_set_shared_time (state->pool, store_now_ms);
+  pool_set_gateway_list_stale (
+      state->pool, table_sync_is_down (state->operator_rows_sync)
+                       || table_sync_is_down (sync->shared_rows_sync));
   if (state->stopping_ms != 0 || !sync->has_read_shared_rows)
     return;
   if (!sync->is_registered && !sync->is_registration_pending
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -12,6 +12,11 @@
    do not all reach their shares of one instance at the same time.  */
 static const double warm_share_factor = 2.5;
 
+/* Part of an announced rate that is used while the list of gateways may be out
+   of date: gateways that joined last are then unknown to the others, so up to
+   twice the rate would be used.  */
+static const double stale_list_rate_part = 0.5;
+
 /* The instances of one service, in an array of their own so that a selection
    reads no instance of another service.  */
 typedef struct
@@ -74,6 +79,7 @@
   rng_t rng;
   size_t passed_over_count;   /* Instances that the last selection passed over
                                  for their announced limits.  */
+  bool is_gateway_list_stale; /* The list of gateways may be out of date.  */
   int64_t shared_time_offset_ms; /* Shared time minus monotonic time.  */
   char *zone;
   double cold_factor;
@@ -408,6 +414,8 @@
       = rate_limit_enforced_per_s (&upstream->rate_limit, now_ms);
   if (slots->rate_per_s == 0)
     return false;
+  if (pool->is_gateway_list_stale)
+    slots->rate_per_s *= stale_list_rate_part;
   slots->gateway_count = gateway_rank (pool, upstream, &slots->rank);
   return true;
 }
@@ -958,6 +966,12 @@
       = (int64_t)(shared_now_ms - clock_ms (pool->clock));
 }
 
+void
+pool_set_gateway_list_stale (pool_t *pool, bool is_stale)
+{
+  pool->is_gateway_list_stale = is_stale;
+}
+
 upstream_t *
 pool_find (const pool_t *pool, str_t id)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -236,6 +236,9 @@
 /* Set the current time of a clock that all gateways share, in ms.  Without a
    call, the pool's own clock is used.  */
 void pool_set_shared_time (pool_t *pool, uint64_t shared_now_ms);
+/* Set whether the list of gateways may be out of date because the store does
+   not answer.  */
+void pool_set_gateway_list_stale (pool_t *pool, bool is_stale);
 /* Return the instance ID, or NULL if there is none.  */
 upstream_t *pool_find (const pool_t *pool, str_t id);
 /* Return the number of instances that announce a rate limit.  */
--- a/tests/test_announced_limits.c
+++ b/tests/test_announced_limits.c
@@ -216,6 +216,37 @@
 }
 END_TEST
 
+/* In an outage of the store no gateway is told of the limit, and the list of
+   gateways does not change.  */
+START_TEST (limit_holds_and_ends_in_an_outage_of_the_store)
+{
+  fleet_t fleet;
+
+  fleet_setup (&fleet, 4);
+  fake_upstream_t *limited = fleet.fixture.upstreams[0];
+  fake_rows_set_down (fleet.fixture.rows, true);
+  fake_upstream_set_rate_limit (limited, "2");
+  fleet_start_load (&fleet);
+  fleet_run_for (&fleet, SETTLE_MS);
+  uint64_t start_ms = uv_now (&fleet.fixture.loop);
+  fleet_run_for (&fleet, 1000);
+  gateway_destroy (fleet.gateways[1]);
+  fleet.gateways[1] = NULL;
+  fleet_run_for (&fleet, 1500);
+  ck_assert_uint_le (max_arrivals_in_span (limited, start_ms),
+                     allowed_in_span (2));
+  fake_upstream_set_rate_limit (limited, NULL);
+  /* Keys are refused when the configuration is no longer confirmed.  */
+  fake_rows_set_down (fleet.fixture.rows, false);
+  fleet_run_for (&fleet, 2000);
+  fleet_stop_load (&fleet);
+  ck_assert_uint_eq (count_status (&fleet, 200), fleet.caller_count);
+  ck_assert_ptr_null (
+      fake_rows_get (fleet.fixture.rows, ROWS_SHARED, "limit/app-0"));
+  fleet_teardown (&fleet);
+}
+END_TEST
+
 /* A gateway that has no part of the limit for long gets no response that would
    tell it that the limit has ended.  */
 START_TEST (end_of_a_limit_reaches_gateways_without_a_part)
@@ -345,6 +376,7 @@
   tcase_add_loop_test (tcase, gateways_together_exceed_an_announced_rate_limit,
                        0, 2);
   tcase_add_test (tcase, limit_holds_while_gateways_are_killed_and_added);
+  tcase_add_test (tcase, limit_holds_and_ends_in_an_outage_of_the_store);
   tcase_add_test (tcase, end_of_a_limit_reaches_gateways_without_a_part);
   tcase_add_test (
       tcase, requests_over_the_limit_of_all_instances_are_refused_at_once);
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -396,6 +396,39 @@
   return sent;
 }
 
+/* In an outage of the store, gateways that joined last are unknown to the
+   others: the older ones divide the limit by a quarter of the gateways, and
+   the sum is 1.75 times the limit.  */
+START_TEST (limit_holds_in_an_outage_after_the_fleet_has_grown)
+{
+  for (size_t r = 0; r < 4; r++)
+    {
+      const day_t day = { .gateways = fleet_sizes[_i],
+                          .rate_per_s = rates_per_s[r],
+                          .requests_per_s = 20 };
+      char name[32];
+      fleet_t fleet;
+      setup (&fleet, &day, 1);
+      for (int i = 0; i < day.gateways; i++)
+        {
+          gateway_t *gateway = &fleet.gateways[i];
+          pool_set_gateway_list_stale (gateway->pool, true);
+          for (int j = day.gateways / 4;
+               i < day.gateways / 4 && j < day.gateways; j++)
+            allotment_remove (gateway->gateways, gateway_name (name, j));
+        }
+      clock_manual_advance_us (fleet.clock,
+                               ALLOTMENT_REMOVAL_DELAY_MS * 1000ULL);
+      play_day (&fleet);
+      ck_assert_uint_le (max_sends_in_span (&fleet),
+                         allowed_in_span (day.rate_per_s));
+      ck_assert_uint_ge (total_sends (&fleet),
+                         (size_t)(day.rate_per_s * DAY_MS / 1000 / 4));
+      teardown (&fleet);
+    }
+}
+END_TEST
+
 /* An instance that announces 0 would get no request, and no response would
    ever end the limit.  */
 START_TEST (limit_of_zero_can_end)
@@ -540,6 +573,8 @@
       tcase, limit_holds_while_its_rate_changes_with_each_response, 0, 4);
   tcase_add_test (tcase,
                   limited_instance_gets_nothing_before_the_fleet_is_known);
+  tcase_add_loop_test (
+      tcase, limit_holds_in_an_outage_after_the_fleet_has_grown, 1, 4);
   tcase_add_test (tcase, limit_of_zero_can_end);
   tcase_add_test (tcase, idle_gateway_saves_up_no_burst);
   tcase_add_test (tcase, rate_rises_gradually_after_the_end_of_a_limit);
