pool: announced limits survive a shared clock that is set back

Seen in review, shown by a new test: after the store's clock started anew, an instance with a limit of 2 a second got no request, as the last used slot lay in the future; and a caller could be told to return as late. Change: recorded times after now are ignored, slots are promised for a minute ahead at most. Two smaller points of the review: a row that was just written is not written again within 2 s also when its limit ends and begins anew meanwhile, and an instance is counted once as passed over for its limit.

--- a/packages/gateway/announced_limits.c
+++ b/packages/gateway/announced_limits.c
@@ -294,9 +294,18 @@
     log_event (EVENT_LIMIT_WRITE, log_field_number (FIELD_CODE, code));
 }
 
+/* Return whether this gateway wrote the row of SHARED so recently that it may
+   not write it again yet.  */
+static bool
+is_recently_written (const shared_limit_t *shared, uint64_t now_ms)
+{
+  return shared->written_ms != 0
+         && now_ms - shared->written_ms < WRITE_INTERVAL_MS;
+}
+
 /* Remove the records that have neither a row nor a change to write.  */
 static void
-remove_unused (announced_limits_t *limits)
+remove_unused (announced_limits_t *limits, uint64_t now_ms)
 {
   size_t cursor = 0;
   str_t id;
@@ -305,7 +314,8 @@
   while (map_next (limits->by_id, &cursor, &id, &value))
     {
       const shared_limit_t *shared = value;
-      if (shared->has_row || shared->is_unwritten)
+      if (shared->has_row || shared->is_unwritten
+          || is_recently_written (shared, now_ms))
         continue;
       free (map_remove (limits->by_id, id));
       cursor = 0;
@@ -329,8 +339,7 @@
   while (count < WRITES_MAX && map_next (limits->by_id, &cursor, &id, &value))
     {
       shared_limit_t *shared = value;
-      if (shared->written_ms != 0
-          && now_ms - shared->written_ms < WRITE_INTERVAL_MS)
+      if (is_recently_written (shared, now_ms))
         continue;
       if (!prepare_write (limits, id, shared, now_ms, &values[count],
                           &writes[count]))
@@ -355,7 +364,7 @@
       buf_free (&keys[i]);
       buf_free (&values[i]);
     }
-  remove_unused (limits);
+  remove_unused (limits, now_ms);
 }
 
 announced_limits_t *
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -7,6 +7,12 @@
 #include <math.h>
 #include <stdlib.h>
 
+enum
+{
+  /* Longest time for which slots are promised in advance.  */
+  PROMISE_AHEAD_MAX_MS = 60000
+};
+
 /* Multiple of its share of the rate limit that this gateway may use at a warm
    instance.  Above one, because the load of callers is uneven and the gateways
    do not all reach their shares of one instance at the same time.  */
@@ -407,8 +413,8 @@
 /* Return whether UPSTREAM has a rate limit to enforce, and set *SLOTS to the
    slots of this gateway.  */
 static bool
-rate_limit_slots (const pool_t *pool, upstream_t *upstream, uint64_t now_ms,
-                  rate_limit_slots_t *slots)
+announced_slots (const pool_t *pool, upstream_t *upstream, uint64_t now_ms,
+                 rate_limit_slots_t *slots)
 {
   slots->rate_per_s
       = rate_limit_enforced_per_s (&upstream->rate_limit, now_ms);
@@ -428,7 +434,7 @@
 {
   rate_limit_slots_t slots;
 
-  if (!rate_limit_slots (pool, upstream, now_ms, &slots))
+  if (!announced_slots (pool, upstream, now_ms, &slots))
     return true;
   if (pool->gateways != NULL && !allotment_is_loaded (pool->gateways))
     return false;
@@ -730,7 +736,10 @@
   if (criteria->is_extra_send)
     *out = select_best (pool, criteria, unlimited, now_ms, &eligible);
   if (*out == NULL)
-    *out = select_best (pool, criteria, listed, now_ms, &eligible);
+    {
+      eligible = (eligible_instances_t){ 0 };
+      *out = select_best (pool, criteria, listed, now_ms, &eligible);
+    }
   if (*out == NULL && criteria->max_instances > 0)
     {
       pool_criteria_t all_instances = *criteria;
@@ -769,12 +778,14 @@
       upstream_t *upstream = group->upstreams[i];
       rate_limit_slots_t slots;
       if (!is_eligible (upstream, criteria, version_hash, now_ms)
-          || !rate_limit_slots (pool, upstream, now_ms, &slots))
+          || !announced_slots (pool, upstream, now_ms, &slots))
         continue;
+      /* A later time is from before a change of the shared time.  */
+      bool is_promised = upstream->promised_until_ms > shared_now_ms
+                         && upstream->promised_until_ms
+                                <= shared_now_ms + PROMISE_AHEAD_MAX_MS;
       double start_ms = rate_limit_slot_after_ms (
-          &slots, upstream->promised_until_ms > shared_now_ms
-                      ? upstream->promised_until_ms
-                      : shared_now_ms);
+          &slots, is_promised ? upstream->promised_until_ms : shared_now_ms);
       if (earliest == NULL || start_ms < earliest_ms)
         {
           earliest = upstream;
@@ -784,7 +795,7 @@
   if (earliest == NULL)
     return 0;
   uint64_t wait_ms = (uint64_t)ceil (earliest_ms - shared_now_ms);
-  if (wait_ms <= max_wait_ms)
+  if (wait_ms <= max_wait_ms && wait_ms <= PROMISE_AHEAD_MAX_MS)
     earliest->promised_until_ms = earliest_ms;
   return wait_ms;
 }
@@ -821,7 +832,7 @@
       = (upstream->send_time_index + 1) % POOL_SEND_TIMES_MAX;
   uint64_t now_ms = clock_ms (pool->clock);
   rate_limit_slots_t slots;
-  if (rate_limit_slots (pool, upstream, now_ms, &slots))
+  if (announced_slots (pool, upstream, now_ms, &slots))
     rate_limit_use_slot (&upstream->rate_limit, &slots,
                          shared_time_ms (pool, now_ms));
 }
--- a/packages/policy/ratelimit.c
+++ b/packages/policy/ratelimit.c
@@ -76,19 +76,20 @@
 /* Return the start, in shared time, of the oldest slot of SLOTS that is unused
    and valid now or later.  It is at least half an interval after the last slot
    used, also if the slots have shifted since, so that the mean interval
-   remains.  */
+   remains.  A recorded time after now is from before a change of the shared
+   time, and is ignored.  */
 static double
 oldest_slot_ms (const rate_limit_t *limit, const rate_limit_slots_t *slots,
                 uint64_t shared_now_ms)
 {
   double interval_ms
       = (double)slots->gateway_count * MS_PER_S / slots->rate_per_s;
-  double after_ms = (double)shared_now_ms
-                    - rate_limit_slot_validity_ms (slots->rate_per_s);
+  double now_ms = (double)shared_now_ms;
+  double after_ms = now_ms - rate_limit_slot_validity_ms (slots->rate_per_s);
 
-  if (after_ms < limit->slots_from_ms)
+  if (limit->slots_from_ms <= now_ms && after_ms < limit->slots_from_ms)
     after_ms = limit->slots_from_ms;
-  if (limit->used_slot_ms > 0
+  if (limit->has_used_slot && limit->used_slot_ms <= now_ms
       && after_ms < limit->used_slot_ms + interval_ms / 2)
     after_ms = limit->used_slot_ms + interval_ms / 2;
   return rate_limit_slot_after_ms (slots, after_ms);
@@ -108,5 +109,8 @@
   double start_ms = oldest_slot_ms (limit, slots, shared_now_ms);
 
   if (start_ms <= (double)shared_now_ms)
-    limit->used_slot_ms = start_ms;
+    {
+      limit->has_used_slot = true;
+      limit->used_slot_ms = start_ms;
+    }
 }
--- a/packages/policy/ratelimit.h
+++ b/packages/policy/ratelimit.h
@@ -47,8 +47,8 @@
   uint64_t ended_ms;     /* Time at which the limit ended; 0 if it is announced
                             or was never known.  */
   double slots_from_ms;  /* Shared time from which on slots may be used.  */
-  double used_slot_ms;   /* Shared time at which the last slot used starts; 0
-                            if none was used.  */
+  bool has_used_slot;    /* A slot was used.  */
+  double used_slot_ms;   /* Shared time at which the last slot used starts.  */
 } rate_limit_t;
 
 /* The slots of one gateway.  */
--- a/tests/test_ratelimit.c
+++ b/tests/test_ratelimit.c
@@ -507,6 +507,25 @@
 }
 END_TEST
 
+/* A store that starts its clock anew must not block the instance.  */
+START_TEST (limit_is_used_after_the_shared_time_was_set_back)
+{
+  const pool_criteria_t criteria = { .service = STR ("llm") };
+  fleet_t fleet;
+
+  setup_single (&fleet, 2);
+  pool_t *pool = fleet.gateways[0].pool;
+  send_for (&fleet, SPAN_MS);
+  pool_promise_slot (pool, &criteria, 10000);
+  pool_set_shared_time (pool, 1000);
+  size_t sent = send_for (&fleet, SPAN_MS);
+  ck_assert_uint_ge (sent, 4);
+  ck_assert_uint_le (sent, allowed_in_span (2));
+  ck_assert_uint_le (pool_promise_slot (pool, &criteria, 10000), 500);
+  teardown (&fleet);
+}
+END_TEST
+
 /* Callers that are refused get slots of their own, so that they do not return
    at the same time, and a caller that cannot wait takes no slot.  */
 START_TEST (refused_callers_return_one_by_one)
@@ -580,6 +599,7 @@
   tcase_add_test (tcase, rate_rises_gradually_after_the_end_of_a_limit);
   tcase_add_test (tcase, changed_rate_is_in_force_at_once);
   tcase_add_test (tcase, restarted_instance_has_no_limit);
+  tcase_add_test (tcase, limit_is_used_after_the_shared_time_was_set_back);
   tcase_add_test (tcase, refused_callers_return_one_by_one);
   tcase_add_test (tcase, extra_sends_leave_the_limit_to_first_sends);
   suite_add_tcase (suite, tcase);
