gateway: announced_limitsint.h, as it is not installed

Cause: internal headers end in int.h and are left out of the install; this one did not. Only the name of the file changes.

--- a/packages/gateway/announced_limits.c
+++ b/packages/gateway/announced_limits.c
@@ -1,4 +1,4 @@
-#include "gateway/announced_limits.h"
+#include "gateway/announced_limitsint.h"
 
 #include "base/eventlog.h"
 
--- a/packages/gateway/announced_limits.h
+++ b/packages/gateway/announced_limitsint.h
@@ -10,8 +10,8 @@
    While the store does not answer, each gateway keeps what it knows, and
    learns changes from its own responses.  */
 
-#ifndef GATEWAY_ANNOUNCED_LIMITS_H
-#define GATEWAY_ANNOUNCED_LIMITS_H
+#ifndef GATEWAY_ANNOUNCED_LIMITSINT_H
+#define GATEWAY_ANNOUNCED_LIMITSINT_H
 
 #include "gateway/gatewayint.h"
 #include "wire/http_exchange.h"
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -41,7 +41,7 @@
 #undef X
 } gateway_counters_t;
 
-/* Rate limits that instances announced; see announced_limits.h.  */
+/* Rate limits that instances announced; see announced_limitsint.h.  */
 typedef struct announced_limits announced_limits_t;
 
 /* State that the request path reads.  */
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -1,7 +1,7 @@
 #include "gateway/relayint.h"
 
 #include "gateway/forward.h"
-#include "gateway/announced_limits.h"
+#include "gateway/announced_limitsint.h"
 
 enum
 {
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -6,7 +6,7 @@
 #include "gateway/gatewayint.h"
 
 #include "base/eventlog.h"
-#include "gateway/announced_limits.h"
+#include "gateway/announced_limitsint.h"
 #include "gateway/loader.h"
 #include "gateway/rolloutsint.h"
 
