gateway: config.aged and config.confirmed tell how old the configuration's confirmation gets

The age of the confirmation stood in the metrics and in refusals only, so a gateway that missed a change and went on accepting requests showed nothing. No other behaviour changes.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -52,6 +52,10 @@
      "A configuration is in force")                                           \
   X (EVENT_CONFIG_BAD, "config", "unreadable", ERR, 20,                       \
      "A configuration cannot be read")                                        \
+  X (EVENT_CONFIG_AGED, "config", "aged", WARNING, 20,                        \
+     "The configuration was not confirmed for a while")                       \
+  X (EVENT_CONFIG_CONFIRMED, "config", "confirmed", NOTICE, 20,               \
+     "The configuration is confirmed again")                                  \
   X (EVENT_LISTED, "pool", "listed", INFO, 100, "An instance is listed")      \
   X (EVENT_UNLISTED, "pool", "unlisted", INFO, 100,                           \
      "An instance is no longer listed")                                       \
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -45,7 +45,9 @@
   /* Delay before a failed registration is repeated.  Until then this gateway
      processes requests, but is not counted when the shared limits are
      divided.  */
-  REGISTRATION_RETRY_MS = 2000
+  REGISTRATION_RETRY_MS = 2000,
+  /* Age of the confirmation of ROWS_OPERATOR that is logged.  */
+  CONFIRMATION_AGED_MS = 1750
 };
 
 struct store_sync
@@ -72,6 +74,9 @@
   /* Monotonic time at which the store replied again after the last outage, in
      ms; 0 if there was no outage.  */
   uint64_t store_recovered_ms;
+  /* Whether the last logged age of the confirmation of ROWS_OPERATOR was
+     CONFIRMATION_AGED_MS or more.  */
+  bool is_confirmation_aged;
   rollouts_t *rollouts;
 };
 
@@ -387,6 +392,21 @@
   buf_free (&value);
 }
 
+/* Log when the confirmation of ROWS_OPERATOR gets old, and when it is recent
+   again.  */
+static void
+log_confirmation_age (store_sync_t *sync)
+{
+  uint64_t age_ms = table_sync_age_ms (sync->state->operator_rows_sync);
+  bool is_aged = age_ms != UINT64_MAX && age_ms >= CONFIRMATION_AGED_MS;
+
+  if (is_aged == sync->is_confirmation_aged)
+    return;
+  sync->is_confirmation_aged = is_aged;
+  log_event (is_aged ? EVENT_CONFIG_AGED : EVENT_CONFIG_CONFIRMED,
+             log_field_number (FIELD_AGE_MS, age_ms));
+}
+
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -395,6 +415,7 @@
   bool has_second_elapsed = ++sync->tick_count % TICKS_PER_S == 0;
   uint64_t store_now_ms = table_sync_store_now_ms (state->operator_rows_sync);
 
+  log_confirmation_age (sync);
   if (store_now_ms != 0)
     pool_set_shared_time (state->pool, store_now_ms);
   pool_set_gateway_list_stale (
