tests: gateways miss a change while their readers cannot reach the store (red)

Measured from the change until every gateway that reaches the store has it, bound 2000 ms (`configApplyMs').

--- /dev/null
+++ b/tests/test_config_delay.c
@@ -0,0 +1,314 @@
+/* Time until a change of the configuration is in force at each gateway while
+   some gateways cannot reach the store, over real RPC and with a store in
+   memory.  The fault begins at many instants of the exchange between the
+   gateways and the store, in a fleet of its own for each instant.  */
+
+#include "fake_rows.h"
+#include "gateway/peerrows.h"
+#include "gateway/tablesync.h"
+#include "loop_wait.h"
+#include "partitioned_store.h"
+#include "suite.h"
+
+#include "base/mem.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+enum
+{
+  /* Time after its acknowledgement at which a change is in force at each
+     gateway that reaches the store.  */
+  APPLY_MAX_MS = 2000,
+  MEASURED_MAX_MS = 2 * APPLY_MAX_MS,
+  ZONES = 3,
+  WAIT_LIMIT_MS = 15000,
+  STEP_MS = 5,
+  /* Time from the start of the fleets to the change.  */
+  CHANGE_AT_MS = 2500
+};
+
+typedef struct
+{
+  partitioned_store_t *store;
+  peer_rows_t *peer_rows;
+  table_sync_t *sync;
+  char value[16]; /* Value of row `a' at this gateway.  */
+} fleet_gateway_t;
+
+/* A fleet whose gateways rank as readers in the order of their index.  */
+typedef struct
+{
+  fake_rows_t *store;
+  fleet_gateway_t *gateways;
+  uint64_t fault_at_ms; /* Time from the start to the fault.  */
+  bool has_fault;
+} fleet_t;
+
+/* The fault: the first UNREACHABLE_COUNT gateways in rank lose the store.  */
+typedef struct
+{
+  size_t gateway_count;
+  size_t unreachable_count;
+  store_access_t access;
+} scenario_t;
+
+typedef struct
+{
+  const scenario_t *scenario;
+  uv_loop_t loop;
+  loop_wait_t wait;
+  fleet_t *fleets;
+  size_t fleet_count;
+} fixture_t;
+
+static void
+on_put (void *arg, const rows_row_t *row)
+{
+  fleet_gateway_t *gateway = arg;
+
+  snprintf (gateway->value, sizeof gateway->value, "%.*s",
+            STR_ARG (row->value));
+}
+
+static void
+on_removed (void *arg, str_t key)
+{
+  (void)arg;
+  (void)key;
+}
+
+static void
+on_synced (void *arg, bool is_full_read)
+{
+  (void)arg;
+  (void)is_full_read;
+}
+
+static void
+gateway_start (fixture_t *f, fleet_t *fleet, size_t index)
+{
+  static const table_sync_options_t sync_options = { .table = ROWS_OPERATOR,
+                                                     .name = "orders",
+                                                     .wait_ms = 1500,
+                                                     .timeout_slack_ms = 500 };
+  static const table_sync_events_t events
+      = { on_put, on_removed, on_synced, NULL };
+  fleet_gateway_t *gateway = &fleet->gateways[index];
+  char name[32];
+  char zone[32];
+
+  snprintf (name, sizeof name, "entry-%zu", index);
+  snprintf (zone, sizeof zone, "zone-%zu", index % ZONES);
+  const peer_rows_options_t options
+      = { .name = str_from (name),
+          .zone = str_from (zone),
+          .listen = STR ("127.0.0.1:0"),
+          .link_mbps = (uint32_t)(1000 - index) };
+  gateway->store
+      = partitioned_store_create (&f->loop, fake_rows_iface (fleet->store));
+  ck_assert_int_eq (peer_rows_create (&f->loop, clock_system (), index + 1,
+                                      partitioned_store_iface (gateway->store),
+                                      &options, &gateway->peer_rows),
+                    VH_OK);
+  gateway->sync = table_sync_create (
+      &f->loop, clock_system (), peer_rows_iface (gateway->peer_rows),
+      index + 1, &sync_options, &events, gateway);
+}
+
+static void
+connect_all (const fleet_t *fleet, size_t count)
+{
+  char name[32];
+  char zone[32];
+  char address[32];
+
+  for (size_t i = 0; i < count; i++)
+    for (size_t j = 0; j < count; j++)
+      {
+        snprintf (name, sizeof name, "entry-%zu", j);
+        snprintf (zone, sizeof zone, "zone-%zu", j % ZONES);
+        snprintf (address, sizeof address, "127.0.0.1:%u",
+                  peer_rows_port (fleet->gateways[j].peer_rows));
+        peer_rows_add_gateway (fleet->gateways[i].peer_rows, str_from (name),
+                               str_from (zone), str_from (address),
+                               (uint32_t)(1000 - j));
+      }
+}
+
+/* Start COUNT fleets for SCENARIO.  The fault of the first one begins FIRST_MS
+   after the start, that of each further one SPACING_MS later.  */
+static void
+setup (fixture_t *f, const scenario_t *scenario, size_t count,
+       uint64_t first_ms, uint64_t spacing_ms)
+{
+  memset (f, 0, sizeof *f);
+  f->scenario = scenario;
+  uv_loop_init (&f->loop);
+  loop_wait_init (&f->wait, &f->loop, WAIT_LIMIT_MS);
+  f->fleet_count = count;
+  f->fleets = mem_zalloc (count * sizeof *f->fleets);
+  for (size_t k = 0; k < count; k++)
+    {
+      fleet_t *fleet = &f->fleets[k];
+      fleet->fault_at_ms = first_ms + k * spacing_ms;
+      fleet->store = fake_rows_create (&f->loop);
+      fake_rows_put (fleet->store, ROWS_OPERATOR, "a", "one");
+      fleet->gateways
+          = mem_zalloc (scenario->gateway_count * sizeof *fleet->gateways);
+      for (size_t i = 0; i < scenario->gateway_count; i++)
+        gateway_start (f, fleet, i);
+      connect_all (fleet, scenario->gateway_count);
+    }
+  for (size_t k = 0; k < count; k++)
+    for (size_t i = 0; i < scenario->gateway_count; i++)
+      LOOP_WAIT (&f->wait,
+                 strcmp (f->fleets[k].gateways[i].value, "one") == 0);
+}
+
+static void
+teardown (fixture_t *f)
+{
+  for (size_t k = 0; k < f->fleet_count; k++)
+    {
+      fleet_t *fleet = &f->fleets[k];
+      for (size_t i = 0; i < f->scenario->gateway_count; i++)
+        {
+          rows_t *rows = partitioned_store_iface (fleet->gateways[i].store);
+          table_sync_destroy (fleet->gateways[i].sync);
+          peer_rows_destroy (fleet->gateways[i].peer_rows);
+          rows->ops->destroy (rows);
+        }
+      rows_t *store = fake_rows_iface (fleet->store);
+      store->ops->destroy (store);
+      free (fleet->gateways);
+    }
+  free (f->fleets);
+  loop_wait_close (&f->wait);
+  uv_run (&f->loop, UV_RUN_DEFAULT);
+  ck_assert_int_eq (uv_loop_close (&f->loop), 0);
+}
+
+/* Begin the faults that are due ELAPSED_MS after the start.  */
+static void
+begin_faults (fixture_t *f, uint64_t elapsed_ms)
+{
+  for (size_t k = 0; k < f->fleet_count; k++)
+    {
+      fleet_t *fleet = &f->fleets[k];
+      if (fleet->has_fault || elapsed_ms < fleet->fault_at_ms)
+        continue;
+      fleet->has_fault = true;
+      for (size_t i = 0; i < f->scenario->unreachable_count; i++)
+        partitioned_store_set_access (fleet->gateways[i].store,
+                                      f->scenario->access);
+    }
+}
+
+/* Return whether the changed configuration is in force at each gateway that
+   reaches the store.  */
+static bool
+is_in_force (const fixture_t *f)
+{
+  for (size_t k = 0; k < f->fleet_count; k++)
+    for (size_t i = f->scenario->unreachable_count;
+         i < f->scenario->gateway_count; i++)
+      if (strcmp (f->fleets[k].gateways[i].value, "two") != 0)
+        return false;
+  return true;
+}
+
+/* Change the configuration in all fleets, and return the time, in ms, until it
+   was in force at each gateway that reaches the store, or MEASURED_MAX_MS.  */
+static uint64_t
+measure_delay (fixture_t *f)
+{
+  uint64_t start_ms = uv_now (&f->loop);
+  uint64_t changed_ms = 0;
+
+  for (;;)
+    {
+      begin_faults (f, uv_now (&f->loop) - start_ms);
+      if (changed_ms == 0 && uv_now (&f->loop) >= start_ms + CHANGE_AT_MS)
+        {
+          changed_ms = uv_now (&f->loop);
+          for (size_t k = 0; k < f->fleet_count; k++)
+            fake_rows_put (f->fleets[k].store, ROWS_OPERATOR, "a", "two");
+        }
+      loop_wait_for_ms (&f->wait, STEP_MS);
+      uint64_t delay_ms = uv_now (&f->loop) - changed_ms;
+      if (changed_ms != 0 && (is_in_force (f) || delay_ms >= MEASURED_MAX_MS))
+        return delay_ms;
+    }
+}
+
+static void
+check_delay (const scenario_t *scenario, size_t fleet_count)
+{
+  enum
+  {
+    /* The fault begins between this time before the change and shortly after
+       the change.  */
+    EARLIEST_BEFORE_CHANGE_MS = 1400,
+    SPAN_MS = 1600
+  };
+  fixture_t f;
+
+  setup (&f, scenario, fleet_count, CHANGE_AT_MS - EARLIEST_BEFORE_CHANGE_MS,
+         SPAN_MS / fleet_count);
+  uint64_t longest_ms = measure_delay (&f);
+  printf ("%zu gateways, %zu without the store (%s): in force after at most "
+          "%llu ms\n",
+          scenario->gateway_count, scenario->unreachable_count,
+          scenario->access == STORE_SILENT ? "silent" : "refusing",
+          (unsigned long long)longest_ms);
+  ck_assert_uint_lt (longest_ms, APPLY_MAX_MS);
+  teardown (&f);
+}
+
+/* Gateways that had lost the store answered "no changes" until their own calls
+   timed out, one after the other, and the gateways that read from them called
+   the store only after that.  */
+START_TEST (change_is_missed_while_readers_cannot_reach_the_store)
+{
+  static const scenario_t scenarios[] = {
+    { 6, 1, STORE_SILENT },
+    { 6, 2, STORE_SILENT },
+    { 6, 3, STORE_SILENT },
+    { 6, 2, STORE_REFUSING },
+  };
+
+  check_delay (&scenarios[_i], 32);
+}
+END_TEST
+
+/* The same in fleets in which a gateway may probe the store more rarely.  */
+START_TEST (change_is_missed_in_a_large_fleet_whose_readers_lost_the_store)
+{
+  static const scenario_t scenarios[] = {
+    { 22, 8, STORE_SILENT },
+    { 22, 8, STORE_REFUSING },
+    { 40, 14, STORE_SILENT },
+    { 40, 14, STORE_REFUSING },
+  };
+
+  check_delay (&scenarios[_i], 4);
+}
+END_TEST
+
+int
+main (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+  Suite *suite = suite_create ("config_delay");
+  TCase *tcase = tcase_create ("config_delay");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_loop_test (
+      tcase, change_is_missed_while_readers_cannot_reach_the_store, 0, 4);
+  tcase_add_loop_test (
+      tcase, change_is_missed_in_a_large_fleet_whose_readers_lost_the_store, 0,
+      4);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
