gateway: a configuration that is not confirmed for 1.4 s is confirmed by the store itself

Cause: a gateway reads the store through another one, its reader. A reader that loses the store notices when its own call times out (1.3 s after it was sent) and answers "no changes" until then; the next reader in rank may have lost it as well, and notices another 1.3 s later. A gateway that could reach the store all the while called it only after that, or when its probe was due (50 ms for each gateway of the fleet, up to 3 s). Ruled out: a slow reader (its replies came in time), a late parse (read_ms=0), a stale reply (no store.stale).

Change: the age of the confirmation decides. At 1.4 s (1.1 s at a head of a zone) the store is called beside the reader and answers at once; a reply that brings no changes and leaves the copy that old is not taken meanwhile. A reader's wait is shortened so that its reply comes before that age. A pause after a failure ends at that age. A configuration is read with waits of 0.9 s instead of 1.5 s where no reader is listed, as a lost reply cost 2.1 s there. The sums of all waits stand in a test that reads the constants.

--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -95,7 +95,13 @@
 {
   /* Timeout of a write to the store.  A write that times out may still have
      been applied.  */
-  STORE_SYNC_COMMIT_TIMEOUT_MS = 2000
+  STORE_SYNC_COMMIT_TIMEOUT_MS = 2000,
+  /* Longest time that the store holds a watch call for ROWS_OPERATOR, and the
+     time after that in which it may send no data before the call fails.  A
+     change must be in force within 2 s even if the reply to a call is
+     lost.  */
+  STORE_SYNC_OPERATOR_ROWS_WAIT_MS = 900,
+  STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS = 500
 };
 
 /* Return the part of row key KEY before its first slash.  *REST is the part
--- a/packages/gateway/peerrows.c
+++ b/packages/gateway/peerrows.c
@@ -13,7 +13,6 @@
 enum
 {
   TABLE_COUNT = ROWS_SHARED + 1,
-  TICK_MS = 100,
   /* Longest time that a reader holds a watch call of a gateway that is not an
      intermediate reader.  Short compared with
      gateway_options_t.config_max_age_ms, up to which a confirmation is
@@ -34,9 +33,11 @@
   /* Maximum number of readers that are tried, one after the other, for one
      call.  */
   READERS_TRIED_MAX = 3,
-  /* Longest time that the store may hold a watch call of a reader.  Limits the
-     age of the confirmation that the reader's callers get.  */
-  STORE_WATCH_WAIT_MS = 800
+  /* Time before the highest age of the confirmation by which a reader's reply
+     is due.  Covers a tick of the reader, the round trip and one iteration of
+     the event loop.  */
+  REPLY_MARGIN_MS = 200,
+  WATCH_WAIT_MIN_MS = 100
 };
 
 typedef struct
@@ -73,6 +74,10 @@
   rpc_call_t *rpc_call;
   /* Monotonic time from which the store is called as well, in ms.  */
   uint64_t hedge_at_ms;
+  /* Whether the last call to a reader was one of an intermediate reader.  */
+  bool is_intermediate;
+  /* Age of the confirmation from which the store is called as well, in ms.  */
+  uint64_t confirmation_max_age_ms;
   enum
   {
     STORE_NOT_CALLED,
@@ -112,6 +117,9 @@
                                       pending_call_t.  */
   list_t watches;                  /* Watch calls of other gateways; list of
                                       watch_request_t.  */
+  /* Time at which a call of the store for ROWS_OPERATOR failed last, in ms of
+     the boot clock; 0 if none did.  */
+  uint64_t store_failed_ms;
   uv_timer_t tick_timer;
   bool is_stopping;
 };
@@ -355,30 +363,28 @@
     {
       rowcache_set_down (cache);
       fanout_store_call_ended (peer_rows->readers, false);
+      if (pending->table == ROWS_OPERATOR)
+        peer_rows->store_failed_ms = boot_ms (peer_rows);
       if (pending->rpc_call != NULL)
         return;
     }
   if (code == VH_OK)
     fanout_store_call_ended (peer_rows->readers, true);
-  if (pending->rpc_call != NULL)
+  if (pending->rpc_call != NULL
+      && clock_ms (peer_rows->clock) >= pending->hedge_at_ms)
     record_reader_failure (pending, VH_E_TIMEOUT, true);
   finish_call (pending, code, result);
 }
 
-/* Call the store.  If PENDING is a read, rows from key FROM on are read.  */
+/* Call the store.  If PENDING is a read, rows from key FROM on are read.  The
+   store may hold a watch for WAIT_MS, at most pending->wait_ms.  */
 static void
-call_store (pending_call_t *pending, str_t from)
+call_store_waiting (pending_call_t *pending, str_t from, uint64_t wait_ms)
 {
   peer_rows_t *peer_rows = pending->peer_rows;
-  uint64_t wait_ms = pending->wait_ms;
 
   pending->store_state = STORE_CALLED;
   pending->store_sent_ms = boot_ms (peer_rows);
-  /* Use a shorter wait, so that ROWS_OPERATOR is confirmed often at a reader,
-     and a gateway whose reader failed soon calls a reader again.  */
-  if ((pending->table == ROWS_OPERATOR || pending->reader_name != NULL)
-      && map_size (peer_rows->gateways) > 0 && wait_ms > STORE_WATCH_WAIT_MS)
-    wait_ms = STORE_WATCH_WAIT_MS;
   if (pending->is_read)
     peer_rows->store->ops->read (peer_rows->store, pending->table, from,
                                  pending->timeout_ms, on_store_reply, pending);
@@ -389,6 +395,53 @@
         pending);
 }
 
+/* Call the store, and let it hold a watch for the usual time.  */
+static void
+call_store (pending_call_t *pending, str_t from)
+{
+  uint64_t wait_ms = pending->wait_ms;
+
+  /* Use a shorter wait, so that ROWS_OPERATOR is confirmed often at a reader,
+     and a gateway whose reader failed soon calls a reader again.  */
+  if ((pending->table == ROWS_OPERATOR || pending->reader_name != NULL)
+      && map_size (pending->peer_rows->gateways) > 0
+      && wait_ms > PEER_ROWS_STORE_WAIT_MS)
+    wait_ms = PEER_ROWS_STORE_WAIT_MS;
+  call_store_waiting (pending, from, wait_ms);
+}
+
+/* Return whether the store is to confirm the copy of ROWS_OPERATOR: the copy
+   was not confirmed for too long, or the age of what a reader confirms is not
+   known closely, because the store never replied to this gateway.  After the
+   store failed to reply, it is called as rarely as other probes allow.  */
+static bool
+needs_confirmation (const pending_call_t *pending)
+{
+  const peer_rows_t *peer_rows = pending->peer_rows;
+  const rowcache_t *cache = peer_rows->caches[pending->table];
+  uint64_t age_ms = rowcache_age_ms (cache);
+
+  if (pending->table != ROWS_OPERATOR || age_ms == UINT64_MAX
+      || pending->store_state != STORE_NOT_CALLED)
+    return false;
+  if (age_ms < pending->confirmation_max_age_ms)
+    return !rowcache_knows_store_clock (cache)
+           && peer_rows->store_failed_ms == 0;
+  return peer_rows->store_failed_ms + age_ms <= boot_ms (peer_rows)
+         || fanout_may_probe_store (peer_rows->readers);
+}
+
+/* Call the store beside the reader if it is to confirm the copy.  The store
+   replies at once, also without changes.  Return whether it was called.  */
+static bool
+confirm_with_store (pending_call_t *pending)
+{
+  if (!needs_confirmation (pending))
+    return false;
+  call_store_waiting (pending, STR (""), 0);
+  return true;
+}
+
 /* Decode ROW into OUT, which borrows from ROW and PLAIN.  A deflated value is
    inflated into PLAIN.  */
 static vh_code_t
@@ -411,8 +464,41 @@
   return code;
 }
 
-/* Finish PENDING with the COUNT rows WIRE_ROWS of a reader's REPLY.  Return an
-   error and leave PENDING unchanged if a row is invalid.  */
+static void call_reader (pending_call_t *pending, gateway_peer_t *gateway,
+                         bool is_intermediate);
+
+/* Call the last reader of PENDING once more, beside the store.  */
+static void
+call_same_reader (pending_call_t *pending)
+{
+  gateway_peer_t *gateway = map_get (pending->peer_rows->gateways,
+                                     str_from (pending->reader_name));
+
+  if (gateway != NULL && gateway->peer != NULL)
+    call_reader (pending, gateway, pending->is_intermediate);
+}
+
+/* Return whether RESULT, a reader's reply to PENDING, has no changes and
+   leaves the copy unconfirmed for too long, so that the store's reply is
+   awaited.  */
+static bool
+is_outdated_reply (pending_call_t *pending, const rows_result_t *result)
+{
+  const rowcache_call_t call = { .is_read = pending->is_read,
+                                 .is_first_page = pending->is_first_page,
+                                 .sent_ms = pending->sent_ms };
+
+  if (pending->table != ROWS_OPERATOR || result->count > 0
+      || rowcache_age_with_ms (pending->peer_rows->caches[pending->table],
+                               &call, result)
+             < pending->confirmation_max_age_ms)
+    return false;
+  return pending->store_state == STORE_CALLED || confirm_with_store (pending);
+}
+
+/* Finish PENDING with the COUNT rows WIRE_ROWS of a reader's REPLY, or go
+   on waiting if they are outdated.  Return an error and leave
+   PENDING unchanged if a row is invalid.  */
 static vh_code_t
 deliver_rows (pending_call_t *pending, const wire_rows_res_t *reply,
               const wire_row_t *wire_rows, u_int count)
@@ -429,7 +515,9 @@
 
   for (u_int i = 0; i < count && code == VH_OK; i++)
     code = decode_row (&wire_rows[i], &plain[i], &rows[i]);
-  if (code == VH_OK)
+  if (code == VH_OK && is_outdated_reply (pending, &result))
+    call_same_reader (pending);
+  else if (code == VH_OK)
     {
       apply_to_cache (pending, pending->sent_ms, &result);
       finish_call (pending, VH_OK, &result);
@@ -461,9 +549,6 @@
   return code;
 }
 
-static void call_reader (pending_call_t *pending, gateway_peer_t *gateway,
-                         bool is_intermediate);
-
 /* Call another reader for PENDING after a reader replied that it cannot serve
    the call.  If there is no other reader, call the store, or fail if the store
    is not to be probed now.  */
@@ -511,26 +596,49 @@
   record_reader_failure (pending, code, is_silent);
   if (pending->store_state == STORE_NOT_CALLED && is_silent)
     call_store (pending, STR (""));
-  else if (pending->store_state == STORE_NOT_CALLED)
+  else if (pending->store_state == STORE_NOT_CALLED
+           && !confirm_with_store (pending))
     call_next_reader (pending);
   else if (pending->store_state == STORE_REPLIED)
     finish_call (pending, VH_E_STORE_DOWN, NULL);
 }
 
-/* Call the store as well for each pending call whose reader is late.  */
+/* Call the store as well for each pending call whose reader is late or does
+   not confirm the rows.  */
 static void
 hedge_late_calls (peer_rows_t *peer_rows, uint64_t now_ms)
 {
   LIST_EACH (at, &peer_rows->pending)
     {
       pending_call_t *pending = CONTAINER_OF (at, pending_call_t, link);
-      if (pending->rpc_call != NULL && pending->store_state == STORE_NOT_CALLED
-          && now_ms >= pending->hedge_at_ms
-          && !rpc_call_is_transferring (pending->rpc_call))
+      if (pending->rpc_call == NULL || pending->store_state != STORE_NOT_CALLED
+          || rpc_call_is_transferring (pending->rpc_call))
+        continue;
+      if (now_ms >= pending->hedge_at_ms)
         call_store (pending, STR (""));
+      else
+        confirm_with_store (pending);
     }
 }
 
+/* Return how long a reader may hold PENDING, at most WAIT_MAX_MS.  Its reply
+   must come before the confirmation of ROWS_OPERATOR gets too old.  */
+static uint64_t
+reader_wait_ms (const pending_call_t *pending, uint64_t wait_max_ms)
+{
+  uint64_t age_ms
+      = rowcache_age_ms (pending->peer_rows->caches[pending->table]);
+  uint64_t max_age_ms = pending->confirmation_max_age_ms;
+
+  if (pending->table != ROWS_OPERATOR || age_ms >= max_age_ms
+      || age_ms + wait_max_ms + REPLY_MARGIN_MS <= max_age_ms)
+    return wait_max_ms;
+  uint64_t left_ms = max_age_ms - age_ms;
+  return left_ms > REPLY_MARGIN_MS + WATCH_WAIT_MIN_MS
+             ? left_ms - REPLY_MARGIN_MS
+             : WATCH_WAIT_MIN_MS;
+}
+
 /* Call the reader GATEWAY for PENDING.  IS_INTERMEDIATE: this gateway is
    itself a reader for other gateways.  */
 static void
@@ -539,10 +647,6 @@
 {
   static const rpc_peer_events_t no_events = { NULL, NULL };
   peer_rows_t *peer_rows = pending->peer_rows;
-  uint64_t wait_max_ms
-      = is_intermediate ? INTERMEDIATE_WATCH_WAIT_MS : WATCH_WAIT_MS;
-  uint64_t wait_ms
-      = pending->wait_ms < wait_max_ms ? pending->wait_ms : wait_max_ms;
   peer_rows_item_t items[WIRE_NEWS_MAX] = { 0 };
   wire_news_t wire_items[WIRE_NEWS_MAX];
   size_t count = 0;
@@ -565,6 +669,15 @@
                                      .value = { (u_int)items[i].value.len,
                                                 items[i].value.ptr } };
     }
+  pending->is_intermediate = is_intermediate;
+  pending->confirmation_max_age_ms = is_intermediate
+                                         ? PEER_ROWS_INTERMEDIATE_MAX_AGE_MS
+                                         : PEER_ROWS_CONFIRMATION_MAX_AGE_MS;
+  uint64_t wait_max_ms
+      = is_intermediate ? INTERMEDIATE_WATCH_WAIT_MS : WATCH_WAIT_MS;
+  if (pending->wait_ms < wait_max_ms)
+    wait_max_ms = pending->wait_ms;
+  uint64_t wait_ms = reader_wait_ms (pending, wait_max_ms);
   wire_rows_args_t args = { .table = pending->table,
                             .after = pending->after,
                             .wait_ms = (u_int)wait_ms,
@@ -579,7 +692,7 @@
       = clock_ms (peer_rows->clock) + wait_ms + HEDGE_DELAY_MS;
   pending->rpc_call
       = rpc_peer_call (gateway->peer, WIRE_ROWS, &args,
-                       wait_ms + HEDGE_DELAY_MS + BUSY_READER_TIMEOUT_MS,
+                       wait_max_ms + HEDGE_DELAY_MS + BUSY_READER_TIMEOUT_MS,
                        on_reader_reply, pending);
   for (size_t i = 0; i < count; i++)
     {
@@ -603,7 +716,10 @@
       || (pending->is_read && !pending->is_first_page))
     call_store (pending, from);
   else
-    call_reader (pending, gateway, role == FANOUT_READS_ROOT);
+    {
+      call_reader (pending, gateway, role == FANOUT_READS_ROOT);
+      confirm_with_store (pending);
+    }
 }
 
 static pending_call_t *
@@ -787,7 +903,8 @@
     peer_rows->caches[i] = rowcache_create (clock);
   uv_timer_init (loop, &peer_rows->tick_timer);
   peer_rows->tick_timer.data = peer_rows;
-  uv_timer_start (&peer_rows->tick_timer, on_tick, TICK_MS, TICK_MS);
+  uv_timer_start (&peer_rows->tick_timer, on_tick, PEER_ROWS_TICK_MS,
+                  PEER_ROWS_TICK_MS);
   peer_rows->node
       = rpc_node_create (loop, clock, rng_make (seed), options->name,
                          options->keys, options->key_count, &hooks, NULL);
--- a/packages/gateway/peerrows.h
+++ b/packages/gateway/peerrows.h
@@ -22,7 +22,13 @@
 
    A reply contains the time since the store confirmed the rows to the reader.
    The caller adds the time since it sent its call, so the age of rows is never
-   underestimated.  */
+   underestimated.
+
+   A reader that loses the store notices when its own call times out, and until
+   then its replies bear no changes.  Readers that are tried one after the
+   other add up these times.  So a gateway whose copy of ROWS_OPERATOR was not
+   confirmed for PEER_ROWS_CONFIRMATION_MAX_AGE_MS calls the store itself,
+   whatever its reader replies.  */
 
 #ifndef GATEWAY_PEERROWS_H
 #define GATEWAY_PEERROWS_H
@@ -34,6 +40,21 @@
 
 typedef struct peer_rows peer_rows_t;
 
+enum
+{
+  /* Interval at which pending calls are checked.  */
+  PEER_ROWS_TICK_MS = 100,
+  /* Age of the confirmation of ROWS_OPERATOR at which a gateway calls the
+     store beside its reader.  A change must be in force within 2 s.  */
+  PEER_ROWS_CONFIRMATION_MAX_AGE_MS = 1400,
+  /* The same at a reader of its availability zone in a large fleet.  Lower, so
+     that the gateways of the zone get the rows from it.  */
+  PEER_ROWS_INTERMEDIATE_MAX_AGE_MS = 1100,
+  /* Longest time that the store may hold a watch call of a reader.  Limits the
+     age of the confirmation that the reader's callers get.  */
+  PEER_ROWS_STORE_WAIT_MS = 800
+};
+
 typedef struct
 {
   str_t name;   /* Name of this gateway.  */
--- a/packages/gateway/rowcache.c
+++ b/packages/gateway/rowcache.c
@@ -2,6 +2,7 @@
 
 #include "base/map.h"
 #include "base/mem.h"
+#include "gateway/confirmation.h"
 #include "wire/deflate.h"
 #include "wire/proto/wire.h"
 
@@ -59,8 +60,7 @@
   uint64_t read_version;  /* Store version of the first page of the current
                              read.  */
   uint64_t history_floor; /* Deletions up to this version are unknown.  */
-  /* Time at which the store confirmed the rows, in ms of the boot clock.  */
-  uint64_t confirmed_ms;
+  confirmation_t confirmation;
   uint64_t store_now_ms;      /* Store clock in the last reply, in ms.  */
   uint64_t store_received_ms; /* Boot clock at the time of the last reply, in
                                  ms.  */
@@ -161,9 +161,12 @@
 rowcache_apply_result (rowcache_t *cache, const rowcache_call_t *call,
                        const rows_result_t *result)
 {
+  uint64_t now_ms = clock_boottime_ms (cache->clock);
+
   if (call->is_read && call->is_first_page)
     {
       free_rows (cache);
+      confirmation_reset (&cache->confirmation);
       cache->rows = map_create ();
       cache->is_complete = false;
       cache->read_version = result->version;
@@ -176,10 +179,9 @@
   if (call->is_read && !result->has_more)
     cache->is_complete = true;
   cache->version = call->is_read ? cache->read_version : result->version;
-  cache->confirmed_ms
-      = call->sent_ms > result->age_ms ? call->sent_ms - result->age_ms : 0;
+  confirmation_record (&cache->confirmation, result, call->sent_ms, now_ms);
   cache->store_now_ms = result->store_now_ms;
-  cache->store_received_ms = clock_boottime_ms (cache->clock);
+  cache->store_received_ms = now_ms;
   cache->store_confirmed_ms = result->store_confirmed_ms;
   cache->is_down = false;
   expire_tombstones (cache);
@@ -203,6 +205,33 @@
   return cache->is_down;
 }
 
+uint64_t
+rowcache_age_ms (const rowcache_t *cache)
+{
+  return confirmation_age_ms (&cache->confirmation,
+                              clock_boottime_ms (cache->clock));
+}
+
+bool
+rowcache_knows_store_clock (const rowcache_t *cache)
+{
+  return cache->confirmation.store_clock.is_known;
+}
+
+uint64_t
+rowcache_age_with_ms (const rowcache_t *cache, const rowcache_call_t *call,
+                      const rows_result_t *result)
+{
+  uint64_t now_ms = clock_boottime_ms (cache->clock);
+  uint64_t age_ms = rowcache_age_ms (cache);
+  uint64_t result_age_ms
+      = now_ms
+        - confirmation_time_ms (&cache->confirmation, result, call->sent_ms,
+                                now_ms);
+
+  return result_age_ms < age_ms ? result_age_ms : age_ms;
+}
+
 bool
 rowcache_is_complete (const rowcache_t *cache)
 {
@@ -307,7 +336,7 @@
       packed->after = after;
       packed->version = cache->version;
       packed->packed_ms = clock_boottime_ms (cache->clock);
-      packed->confirmed_ms = cache->confirmed_ms;
+      packed->confirmed_ms = cache->confirmation.confirmed_ms;
       packed->store_confirmed_ms = cache->store_confirmed_ms;
       packed->plain_len = plain_bytes;
     }
@@ -351,13 +380,12 @@
       list = list_rows (cache, after, is_whole);
       packed = pack_rows (cache, &list, after, is_whole);
     }
-  *result
-      = (wire_rows_res_t){ .code = VH_OK,
-                           .newest = cache->version,
-                           .now_ms = cache->store_now_ms + boot_ms
-                                     - cache->store_received_ms,
-                           .age_ms = (u_int)(boot_ms - cache->confirmed_ms),
-                           .said_ms = cache->store_confirmed_ms };
+  *result = (wire_rows_res_t){ .code = VH_OK,
+                               .newest = cache->version,
+                               .now_ms = cache->store_now_ms + boot_ms
+                                         - cache->store_received_ms,
+                               .age_ms = (u_int)rowcache_age_ms (cache),
+                               .said_ms = cache->store_confirmed_ms };
   if (packed == NULL)
     {
       result->rows.rows_val = list.rows.rows_val;
--- a/packages/gateway/rowcache.h
+++ b/packages/gateway/rowcache.h
@@ -44,6 +44,17 @@
 
 /* Return whether the store did not reply to the last call.  */
 bool rowcache_is_down (const rowcache_t *cache);
+/* Return the time since the store confirmed the copy, in ms; UINT64_MAX if it
+   has not.  */
+uint64_t rowcache_age_ms (const rowcache_t *cache);
+/* Return whether the store itself replied to this gateway, so that the time of
+   a confirmation by a reader is known closely.  */
+bool rowcache_knows_store_clock (const rowcache_t *cache);
+/* Return what rowcache_age_ms would return after RESULT, the reply to CALL,
+   was applied.  */
+uint64_t rowcache_age_with_ms (const rowcache_t *cache,
+                               const rowcache_call_t *call,
+                               const rows_result_t *result);
 /* Return whether all rows of the table are known.  */
 bool rowcache_is_complete (const rowcache_t *cache);
 /* Return whether all deletions after version AFTER are known.  */
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -19,11 +19,6 @@
      its time limit.  */
   TICK_MS = 250,
   TICKS_PER_S = 4,
-  /* Longest time that the store holds a watch call for ROWS_OPERATOR.  A
-     revoked key must be refused within seconds, and a confirmation gets as old
-     as two such waits and a timeout.  */
-  OPERATOR_ROWS_WAIT_MS = 1500,
-  OPERATOR_ROWS_TIMEOUT_SLACK_MS = 500,
   /* Longest time that the store holds a watch call for ROWS_INSTANCES.  The
      store reports a removed instance at once, so this wait only limits the
      time until a dead connection is detected.  */
@@ -481,8 +476,9 @@
   static const table_sync_options_t operator_rows
       = { .table = ROWS_OPERATOR,
           .name = "orders",
-          .wait_ms = OPERATOR_ROWS_WAIT_MS,
-          .timeout_slack_ms = OPERATOR_ROWS_TIMEOUT_SLACK_MS };
+          .wait_ms = STORE_SYNC_OPERATOR_ROWS_WAIT_MS,
+          .timeout_slack_ms = STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS,
+          .confirmation_max_age_ms = PEER_ROWS_CONFIRMATION_MAX_AGE_MS };
   static const table_sync_events_t operator_events
       = { on_operator_row_put, on_operator_row_removed,
           on_operator_rows_synced, on_operator_rows_reachability };
--- a/packages/gateway/tablesync.c
+++ b/packages/gateway/tablesync.c
@@ -3,21 +3,10 @@
 #include "base/eventlog.h"
 #include "base/map.h"
 #include "base/mem.h"
-#include "gateway/storeclock.h"
+#include "gateway/confirmation.h"
 
 #include <stdlib.h>
 
-enum
-{
-  /* Delay before the first retry; short, because often only one reply was
-     lost.  */
-  RETRY_MIN_MS = 100,
-  READ_TIMEOUT_MS = 1500,
-  /* Shortest pause between watch calls.  Prevents a busy loop if the store
-     replies to watches at once without changes.  */
-  WATCH_GAP_MS = 20
-};
-
 struct table_sync
 {
   clock_iface_t *clock;
@@ -44,10 +33,7 @@
   /* Time at which the call for the first page of the current read was sent, in
      ms of the boot clock.  */
   uint64_t read_sent_ms;
-  bool is_confirmed;
-  /* Time of the last confirmation, in ms of the boot clock.  */
-  uint64_t confirmed_ms;
-  store_clock_t store_clock;  /* Converts store time to boot clock time.  */
+  confirmation_t confirmation;
   uint64_t store_ms;          /* Store clock in the last reply, in ms; 0: no
                                  reply yet.  */
   uint64_t store_received_ms; /* Time at which STORE_MS was received, in ms of
@@ -86,6 +72,22 @@
     sync->events.reachability (sync->arg, is_down);
 }
 
+/* Schedule the next call after a call that failed or whose reply was not
+   applied.  The pause is at most DELAY_MS, and ends when the confirmation
+   reaches its highest age.  */
+static void
+schedule_retry (table_sync_t *sync, uint64_t delay_ms)
+{
+  uint64_t age_ms = table_sync_age_ms (sync);
+  uint64_t max_age_ms = sync->options.confirmation_max_age_ms;
+
+  if (age_ms < max_age_ms && delay_ms > max_age_ms - age_ms)
+    delay_ms = max_age_ms - age_ms;
+  schedule_call (sync, delay_ms > TABLE_SYNC_WATCH_GAP_MS
+                           ? delay_ms
+                           : TABLE_SYNC_WATCH_GAP_MS);
+}
+
 /* Schedule the next call after a call that failed with CODE.  */
 static void
 handle_failure (table_sync_t *sync, vh_code_t code)
@@ -96,13 +98,13 @@
                  log_field_text (FIELD_TABLE, str_from (sync->options.name)));
       sync->is_reading = true;
       sync->next_key.len = 0;
-      schedule_call (sync, WATCH_GAP_MS);
+      schedule_call (sync, TABLE_SYNC_WATCH_GAP_MS);
       return;
     }
   set_down (sync, true, code);
   if (sync->is_reading)
     sync->next_key.len = 0;
-  schedule_call (sync, rng_jitter (&sync->rng, sync->retry_delay_ms));
+  schedule_retry (sync, rng_jitter (&sync->rng, sync->retry_delay_ms));
   sync->retry_delay_ms = sync->retry_delay_ms * 2 < sync->options.retry_max_ms
                              ? sync->retry_delay_ms * 2
                              : sync->options.retry_max_ms;
@@ -151,19 +153,10 @@
 {
   uint64_t now_ms = clock_boottime_ms (sync->clock);
 
-  if (result->is_direct)
-    store_clock_add_sample (&sync->store_clock, result->store_confirmed_ms,
-                            sent_ms, now_ms);
-  uint64_t confirmed_local_ms = store_clock_to_local (
-      &sync->store_clock, result->store_confirmed_ms, now_ms);
-  sync->is_confirmed = true;
-  sync->confirmed_ms = sent_ms > result->age_ms ? sent_ms - result->age_ms : 0;
-  /* The table is confirmed for both times, so the later time counts.  */
-  if (confirmed_local_ms > sync->confirmed_ms)
-    sync->confirmed_ms = confirmed_local_ms;
+  confirmation_record (&sync->confirmation, result, sent_ms, now_ms);
   sync->store_ms = result->store_now_ms;
   sync->store_received_ms = now_ms;
-  sync->retry_delay_ms = RETRY_MIN_MS;
+  sync->retry_delay_ms = TABLE_SYNC_RETRY_MIN_MS;
 }
 
 static void
@@ -209,9 +202,9 @@
   sync->version = result->version;
   record_confirmation (sync, result, sync->sent_ms);
   sync->events.synced (sync->arg, false);
-  schedule_call (sync, sync->options.call_gap_ms > WATCH_GAP_MS
+  schedule_call (sync, sync->options.call_gap_ms > TABLE_SYNC_WATCH_GAP_MS
                            ? sync->options.call_gap_ms
-                           : WATCH_GAP_MS);
+                           : TABLE_SYNC_WATCH_GAP_MS);
 }
 
 static void
@@ -232,7 +225,7 @@
                  log_field_number (FIELD_ORDER, result->version),
                  log_field_number (FIELD_SEEN, sync->version));
       sync->next_key.len = 0;
-      schedule_call (sync, rng_jitter (&sync->rng, TABLE_SYNC_RETRY_MAX_MS));
+      schedule_retry (sync, rng_jitter (&sync->rng, TABLE_SYNC_RETRY_MAX_MS));
       return;
     }
   /* Report the end of an outage before passing on the rows, because the
@@ -251,8 +244,8 @@
   sync->sent_ms = clock_boottime_ms (sync->clock);
   if (sync->is_reading)
     sync->rows->ops->read (sync->rows, sync->options.table,
-                           buf_str (&sync->next_key), READ_TIMEOUT_MS,
-                           on_result, sync);
+                           buf_str (&sync->next_key),
+                           TABLE_SYNC_READ_TIMEOUT_MS, on_result, sync);
   else
     {
       /* After a failure do not wait for changes, so that the store replies and
@@ -281,7 +274,7 @@
   sync->rng = rng_make (seed);
   sync->row_read_numbers = map_create ();
   sync->is_reading = true;
-  sync->retry_delay_ms = RETRY_MIN_MS;
+  sync->retry_delay_ms = TABLE_SYNC_RETRY_MIN_MS;
   uv_timer_init (loop, &sync->timer);
   sync->timer.data = sync;
   schedule_call (sync, 0);
@@ -322,9 +315,8 @@
 uint64_t
 table_sync_age_ms (const table_sync_t *sync)
 {
-  return !sync->is_confirmed
-             ? UINT64_MAX
-             : clock_boottime_ms (sync->clock) - sync->confirmed_ms;
+  return confirmation_age_ms (&sync->confirmation,
+                              clock_boottime_ms (sync->clock));
 }
 
 bool
--- a/packages/gateway/tablesync.h
+++ b/packages/gateway/tablesync.h
@@ -31,7 +31,16 @@
   /* Default of table_sync_options_t.retry_max_ms.  Long enough not to overload
      a store that is down; every call is charged for, including refused
      calls.  */
-  TABLE_SYNC_RETRY_MAX_MS = 800
+  TABLE_SYNC_RETRY_MAX_MS = 800,
+  /* Delay before the first retry; short, because often only one reply was
+     lost.  */
+  TABLE_SYNC_RETRY_MIN_MS = 100,
+  /* Time in which the store may send no data before a read of a page
+     fails.  */
+  TABLE_SYNC_READ_TIMEOUT_MS = 1500,
+  /* Shortest pause between watch calls.  Prevents a busy loop if the store
+     replies to watches at once without changes.  */
+  TABLE_SYNC_WATCH_GAP_MS = 20
 };
 
 typedef struct
@@ -48,6 +57,9 @@
   /* Longest delay between calls while the store does not reply; 0:
      TABLE_SYNC_RETRY_MAX_MS.  */
   uint64_t retry_max_ms;
+  /* Age of the confirmation at which a call must be under way, even after a
+     failure; 0: any age.  */
+  uint64_t confirmation_max_age_ms;
 } table_sync_options_t;
 
 typedef struct
--- a/tests/test_config_delay.c
+++ b/tests/test_config_delay.c
@@ -4,6 +4,7 @@
    gateways and the store, in a fleet of its own for each instant.  */
 
 #include "fake_rows.h"
+#include "gateway/gatewayint.h"
 #include "gateway/peerrows.h"
 #include "gateway/tablesync.h"
 #include "loop_wait.h"
@@ -88,10 +89,12 @@
 static void
 gateway_start (fixture_t *f, fleet_t *fleet, size_t index)
 {
-  static const table_sync_options_t sync_options = { .table = ROWS_OPERATOR,
-                                                     .name = "orders",
-                                                     .wait_ms = 1500,
-                                                     .timeout_slack_ms = 500 };
+  static const table_sync_options_t sync_options
+      = { .table = ROWS_OPERATOR,
+          .name = "orders",
+          .wait_ms = STORE_SYNC_OPERATOR_ROWS_WAIT_MS,
+          .timeout_slack_ms = STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS,
+          .confirmation_max_age_ms = PEER_ROWS_CONFIRMATION_MAX_AGE_MS };
   static const table_sync_events_t events
       = { on_put, on_removed, on_synced, NULL };
   fleet_gateway_t *gateway = &fleet->gateways[index];
@@ -296,6 +299,44 @@
 }
 END_TEST
 
+/* The waits and timeouts that a change may meet on its way added up to more
+   than the time within which it must be in force.  */
+START_TEST (waits_of_a_change_exceed_its_time)
+{
+  enum
+  {
+    /* A call that the store answers at once, with the delays of a loaded
+       machine.  */
+    STORE_CALL_MS = 200,
+    /* Left for compiling the configuration.  */
+    RESERVE_MS = 100
+  };
+  static const struct
+  {
+    const char *way;
+    uint64_t sum_ms;
+  } ways[] = {
+    { "store, reply lost", STORE_SYNC_OPERATOR_ROWS_WAIT_MS
+                               + STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS
+                               + TABLE_SYNC_RETRY_MIN_MS + STORE_CALL_MS },
+    { "store, as a reader, reply lost",
+      PEER_ROWS_STORE_WAIT_MS + STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS
+          + TABLE_SYNC_RETRY_MIN_MS + STORE_CALL_MS },
+    { "store, history gone and reply lost",
+      TABLE_SYNC_WATCH_GAP_MS + TABLE_SYNC_READ_TIMEOUT_MS
+          + TABLE_SYNC_RETRY_MIN_MS + STORE_CALL_MS },
+    { "any reader that does not confirm or does not reply",
+      PEER_ROWS_CONFIRMATION_MAX_AGE_MS + PEER_ROWS_TICK_MS + STORE_CALL_MS },
+    { "reader of a zone that does not confirm or does not reply",
+      PEER_ROWS_INTERMEDIATE_MAX_AGE_MS + PEER_ROWS_TICK_MS + STORE_CALL_MS },
+  };
+
+  for (size_t i = 0; i < sizeof ways / sizeof ways[0]; i++)
+    ck_assert_msg (ways[i].sum_ms + RESERVE_MS <= APPLY_MAX_MS, "%s: %llu ms",
+                   ways[i].way, (unsigned long long)ways[i].sum_ms);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +345,7 @@
   TCase *tcase = tcase_create ("config_delay");
 
   tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, waits_of_a_change_exceed_its_time);
   tcase_add_loop_test (
       tcase, change_is_missed_while_readers_cannot_reach_the_store, 0, 4);
   tcase_add_loop_test (
