gateway: registrations are read from the store while a reader may have lost it

Change: when the call for the configuration shows that a reader may have lost the store (it fails, or does not confirm), instances that are awaited from a reader are asked of the store as well, for 1 s.

--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -104,6 +104,10 @@
   STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS = 500
 };
 
+/* How ROWS_OPERATOR and ROWS_INSTANCES are read.  */
+extern const table_sync_options_t store_sync_operator_rows_options;
+extern const table_sync_options_t store_sync_instances_options;
+
 /* Return the part of row key KEY before its first slash.  *REST is the part
    after the slash, empty if there is no slash.  */
 static inline str_t
--- a/packages/gateway/peerrows.c
+++ b/packages/gateway/peerrows.c
@@ -37,7 +37,10 @@
      is due.  Covers a tick of the reader, the round trip and one iteration of
      the event loop.  */
   REPLY_MARGIN_MS = 200,
-  WATCH_WAIT_MIN_MS = 100
+  WATCH_WAIT_MIN_MS = 100,
+  /* Time for which a reader counts as one that may have lost the store.
+     Longer than the pause between calls for any table.  */
+  READER_DOUBTFUL_MS = 1000
 };
 
 typedef struct
@@ -120,6 +123,9 @@
   /* Time at which a call of the store for ROWS_OPERATOR failed last, in ms of
      the boot clock; 0 if none did.  */
   uint64_t store_failed_ms;
+  /* Time until which a reader may have lost the store, in ms of the boot
+     clock; 0 if none was found to have lost it.  */
+  uint64_t reader_doubtful_until_ms;
   uv_timer_t tick_timer;
   bool is_stopping;
 };
@@ -410,6 +416,30 @@
   call_store_waiting (pending, from, wait_ms);
 }
 
+/* Call the store as well for the instances that are awaited from a reader that
+   may have lost the store.  The reader notices that later for this table,
+   whose calls are held for longer.  */
+static void
+hedge_instances (peer_rows_t *peer_rows)
+{
+  LIST_EACH (at, &peer_rows->pending)
+    {
+      pending_call_t *pending = CONTAINER_OF (at, pending_call_t, link);
+      if (pending->table == ROWS_INSTANCES && pending->rpc_call != NULL
+          && pending->store_state == STORE_NOT_CALLED
+          && !rpc_call_is_transferring (pending->rpc_call))
+        call_store (pending, STR (""));
+    }
+}
+
+static void
+doubt_reader (peer_rows_t *peer_rows)
+{
+  peer_rows->reader_doubtful_until_ms
+      = boot_ms (peer_rows) + READER_DOUBTFUL_MS;
+  hedge_instances (peer_rows);
+}
+
 /* Return whether the store is to confirm the copy of ROWS_OPERATOR: the copy
    was not confirmed for too long, or the age of what a reader confirms is not
    known closely, because the store never replied to this gateway.  After the
@@ -438,6 +468,9 @@
 {
   if (!needs_confirmation (pending))
     return false;
+  if (rowcache_age_ms (pending->peer_rows->caches[ROWS_OPERATOR])
+      >= pending->confirmation_max_age_ms)
+    doubt_reader (pending->peer_rows);
   call_store_waiting (pending, STR (""), 0);
   return true;
 }
@@ -594,6 +627,8 @@
       return;
     }
   record_reader_failure (pending, code, is_silent);
+  if (pending->table == ROWS_OPERATOR)
+    doubt_reader (pending->peer_rows);
   if (pending->store_state == STORE_NOT_CALLED && is_silent)
     call_store (pending, STR (""));
   else if (pending->store_state == STORE_NOT_CALLED
@@ -618,6 +653,9 @@
         call_store (pending, STR (""));
       else
         confirm_with_store (pending);
+      if (boot_ms (pending->peer_rows)
+          < pending->peer_rows->reader_doubtful_until_ms)
+        hedge_instances (pending->peer_rows);
     }
 }
 
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -45,6 +45,21 @@
   CONFIRMATION_AGED_MS = 1750
 };
 
+const table_sync_options_t store_sync_operator_rows_options
+    = { .table = ROWS_OPERATOR,
+        .name = "orders",
+        .wait_ms = STORE_SYNC_OPERATOR_ROWS_WAIT_MS,
+        .timeout_slack_ms = STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS,
+        .confirmation_max_age_ms = PEER_ROWS_CONFIRMATION_MAX_AGE_MS };
+
+const table_sync_options_t store_sync_instances_options
+    = { .table = ROWS_INSTANCES,
+        .name = "instances",
+        .call_gap_ms = INSTANCES_CALL_GAP_MS,
+        .wait_ms = INSTANCES_WAIT_MS,
+        .retry_max_ms = OTHER_TABLES_RETRY_MAX_MS,
+        .timeout_slack_ms = INSTANCES_TIMEOUT_SLACK_MS };
+
 struct store_sync
 {
   gateway_state_t *state;
@@ -435,13 +450,6 @@
 static void
 on_operator_rows_synced (void *arg, bool is_full_read)
 {
-  static const table_sync_options_t instances
-      = { .table = ROWS_INSTANCES,
-          .name = "instances",
-          .call_gap_ms = INSTANCES_CALL_GAP_MS,
-          .wait_ms = INSTANCES_WAIT_MS,
-          .retry_max_ms = OTHER_TABLES_RETRY_MAX_MS,
-          .timeout_slack_ms = INSTANCES_TIMEOUT_SLACK_MS };
   static const table_sync_events_t events
       = { on_instance_put, on_instance_removed, on_instances_synced,
           on_instances_reachability };
@@ -450,9 +458,9 @@
 
   (void)is_full_read;
   if (sync->instances_sync == NULL)
-    sync->instances_sync
-        = table_sync_create (state->loop, state->clock, sync->rows,
-                             rng_u64 (&state->rng), &instances, &events, sync);
+    sync->instances_sync = table_sync_create (
+        state->loop, state->clock, sync->rows, rng_u64 (&state->rng),
+        &store_sync_instances_options, &events, sync);
 }
 
 /* Retry the other tables at once when the store replies again.  */
@@ -473,12 +481,6 @@
 store_sync_create (gateway_state_t *state, rows_t *rows,
                    peer_rows_t *peer_rows)
 {
-  static const table_sync_options_t operator_rows
-      = { .table = ROWS_OPERATOR,
-          .name = "orders",
-          .wait_ms = STORE_SYNC_OPERATOR_ROWS_WAIT_MS,
-          .timeout_slack_ms = STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS,
-          .confirmation_max_age_ms = PEER_ROWS_CONFIRMATION_MAX_AGE_MS };
   static const table_sync_events_t operator_events
       = { on_operator_row_put, on_operator_row_removed,
           on_operator_rows_synced, on_operator_rows_reachability };
@@ -501,8 +503,8 @@
   sync->loader = loader_create (state->loop, state->dialect->read_catalog,
                                 on_catalog, sync);
   state->operator_rows_sync = table_sync_create (
-      state->loop, state->clock, rows, rng_u64 (&state->rng), &operator_rows,
-      &operator_events, sync);
+      state->loop, state->clock, rows, rng_u64 (&state->rng),
+      &store_sync_operator_rows_options, &operator_events, sync);
   /* Read at the same time as ROWS_OPERATOR: this table lists the gateways, one
      of which is the reader through which ROWS_OPERATOR is read.  */
   sync->shared_rows_sync = table_sync_create (
--- a/tests/test_config_delay.c
+++ b/tests/test_config_delay.c
@@ -1,7 +1,8 @@
-/* Time until a change of the configuration is in force at each gateway while
-   some gateways cannot reach the store, over real RPC and with a store in
-   memory.  The fault begins at many instants of the exchange between the
-   gateways and the store, in a fleet of its own for each instant.  */
+/* Time until a change of the configuration or of an instance's registration is
+   in force at each gateway while some gateways cannot reach the store, over
+   real RPC and with a store in memory.  The fault begins at many instants of
+   the exchange between the gateways and the store, in a fleet of its own for
+   each instant.  */
 
 #include "fake_rows.h"
 #include "gateway/gatewayint.h"
@@ -18,8 +19,8 @@
 
 enum
 {
-  /* Time after its acknowledgement at which a change is in force at each
-     gateway that reaches the store.  */
+  /* Time after its acknowledgement at which a change of either table is in
+     force at each gateway that reaches the store.  */
   APPLY_MAX_MS = 2000,
   MEASURED_MAX_MS = 2 * APPLY_MAX_MS,
   ZONES = 3,
@@ -29,12 +30,19 @@
   CHANGE_AT_MS = 2500
 };
 
+/* The copy of a table at a gateway.  */
+typedef struct
+{
+  table_sync_t *sync;
+  char value[16]; /* Value of row `a'.  */
+} table_copy_t;
+
 typedef struct
 {
   partitioned_store_t *store;
   peer_rows_t *peer_rows;
-  table_sync_t *sync;
-  char value[16]; /* Value of row `a' at this gateway.  */
+  table_copy_t operator_rows;
+  table_copy_t instances;
 } fleet_gateway_t;
 
 /* A fleet whose gateways rank as readers in the order of their index.  */
@@ -66,10 +74,9 @@
 static void
 on_put (void *arg, const rows_row_t *row)
 {
-  fleet_gateway_t *gateway = arg;
+  table_copy_t *copy = arg;
 
-  snprintf (gateway->value, sizeof gateway->value, "%.*s",
-            STR_ARG (row->value));
+  snprintf (copy->value, sizeof copy->value, "%.*s", STR_ARG (row->value));
 }
 
 static void
@@ -87,16 +94,20 @@
 }
 
 static void
-gateway_start (fixture_t *f, fleet_t *fleet, size_t index)
+sync_start (fixture_t *f, const fleet_gateway_t *gateway, uint64_t seed,
+            const table_sync_options_t *options, table_copy_t *copy)
 {
-  static const table_sync_options_t sync_options
-      = { .table = ROWS_OPERATOR,
-          .name = "orders",
-          .wait_ms = STORE_SYNC_OPERATOR_ROWS_WAIT_MS,
-          .timeout_slack_ms = STORE_SYNC_OPERATOR_ROWS_TIMEOUT_SLACK_MS,
-          .confirmation_max_age_ms = PEER_ROWS_CONFIRMATION_MAX_AGE_MS };
   static const table_sync_events_t events
       = { on_put, on_removed, on_synced, NULL };
+
+  copy->sync = table_sync_create (&f->loop, clock_system (),
+                                  peer_rows_iface (gateway->peer_rows), seed,
+                                  options, &events, copy);
+}
+
+static void
+gateway_start (fixture_t *f, fleet_t *fleet, size_t index)
+{
   fleet_gateway_t *gateway = &fleet->gateways[index];
   char name[32];
   char zone[32];
@@ -114,9 +125,10 @@
                                       partitioned_store_iface (gateway->store),
                                       &options, &gateway->peer_rows),
                     VH_OK);
-  gateway->sync = table_sync_create (
-      &f->loop, clock_system (), peer_rows_iface (gateway->peer_rows),
-      index + 1, &sync_options, &events, gateway);
+  sync_start (f, gateway, index + 1, &store_sync_operator_rows_options,
+              &gateway->operator_rows);
+  sync_start (f, gateway, index + 1, &store_sync_instances_options,
+              &gateway->instances);
 }
 
 static void
@@ -139,6 +151,14 @@
       }
 }
 
+/* Return whether row `a' of both tables has VALUE at GATEWAY.  */
+static bool
+has_value (const fleet_gateway_t *gateway, const char *value)
+{
+  return strcmp (gateway->operator_rows.value, value) == 0
+         && strcmp (gateway->instances.value, value) == 0;
+}
+
 /* Start COUNT fleets for SCENARIO.  The fault of the first one begins FIRST_MS
    after the start, that of each further one SPACING_MS later.  */
 static void
@@ -157,6 +177,7 @@
       fleet->fault_at_ms = first_ms + k * spacing_ms;
       fleet->store = fake_rows_create (&f->loop);
       fake_rows_put (fleet->store, ROWS_OPERATOR, "a", "one");
+      fake_rows_put (fleet->store, ROWS_INSTANCES, "a", "one");
       fleet->gateways
           = mem_zalloc (scenario->gateway_count * sizeof *fleet->gateways);
       for (size_t i = 0; i < scenario->gateway_count; i++)
@@ -165,8 +186,7 @@
     }
   for (size_t k = 0; k < count; k++)
     for (size_t i = 0; i < scenario->gateway_count; i++)
-      LOOP_WAIT (&f->wait,
-                 strcmp (f->fleets[k].gateways[i].value, "one") == 0);
+      LOOP_WAIT (&f->wait, has_value (&f->fleets[k].gateways[i], "one"));
 }
 
 static void
@@ -178,7 +198,8 @@
       for (size_t i = 0; i < f->scenario->gateway_count; i++)
         {
           rows_t *rows = partitioned_store_iface (fleet->gateways[i].store);
-          table_sync_destroy (fleet->gateways[i].sync);
+          table_sync_destroy (fleet->gateways[i].operator_rows.sync);
+          table_sync_destroy (fleet->gateways[i].instances.sync);
           peer_rows_destroy (fleet->gateways[i].peer_rows);
           rows->ops->destroy (rows);
         }
@@ -208,7 +229,7 @@
     }
 }
 
-/* Return whether the changed configuration is in force at each gateway that
+/* Return whether the changes are in force at each gateway that
    reaches the store.  */
 static bool
 is_in_force (const fixture_t *f)
@@ -216,12 +237,12 @@
   for (size_t k = 0; k < f->fleet_count; k++)
     for (size_t i = f->scenario->unreachable_count;
          i < f->scenario->gateway_count; i++)
-      if (strcmp (f->fleets[k].gateways[i].value, "two") != 0)
+      if (!has_value (&f->fleets[k].gateways[i], "two"))
         return false;
   return true;
 }
 
-/* Change the configuration in all fleets, and return the time, in ms, until it
+/* Change both tables in all fleets, and return the time, in ms, until that
    was in force at each gateway that reaches the store, or MEASURED_MAX_MS.  */
 static uint64_t
 measure_delay (fixture_t *f)
@@ -236,7 +257,10 @@
         {
           changed_ms = uv_now (&f->loop);
           for (size_t k = 0; k < f->fleet_count; k++)
-            fake_rows_put (f->fleets[k].store, ROWS_OPERATOR, "a", "two");
+            {
+              fake_rows_put (f->fleets[k].store, ROWS_OPERATOR, "a", "two");
+              fake_rows_put (f->fleets[k].store, ROWS_INSTANCES, "a", "two");
+            }
         }
       loop_wait_for_ms (&f->wait, STEP_MS);
       uint64_t delay_ms = uv_now (&f->loop) - changed_ms;
