gateway: versions of a row that piled up are applied once, by the newest

What a gateway reads from another one is the newest version only, so no other part of it counts on the versions between.

tablesync passes on the last change of each row in a reply.

--- a/packages/gateway/tablesync.c
+++ b/packages/gateway/tablesync.c
@@ -188,17 +188,26 @@
   schedule_call (sync, 0);
 }
 
+/* Apply the last change of each row in RESULT.  The store lists all changes,
+   oldest first.  */
 static void
 apply_changes (table_sync_t *sync, const rows_result_t *result)
 {
+  map_t *last_changes = map_create ();
+
+  for (size_t i = 0; i < result->count; i++)
+    map_put (last_changes, result->rows[i].key, (void *)&result->rows[i]);
   for (size_t i = 0; i < result->count; i++)
     {
       const rows_row_t *row = &result->rows[i];
+      if (map_get (last_changes, row->key) != row)
+        continue;
       if (!row->deleted)
         apply_row (sync, row);
       else if (map_remove (sync->row_read_numbers, row->key) != NULL)
         sync->events.removed (sync->arg, row->key);
     }
+  map_destroy (last_changes);
   sync->version = result->version;
   record_confirmation (sync, result, sync->sent_ms);
   sync->events.synced (sync->arg, false);
