gateway: pool.leaving and pool.paused tell what instances say in their responses

The logs could not tell whether a response said that its instance is leaving, or a 503 asked for a pause; both headers were forwarded like any other. They have names in the dialect now and are logged; nothing depends on them yet.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -71,6 +71,10 @@
      "An announced rate limit cannot be read and is ignored")                 \
   X (EVENT_LIMIT_WRITE, "pool", "limit-write-failed", WARNING, 5,             \
      "A rate limit could not be written for the other entries")               \
+  X (EVENT_LEAVING, "pool", "leaving", NOTICE, 50,                            \
+     "An instance says that it is leaving")                                   \
+  X (EVENT_PAUSE, "pool", "paused", NOTICE, 50,                               \
+     "An instance asks for a pause")                                          \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
   X (EVENT_ZONE_BACK, "zone", "back", NOTICE, 20, "A zone is taken back")     \
   X (EVENT_ENTRIES, "entries", "count", INFO, 20,                             \
--- a/packages/gateway/header_names.h
+++ b/packages/gateway/header_names.h
@@ -35,6 +35,11 @@
   /* Requests a second that the upstream accepts from all gateways together,  \
      a decimal number.  */                                                    \
   X (rate_limit, "vanillahook-rate-limit")                                    \
+  /* 1: the upstream will stop and wants no further requests.  */             \
+  X (leaving, "vanillahook-leaving")                                          \
+  /* With status 503: seconds in which the upstream wants no further requests \
+     from this gateway.  */                                                   \
+  X (retry_after, "retry-after")                                              \
   X (urgency, "vanillahook-urgency")                                          \
   X (session, "vanillahook-session-id")                                       \
   /* Confidence of a model in its own answer, 0 to 100.  */                   \
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -25,6 +25,7 @@
   size_t action_count;
   size_t next_action;
   char *rate_limit; /* Value of the rate limit header; NULL: none.  */
+  char *headers;    /* Further header lines; NULL: none.  */
   uint64_t *arrivals_ms;
   size_t arrivals_capacity;
   size_t requests;
@@ -145,6 +146,8 @@
   if (conn->upstream->rate_limit != NULL)
     buf_printf (out, "%.*s: %s\r\n", STR_ARG (names->rate_limit),
                 conn->upstream->rate_limit);
+  if (conn->upstream->headers != NULL)
+    buf_append_str (out, str_from (conn->upstream->headers));
 }
 
 static void
@@ -224,9 +227,10 @@
       buf_append_str (&out, STR ("Content-Length: 4\r\n\r\noops"));
       break;
     case ACT_REFUSE_NOT_RUN:
-      buf_printf (&out,
-                  "HTTP/1.1 503 Full\r\n%.*s: 1\r\nContent-Length: 0\r\n\r\n",
-                  STR_ARG (header_names_default.not_run));
+      buf_printf (
+          &out, "HTTP/1.1 503 Full\r\n%.*s: 1\r\n%sContent-Length: 0\r\n\r\n",
+          STR_ARG (header_names_default.not_run),
+          upstream->headers != NULL ? upstream->headers : "");
       break;
     case ACT_TRUNCATE_BODY:
       append_head (conn, "200 OK", &out);
@@ -367,6 +371,7 @@
 
   free (upstream->id);
   free (upstream->rate_limit);
+  free (upstream->headers);
   free (upstream->arrivals_ms);
   buf_free (&upstream->last_request);
   free (upstream);
@@ -408,6 +413,13 @@
   upstream->rate_limit = text != NULL ? str_dup (str_from (text)) : NULL;
 }
 
+void
+fake_upstream_set_headers (fake_upstream_t *upstream, const char *lines)
+{
+  free (upstream->headers);
+  upstream->headers = lines != NULL ? str_dup (str_from (lines)) : NULL;
+}
+
 const uint64_t *
 fake_upstream_arrivals_ms (const fake_upstream_t *upstream)
 {
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -45,6 +45,9 @@
    have no such header.  TEXT is copied.  */
 void fake_upstream_set_rate_limit (fake_upstream_t *upstream,
                                    const char *text);
+/* Add LINES, each of which ends in CRLF, to the headers of the responses;
+   NULL: add none.  LINES is copied.  */
+void fake_upstream_set_headers (fake_upstream_t *upstream, const char *lines);
 /* Return the loop times, in ms, at which the requests arrived, in order. Owned
    by UPSTREAM and valid until the next request.  */
 const uint64_t *fake_upstream_arrivals_ms (const fake_upstream_t *upstream);
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -4,6 +4,9 @@
 vh_test (test_announced_limits DEPENDS vh_gateway)
 target_sources (test_announced_limits PRIVATE gateway_fixture.c fake_rows.c
   fake_upstream.c)
+vh_test (test_instance_notices DEPENDS vh_gateway)
+target_sources (test_instance_notices PRIVATE gateway_fixture.c fake_rows.c
+  fake_upstream.c)
 vh_test (test_catalog DEPENDS vh_gateway)
 vh_test (test_loader DEPENDS vh_gateway)
 vh_test (test_events DEPENDS vh_gateway)
