gateway, pool: an instance that says it is leaving gets no further requests

Cause: the header had no name in the dialect, so only the store's list said who leaves. Class: an instance says something about itself in a response and nothing reads it.

Change: any response of the instance but a misdirected one (421 comes from another process, at an address that was used again) marks it in the pool, for as long as the same process is registered, also if its registration ends and returns. Another incarnation, or a registration that changes back from draining, ends it. The pool folds the four reasons that do not depend on time into one flag, kept when they change. What an instance says of itself is read in one place, instance_notices.c.

--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -1,7 +1,7 @@
 #include "gateway/relayint.h"
 
 #include "gateway/forward.h"
-#include "gateway/announced_limitsint.h"
+#include "gateway/instance_noticesint.h"
 
 enum
 {
@@ -190,51 +190,13 @@
   relay_destroy (relay);
 }
 
-/* Record the load in HEAD in RELAY and in the pool, and the warm-up time and
-   the rate limit in HEAD in the pool.  */
-static void
-record_upstream_load (relay_t *relay, const http_exchange_head_t *head)
-{
-  const header_names_t *names = relay->state->names;
-  str_t load_header = http_exchange_header (head, names->load);
-  str_t cold_header = http_exchange_header (head, names->cold_ms);
-  uint64_t load_values[3] = { 0, 0, 0 };
-  uint64_t cold_ms;
-  size_t count = 0;
-
-  while (load_header.ptr != NULL && count < 3
-         && str_to_u64 (str_trim (str_cut (load_header, ',', &load_header)),
-                        &load_values[count]))
-    count++;
-  if (count == 3)
-    {
-      relay->upstream_request_count
-          = (uint32_t)(load_values[0] + load_values[1]);
-      relay->is_upstream_loaded = load_values[0] * 2 >= load_values[2];
-      pool_record_load (relay->state->pool, relay->upstream,
-                        (uint32_t)load_values[0], (uint32_t)load_values[1],
-                        (uint32_t)load_values[2]);
-    }
-  if (cold_header.ptr != NULL && str_to_u64 (cold_header, &cold_ms)
-      && cold_ms > 0)
-    pool_set_cold (relay->state->pool, relay->upstream, cold_ms);
-  announced_limits_observe (relay->state->announced_limits, relay->upstream,
-                            head, relay->dispatched_ms);
-}
-
 /* Log what HEAD says of requests that the upstream does not want.  */
 static void
 log_notices (const relay_t *relay, const http_exchange_head_t *head)
 {
   const header_names_t *names = relay->state->names;
-  str_t leaving = http_exchange_header (head, names->leaving);
   str_t retry_after = http_exchange_header (head, names->retry_after);
 
-  if (leaving.ptr != NULL)
-    log_event (EVENT_LEAVING,
-               log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
-               log_field_number (FIELD_STATUS, (uint64_t)head->status),
-               log_field_text (FIELD_VALUE, leaving));
   if (head->status == 503 && retry_after.ptr != NULL)
     log_event (EVENT_PAUSE,
                log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
@@ -309,7 +271,7 @@
       relay_send_failed (relay, "foreign-answer", true);
       return;
     }
-  record_upstream_load (relay, head);
+  instance_notices_observe (relay, head);
   log_notices (relay, head);
   if (relay->attrs.route->model_count > 0 && !relay->has_response_started)
     escalation_record_wait (
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -50,9 +50,11 @@
   bool is_own_zone;
   bool is_zone_disabled;
   bool is_withdrawn;
+  bool is_excluded; /* One of the states in update_exclusion holds.  */
   uint64_t incarnation;
   uint32_t slots;
   bool draining;
+  bool is_leaving;          /* The instance said that it is leaving.  */
   bool is_unregistered;     /* Whether the registration has ended.  */
   uint64_t usable_until_ms; /* Monotonic time until which the instance may be
                                selected if it is unregistered.  */
@@ -98,8 +100,17 @@
   map_t *groups; /* Maps a service name to its service_group_t.  */
   map_t *disabled_zones;
   map_t *withdrawn_versions; /* Set of "SERVICE VERSION" keys.  */
+  map_t *leaving; /* Maps an instance id to its leaving_instance_t.  */
 };
 
+/* An instance that said that it is leaving, remembered beyond its
+   registration, which expires and returns in an outage of the store.  */
+typedef struct
+{
+  uint64_t incarnation;
+  uint64_t said_ms;
+} leaving_instance_t;
+
 pool_t *
 pool_create (clock_iface_t *clock, uint64_t seed,
              const pool_options_t *options)
@@ -117,6 +128,7 @@
   pool->groups = map_create ();
   pool->disabled_zones = map_create ();
   pool->withdrawn_versions = map_create ();
+  pool->leaving = map_create ();
   return pool;
 }
 
@@ -181,6 +193,10 @@
   map_destroy (pool->by_id);
   map_destroy (pool->disabled_zones);
   map_destroy (pool->withdrawn_versions);
+  cursor = 0;
+  while (map_next (pool->leaving, &cursor, &key, &group))
+    free (group);
+  map_destroy (pool->leaving);
   free (pool->zone);
   free (pool);
 }
@@ -236,6 +252,16 @@
   return group;
 }
 
+/* Update whether UPSTREAM gets no requests for other reasons than time.  To be
+   called after a change of the fields that are read here.  */
+static void
+update_exclusion (upstream_t *upstream)
+{
+  upstream->is_excluded = upstream->draining || upstream->is_leaving
+                          || upstream->is_zone_disabled
+                          || upstream->is_withdrawn;
+}
+
 static void
 format_withdrawn_key (str_t service, str_t version, buf_t *out)
 {
@@ -272,7 +298,10 @@
       upstream_t *upstream = CONTAINER_OF (at, upstream_t, list_node);
       if (str_eq (str_from (upstream->service), service)
           && str_eq (str_from (upstream->version), version))
-        upstream->is_withdrawn = withdrawn;
+        {
+          upstream->is_withdrawn = withdrawn;
+          update_exclusion (upstream);
+        }
     }
 }
 
@@ -293,6 +322,57 @@
     }
 }
 
+/* Forget the instances that said long ago that they are leaving.  */
+static void
+expire_leaving (pool_t *pool, uint64_t now_ms)
+{
+  size_t cursor = 0;
+  str_t id;
+  void *value;
+
+  while (map_next (pool->leaving, &cursor, &id, &value))
+    if (now_ms - ((leaving_instance_t *)value)->said_ms
+        >= POOL_LEAVING_MEMORY_MS)
+      {
+        map_remove (pool->leaving, id);
+        free (value);
+        cursor = 0;
+      }
+}
+
+bool
+pool_announce_leaving (pool_t *pool, upstream_t *upstream)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+  leaving_instance_t *leaving;
+
+  if (upstream->is_leaving)
+    return false;
+  upstream->is_leaving = true;
+  update_exclusion (upstream);
+  expire_leaving (pool, now_ms);
+  leaving = mem_zalloc (sizeof *leaving);
+  *leaving = (leaving_instance_t){ .incarnation = upstream->incarnation,
+                                   .said_ms = now_ms };
+  free (map_put (pool->leaving, str_from (upstream->id), leaving));
+  return true;
+}
+
+/* Return whether the process registered in INFO said that it is leaving, and
+   forget one that registered under the same id before.  */
+static bool
+is_remembered_as_leaving (pool_t *pool, const upstream_info_t *info)
+{
+  const leaving_instance_t *leaving = map_get (pool->leaving, info->id);
+
+  if (leaving == NULL)
+    return false;
+  if (leaving->incarnation == info->incarnation)
+    return true;
+  free (map_remove (pool->leaving, info->id));
+  return false;
+}
+
 void
 pool_put (pool_t *pool, const upstream_info_t *info)
 {
@@ -316,6 +396,7 @@
       upstream->id = str_dup (info->id);
       upstream->id_hash = str_hash (info->id, 0);
       upstream->incarnation = info->incarnation;
+      upstream->is_leaving = is_remembered_as_leaving (pool, info);
       list_append (&pool->upstreams, &upstream->list_node);
       map_put (pool->by_id, info->id, upstream);
       service_group_add (find_or_add_group (pool, info->service), upstream);
@@ -332,7 +413,13 @@
   upstream->is_withdrawn
       = is_version_withdrawn (pool, info->service, info->version);
   upstream->slots = info->slots;
+  if (upstream->draining && !info->draining)
+    {
+      upstream->is_leaving = false;
+      free (map_remove (pool->leaving, info->id));
+    }
   upstream->draining = info->draining;
+  update_exclusion (upstream);
   if (upstream->is_unregistered)
     pool->unregistered_count--;
   upstream->is_unregistered = false;
@@ -369,7 +456,10 @@
     {
       upstream_t *upstream = CONTAINER_OF (at, upstream_t, list_node);
       if (str_eq (str_from (upstream->zone), zone))
-        upstream->is_zone_disabled = disabled;
+        {
+          upstream->is_zone_disabled = disabled;
+          update_exclusion (upstream);
+        }
     }
 }
 
@@ -513,8 +603,7 @@
 is_eligible (const upstream_t *upstream, const pool_criteria_t *criteria,
              uint64_t version_hash, uint64_t now_ms)
 {
-  if (upstream->draining || upstream->is_zone_disabled
-      || upstream->is_withdrawn
+  if (upstream->is_excluded
       || (upstream->is_unregistered && now_ms >= upstream->usable_until_ms))
     return false;
   if (criteria->arm != VERSION_ARM_ANY
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -20,6 +20,10 @@
      affinity to it.  Extra sends (retries, resumed streams, escalations) go to
      it only if no other instance may get them, so that the limit serves first
      sends.
+   - An instance that says that it is leaving gets nothing more, whatever its
+     registration says: the store may not have its report yet.  That ends when
+     another process registers under its id, or when its registration changes
+     back from draining.
    - A full instance: its load report keeps requests away for
      POOL_FULL_DECAY_MS.
    - A failing instance: POOL_EJECTION_FAILURES consecutive failures eject it
@@ -84,7 +88,10 @@
   /* Prefill rate of a slow, cold engine, in prompt tokens per ms, during which
      it generates no tokens: a third of the rate of a warm engine with its
      largest model.  */
-  POOL_PREFILL_TOKENS_PER_MS = 12
+  POOL_PREFILL_TOKENS_PER_MS = 12,
+  /* Time for which a leaving instance is remembered after its registration
+     ended: longer than an instance takes to stop.  */
+  POOL_LEAVING_MEMORY_MS = 600000
 };
 
 typedef struct pool pool_t;
@@ -226,6 +233,9 @@
 /* Record that UPSTREAM stays cold for another COLD_MS.  */
 void pool_set_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms);
 
+/* Record that UPSTREAM says that it is leaving.  Return whether it is the
+   first time.  */
+bool pool_announce_leaving (pool_t *pool, upstream_t *upstream);
 /* Record that UPSTREAM announced a limit of RATE_PER_S, at least 0.  Return
    whether it had no limit before, or one of another rate.  */
 bool pool_announce_rate_limit (pool_t *pool, upstream_t *upstream,
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -407,6 +407,56 @@
 }
 END_TEST
 
+/* Register the only instance as process INCARNATION.  */
+static void
+register_process (fixture_t *f, uint64_t incarnation, bool draining)
+{
+  const upstream_info_t info = { .id = STR ("i-0"),
+                                 .service = STR ("llm"),
+                                 .address = STR ("127.0.0.1:1"),
+                                 .zone = STR ("a"),
+                                 .version = STR ("v1"),
+                                 .slots = 64,
+                                 .draining = draining,
+                                 .incarnation = incarnation };
+
+  pool_put (f->pool, &info);
+}
+
+/* An instance says that it is leaving.  Which registrations end that: that of
+   another process, one that is no longer draining, and none that only tells
+   what was registered before.  */
+START_TEST (registration_forgets_that_an_instance_is_leaving)
+{
+  upstream_t *upstream;
+  fixture_t f;
+
+  setup (&f, 0);
+  register_process (&f, 1, false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  ck_assert (pool_announce_leaving (f.pool, upstream));
+  ck_assert (!pool_announce_leaving (f.pool, upstream));
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream),
+                    VH_E_NO_UPSTREAM);
+  register_process (&f, 1, false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream),
+                    VH_E_NO_UPSTREAM);
+  pool_unregister (f.pool, STR ("i-0"), 0);
+  register_process (&f, 1, false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream),
+                    VH_E_NO_UPSTREAM);
+  register_process (&f, 1, true);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream),
+                    VH_E_NO_UPSTREAM);
+  register_process (&f, 1, false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  ck_assert (pool_announce_leaving (f.pool, upstream));
+  register_process (&f, 2, false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -425,6 +475,7 @@
   tcase_add_test (tcase, silent_engine_is_probed);
   tcase_add_test (tcase, withdrawn_version_gets_no_requests);
   tcase_add_test (tcase, full_instance_is_selected_again);
+  tcase_add_test (tcase, registration_forgets_that_an_instance_is_leaving);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
