gateway, pool: an instance that asks for a pause gets nothing until its end

Cause: `Retry-After' of an instance was read nowhere. A refusal is not a failure (a full instance is not a broken one), so nothing ejected it, and as it runs nothing it was the least loaded and was tried first.

Change: a 503 with Retry-After, a number of seconds, keeps the instance out until the end of the longest pause that it asked for, at most an hour. No request tests it before: it said when it will answer. It is not used either when all are ejected. If all that may run a request are in pauses, it is refused at once as `paused', with the time until the first one ends and a spread of 0.8 s. A version whose instances all pause is still there for a roll-out, so no session changes its version, and a refusal is no failure of it. Values that are no number, negative or a date are logged and ignored; 0 is no pause.

--- a/packages/base/code.h
+++ b/packages/base/code.h
@@ -53,6 +53,8 @@
      "The process or upstream is stopping and takes no new work.")            \
   X (VH_E_LIMITED, 305, 503, "limited",                                       \
      "All permitted upstreams are at the rate limits that they announced.")   \
+  X (VH_E_PAUSED, 306, 503, "paused",                                         \
+     "All permitted upstreams asked for a pause.")                            \
   X (VH_E_NO_UPSTREAM, 400, 503, "no_upstream",                               \
      "No upstream for this model or service is in service.")                  \
   X (VH_E_UPSTREAM_DOWN, 401, 502, "upstream_down",                           \
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -75,6 +75,10 @@
      "An instance says that it is leaving")                                   \
   X (EVENT_PAUSE, "pool", "paused", NOTICE, 50,                               \
      "An instance asks for a pause")                                          \
+  X (EVENT_PAUSE_END, "pool", "pause-ended", NOTICE, 50,                      \
+     "An instance gets requests again after the pause that it asked for")     \
+  X (EVENT_PAUSE_BAD, "pool", "pause-unreadable", WARNING, 5,                 \
+     "The length of a pause cannot be read and is ignored")                   \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
   X (EVENT_ZONE_BACK, "zone", "back", NOTICE, 20, "A zone is taken back")     \
   X (EVENT_ENTRIES, "entries", "count", INFO, 20,                             \
@@ -147,6 +151,9 @@
      "How it became known: response of the instance, or peer entry")          \
   X (FIELD_LIMITED, "limited",                                                \
      "Instances passed over for the rates that they announced")               \
+  X (FIELD_PAUSE_MS, "pause_ms",                                              \
+     "For how long the instance wants no requests of this entry")             \
+  X (FIELD_PAUSED, "paused", "Instances passed over in their pauses")         \
   X (FIELD_KNOWN_MS, "known_ms", "For how long it was known here")            \
   X (FIELD_VALUE, "value", "Text that cannot be read")                        \
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
@@ -170,6 +177,8 @@
 #define LOG_CAUSES(X)                                                         \
   X ("full", "Every instance that may run it has all its slots taken, or "    \
              "had its share of requests this second.")                        \
+  X ("paused", "Every instance that may run it asked for a pause; see "       \
+               "pool.paused.")                                                \
   X ("limited", "Every instance that may run it announced a rate limit, and " \
                 "this entry has no request left of it now; see "              \
                 "pool.limited.")                                              \
--- a/packages/gateway/instance_notices.c
+++ b/packages/gateway/instance_notices.c
@@ -3,6 +3,13 @@
 #include "base/eventlog.h"
 #include "gateway/announced_limitsint.h"
 
+#include <math.h>
+
+enum
+{
+  MS_PER_S = 1000
+};
+
 static void
 observe_load (relay_t *relay, str_t text)
 {
@@ -35,6 +42,49 @@
              log_field_number (FIELD_STATUS, (uint64_t)head->status));
 }
 
+/* Return the longest time in ms for which HEAD asks for a pause; 0 if it asks
+   for none.  */
+static uint64_t
+asked_pause_ms (const relay_t *relay, const http_exchange_head_t *head)
+{
+  str_t name = relay->state->names->retry_after;
+  double longest_s = 0;
+
+  for (size_t i = 0; i < head->header_count; i++)
+    {
+      str_t text = head->headers[i].value;
+      double pause_s;
+      if (!str_eq_nocase (head->headers[i].name, name))
+        continue;
+      if (!str_to_double (str_trim (text), &pause_s) || !isfinite (pause_s)
+          || pause_s < 0)
+        log_event (
+            EVENT_PAUSE_BAD,
+            log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
+            log_field_text (FIELD_VALUE, text));
+      else if (pause_s > longest_s)
+        longest_s = pause_s;
+    }
+  return longest_s * MS_PER_S < POOL_PAUSE_MAX_MS
+             ? (uint64_t)ceil (longest_s * MS_PER_S)
+             : POOL_PAUSE_MAX_MS;
+}
+
+static void
+observe_pause (const relay_t *relay, const http_exchange_head_t *head)
+{
+  if (head->status != 503)
+    return;
+  uint64_t pause_ms = asked_pause_ms (relay, head);
+  if (pause_ms == 0)
+    return;
+  pause_ms = pool_pause (relay->state->pool, relay->upstream, pause_ms);
+  if (pause_ms > 0)
+    log_event (EVENT_PAUSE,
+               log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
+               log_field_number (FIELD_PAUSE_MS, pause_ms));
+}
+
 void
 instance_notices_observe (relay_t *relay, const http_exchange_head_t *head)
 {
@@ -49,4 +99,5 @@
   announced_limits_observe (state->announced_limits, relay->upstream, head,
                             relay->dispatched_ms);
   observe_leaving (relay, head);
+  observe_pause (relay, head);
 }
--- a/packages/gateway/instance_noticesint.h
+++ b/packages/gateway/instance_noticesint.h
@@ -1,6 +1,6 @@
 /* What an instance says of itself in the head of a response: its load, how
-   long it is cold, the rate that it accepts, and that it is leaving.  The pool
-   keeps the state.  */
+   long it is cold, the rate that it accepts, that it is leaving, and for how
+   long it wants no requests.  The pool keeps the state.  */
 
 #ifndef GATEWAY_INSTANCE_NOTICESINT_H
 #define GATEWAY_INSTANCE_NOTICESINT_H
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -85,7 +85,8 @@
     }
   relay_selection_criteria (relay, &criteria);
   vh_code_t code = pool_select (state->pool, &criteria, &relay->upstream);
-  if (code == VH_E_NO_UPSTREAM && relay->tried_count > 0)
+  if ((code == VH_E_NO_UPSTREAM || code == VH_E_PAUSED)
+      && relay->tried_count > 0)
     {
       /* All upstreams were tried.  An upstream that was full is assumed to be
          still full, and each refused send adds to its load.  An upstream that
@@ -131,10 +132,14 @@
       log_field_number (FIELD_RUNNING,
                         upstream_running_count (relay->upstream)),
       log_field_number (FIELD_LIMITED, pool_passed_over_count (state->pool)),
+      log_field_number (FIELD_PAUSED, pool_paused_count (state->pool)),
       log_field_number (FIELD_SENDS, relay->send_count + 1),
       log_field_number (FIELD_LEFT_MS, relay->attrs.deadline_at_ms - now_ms),
       log_field_number (FIELD_REVISION,
                         catalog_revision (relay->attrs.catalog)));
+  if (pool_take_pause_end (state->pool, relay->upstream))
+    log_event (EVENT_PAUSE_END,
+               log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)));
   relay->trial_sends.was_sent = true;
   relay->trial_sends.arm = relay_trial_arm (relay);
   relay->unread_prompt_tokens = relay->attrs.prompt_tokens;
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -223,6 +223,19 @@
 relay_fail (relay_t *relay, vh_code_t code, const char *reason,
             uint64_t retry_ms)
 {
+  uint64_t pause_left_ms;
+
+  if (relay->possible_run_count == 0
+      && (code == VH_E_FULL || code == VH_E_NO_UPSTREAM || code == VH_E_PAUSED)
+      && (pause_left_ms = relay_pause_left_ms (relay)) > 0)
+    {
+      /* The returns are spread, so that they do not all meet the instance
+         whose pause ends first.  */
+      relay->retry_after_min_ms
+          = pause_left_ms + rng_below (&relay->state->rng, PAUSE_SPREAD_MS);
+      code = VH_E_PAUSED;
+      reason = "paused";
+    }
   if (relay->possible_run_count > 0)
     relay_reply_error (relay, code == VH_E_DEADLINE ? 504 : 502,
                        code == VH_E_DEADLINE ? code : VH_E_UNKNOWN, reason, 0);
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -190,20 +190,6 @@
   relay_destroy (relay);
 }
 
-/* Log what HEAD says of requests that the upstream does not want.  */
-static void
-log_notices (const relay_t *relay, const http_exchange_head_t *head)
-{
-  const header_names_t *names = relay->state->names;
-  str_t retry_after = http_exchange_header (head, names->retry_after);
-
-  if (head->status == 503 && retry_after.ptr != NULL)
-    log_event (EVENT_PAUSE,
-               log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
-               log_field_number (FIELD_STATUS, (uint64_t)head->status),
-               log_field_text (FIELD_VALUE, retry_after));
-}
-
 /* Return whether HEAD is a valid response of an upstream to this request.  */
 static bool
 is_valid_response (const relay_t *relay, const http_exchange_head_t *head)
@@ -272,7 +258,6 @@
       return;
     }
   instance_notices_observe (relay, head);
-  log_notices (relay, head);
   if (relay->attrs.route->model_count > 0 && !relay->has_response_started)
     escalation_record_wait (
         gateway_service_escalation (relay->state, relay->attrs.service->name),
--- a/packages/gateway/relay_select.c
+++ b/packages/gateway/relay_select.c
@@ -135,7 +135,19 @@
     tried[criteria.tried_count++] = relay->upstream;
   criteria.tried = tried;
   vh_code_t code = pool_select (relay->state->pool, &criteria, &upstream);
-  return code != VH_E_FULL && code != VH_E_LIMITED;
+  return code != VH_E_FULL && code != VH_E_LIMITED && code != VH_E_PAUSED;
+}
+
+uint64_t
+relay_pause_left_ms (const relay_t *relay)
+{
+  pool_criteria_t criteria;
+
+  if (relay->attrs.service == NULL)
+    return 0;
+  relay_selection_criteria (relay, &criteria);
+  criteria.tried_count = 0;
+  return pool_pause_left_ms (relay->state->pool, &criteria);
 }
 
 /* Return the number of requests at the engine that the request would be sent
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -28,7 +28,9 @@
   RETRY_AFTER_FULL_MS = 400,
   /* Mean Retry-After when no configuration or no instance is known, which
      usually lasts only seconds.  */
-  RETRY_AFTER_UNAVAILABLE_MS = 700
+  RETRY_AFTER_UNAVAILABLE_MS = 700,
+  /* Span over which callers return after a pause of all instances.  */
+  PAUSE_SPREAD_MS = 800
 };
 
 typedef enum
@@ -157,6 +159,9 @@
    Also return true if no other upstream exists, because a new connection to
    the current one may succeed.  */
 bool relay_has_alternative (const relay_t *relay);
+/* Return the time in ms until an instance may get the request, if each of them
+   is in a pause that it asked for; otherwise 0.  */
+uint64_t relay_pause_left_ms (const relay_t *relay);
 /* Return the index in the service's list of the model at INDEX in the route's
    list, or SERVICE_MODELS_MAX if the service does not list the model.  */
 size_t relay_service_model_index (const relay_t *relay, size_t index);
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -58,6 +58,8 @@
   bool is_unregistered;     /* Whether the registration has ended.  */
   uint64_t usable_until_ms; /* Monotonic time until which the instance may be
                                selected if it is unregistered.  */
+  uint64_t paused_until_ms; /* End of the pause that the instance asked for; 0
+                               if there was none or its end was taken.  */
   uint64_t cold_until_ms;
   uint64_t ejected_until_ms;
   uint64_t ejection_ms; /* Length of the last ejection; 0 for none.  */
@@ -85,6 +87,8 @@
 {
   clock_iface_t *clock;
   rng_t rng;
+  size_t paused_count;        /* Instances that the last selection passed over
+                                 in their pauses.  */
   size_t passed_over_count;   /* Instances that the last selection passed over
                                  for their announced limits.  */
   bool is_gateway_list_stale; /* The list of gateways may be out of date.  */
@@ -599,9 +603,10 @@
                / POOL_PROMPT_TOKENS_PER_REQUEST;
 }
 
+/* Return whether UPSTREAM is eligible apart from its pause.  */
 static bool
-is_eligible (const upstream_t *upstream, const pool_criteria_t *criteria,
-             uint64_t version_hash, uint64_t now_ms)
+is_usable (const upstream_t *upstream, const pool_criteria_t *criteria,
+           uint64_t version_hash, uint64_t now_ms)
 {
   if (upstream->is_excluded
       || (upstream->is_unregistered && now_ms >= upstream->usable_until_ms))
@@ -616,6 +621,16 @@
   return true;
 }
 
+/* Return whether UPSTREAM may get requests for CRITERIA, apart from its load
+   and its ejection.  */
+static bool
+is_eligible (const upstream_t *upstream, const pool_criteria_t *criteria,
+             uint64_t version_hash, uint64_t now_ms)
+{
+  return now_ms >= upstream->paused_until_ms
+         && is_usable (upstream, criteria, version_hash, now_ms);
+}
+
 /* Return whether UPSTREAM has a free slot and may get another request, apart
    from the limit that it announced.  */
 static bool
@@ -754,6 +769,8 @@
   bool any;      /* There is one, even if it may get no request now.  */
   bool any_full; /* One may get no request now for another reason than the rate
                     limit that it announced.  */
+  size_t paused_count;  /* Instances that are in a pause and would otherwise be
+                           eligible.  */
   size_t limited_count; /* Instances that may get no request now only because
                            of the rate limit that they announced.  */
 } eligible_instances_t;
@@ -780,7 +797,13 @@
   for (size_t i = 0; i < group->count; i++)
     {
       upstream_t *upstream = group->upstreams[i];
-      if (!is_eligible (upstream, criteria, version_hash, now_ms)
+      if (now_ms < upstream->paused_until_ms)
+        {
+          eligible->paused_count
+              += is_usable (upstream, criteria, version_hash, now_ms);
+          continue;
+        }
+      if (!is_usable (upstream, criteria, version_hash, now_ms)
           || (!scope.include_ejected && now_ms < upstream->ejected_until_ms)
           || upstream->id_hash > max_id_hash
           || (!scope.include_limited && upstream->rate_limit.is_announced))
@@ -836,12 +859,16 @@
       return pool_select (pool, &all_instances, out);
     }
   if (*out == NULL && !eligible.any)
-    *out = select_best (pool, criteria, all, now_ms, &eligible);
+    {
+      eligible = (eligible_instances_t){ 0 };
+      *out = select_best (pool, criteria, all, now_ms, &eligible);
+    }
+  pool->paused_count = eligible.paused_count;
   pool->passed_over_count = eligible.limited_count;
   if (*out != NULL)
     return VH_OK;
   if (!eligible.any)
-    return VH_E_NO_UPSTREAM;
+    return eligible.paused_count > 0 ? VH_E_PAUSED : VH_E_NO_UPSTREAM;
   return eligible.any_full ? VH_E_FULL : VH_E_LIMITED;
 }
 
@@ -851,6 +878,33 @@
   return pool->passed_over_count;
 }
 
+size_t
+pool_paused_count (const pool_t *pool)
+{
+  return pool->paused_count;
+}
+
+uint64_t
+pool_pause_left_ms (pool_t *pool, const pool_criteria_t *criteria)
+{
+  const service_group_t *group = find_or_add_group (pool, criteria->service);
+  uint64_t version_hash = str_hash (criteria->version, 0);
+  uint64_t now_ms = clock_ms (pool->clock);
+  uint64_t first_end_ms = UINT64_MAX;
+
+  for (size_t i = 0; i < group->count; i++)
+    {
+      const upstream_t *upstream = group->upstreams[i];
+      if (!is_usable (upstream, criteria, version_hash, now_ms))
+        continue;
+      if (now_ms >= upstream->paused_until_ms)
+        return 0;
+      if (upstream->paused_until_ms < first_end_ms)
+        first_end_ms = upstream->paused_until_ms;
+    }
+  return first_end_ms == UINT64_MAX ? 0 : first_end_ms - now_ms;
+}
+
 uint64_t
 pool_promise_slot (pool_t *pool, const pool_criteria_t *criteria,
                    uint64_t max_wait_ms)
@@ -901,8 +955,7 @@
   size_t count = 0;
 
   for (size_t i = 0; i < group->count && count < max_count; i++)
-    count
-        += is_eligible (group->upstreams[i], &criteria, version_hash, now_ms);
+    count += is_usable (group->upstreams[i], &criteria, version_hash, now_ms);
   return count;
 }
 
@@ -1030,6 +1083,29 @@
   upstream->cold_until_ms = clock_ms (pool->clock) + cold_ms;
 }
 
+uint64_t
+pool_pause (pool_t *pool, upstream_t *upstream, uint64_t pause_ms)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+
+  if (pause_ms > POOL_PAUSE_MAX_MS)
+    pause_ms = POOL_PAUSE_MAX_MS;
+  if (now_ms + pause_ms <= upstream->paused_until_ms)
+    return 0;
+  upstream->paused_until_ms = now_ms + pause_ms;
+  return pause_ms;
+}
+
+bool
+pool_take_pause_end (pool_t *pool, upstream_t *upstream)
+{
+  if (upstream->paused_until_ms == 0
+      || clock_ms (pool->clock) < upstream->paused_until_ms)
+    return false;
+  upstream->paused_until_ms = 0;
+  return true;
+}
+
 bool
 pool_announce_rate_limit (pool_t *pool, upstream_t *upstream,
                           double rate_per_s)
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -24,6 +24,9 @@
      registration says: the store may not have its report yet.  That ends when
      another process registers under its id, or when its registration changes
      back from draining.
+   - An instance that asks for a pause gets nothing before the pause ends.  It
+     runs nothing, so without that it is the least loaded one and is tried
+     first.
    - A full instance: its load report keeps requests away for
      POOL_FULL_DECAY_MS.
    - A failing instance: POOL_EJECTION_FAILURES consecutive failures eject it
@@ -91,7 +94,9 @@
   POOL_PREFILL_TOKENS_PER_MS = 12,
   /* Time for which a leaving instance is remembered after its registration
      ended: longer than an instance takes to stop.  */
-  POOL_LEAVING_MEMORY_MS = 600000
+  POOL_LEAVING_MEMORY_MS = 600000,
+  /* Longest pause that an instance gets on its request.  */
+  POOL_PAUSE_MAX_MS = 3600000
 };
 
 typedef struct pool pool_t;
@@ -185,7 +190,8 @@
 void pool_set_zone_disabled (pool_t *pool, str_t zone, bool disabled);
 
 /* Select an instance for CRITERIA and store it in *OUT.  Return VH_OK,
-   VH_E_NO_UPSTREAM if no instance is eligible, VH_E_LIMITED if each eligible
+   VH_E_NO_UPSTREAM if no instance is eligible, VH_E_PAUSED if each one that
+   otherwise is asked for a pause, VH_E_LIMITED if each eligible
    instance announced a rate limit of which this gateway has nothing left now,
    or VH_E_FULL if the eligible instances are at some limit.  */
 vh_code_t pool_select (pool_t *pool, const pool_criteria_t *criteria,
@@ -193,14 +199,21 @@
 /* Return how many instances the last selection passed over only because of the
    rate limits that they announced.  */
 size_t pool_passed_over_count (const pool_t *pool);
+/* Return how many instances the last selection passed over in their
+   pauses.  */
+size_t pool_paused_count (const pool_t *pool);
+/* Return the time in ms until the first pause of the instances for CRITERIA
+   ends; 0 if one of them is not in a pause, or there is none.  */
+uint64_t pool_pause_left_ms (pool_t *pool, const pool_criteria_t *criteria);
 /* Return the time in ms until this gateway has a slot of an announced limit
    for CRITERIA that it has not promised to another caller yet; 0 if no
    instance for CRITERIA has a limit.  Promise the slot if the time is at most
    MAX_WAIT_MS, the longest time that the caller can wait.  */
 uint64_t pool_promise_slot (pool_t *pool, const pool_criteria_t *criteria,
                             uint64_t max_wait_ms);
-/* Return the number of instances of SERVICE in ARM that may get requests, or
-   MAX_COUNT if there are more.  VERSION is the version on trial.  */
+/* Return the number of instances of SERVICE in ARM that may get requests, now
+   or after a pause, or MAX_COUNT if there are more.  VERSION is the version on
+   trial.  */
 size_t pool_count_instances (pool_t *pool, str_t service, version_arm_t arm,
                              str_t version, size_t max_count);
 /* Count a request with PROMPT_TOKENS prompt tokens as sent to UPSTREAM, and
@@ -236,6 +249,12 @@
 /* Record that UPSTREAM says that it is leaving.  Return whether it is the
    first time.  */
 bool pool_announce_leaving (pool_t *pool, upstream_t *upstream);
+/* Record that UPSTREAM wants no requests for PAUSE_MS, at most
+   POOL_PAUSE_MAX_MS of which are applied.  A pause is never shortened.  Return
+   the part that is applied; 0 if an earlier pause ends later.  */
+uint64_t pool_pause (pool_t *pool, upstream_t *upstream, uint64_t pause_ms);
+/* Return whether a pause of UPSTREAM has ended since the last call.  */
+bool pool_take_pause_end (pool_t *pool, upstream_t *upstream);
 /* Record that UPSTREAM announced a limit of RATE_PER_S, at least 0.  Return
    whether it had no limit before, or one of another rate.  */
 bool pool_announce_rate_limit (pool_t *pool, upstream_t *upstream,
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -457,6 +457,41 @@
 }
 END_TEST
 
+/* Pauses of an instance: a shorter one does not end a longer one, and all
+   instances in pauses are passed over, ejected or not.  */
+START_TEST (pause_is_shortened_or_passed_over)
+{
+  upstream_t *upstream;
+  fixture_t f;
+
+  setup (&f, 1);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  ck_assert_uint_eq (pool_pause (f.pool, upstream, 3000), 3000);
+  ck_assert_uint_eq (pool_pause (f.pool, upstream, 1000), 0);
+  pool_probe_finished (f.pool, STR ("i-0"), false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_E_PAUSED);
+  ck_assert_uint_eq (pool_paused_count (f.pool), 1);
+  ck_assert_uint_eq (pool_pause_left_ms (f.pool, &f.criteria), 3000);
+  clock_manual_advance_us (f.clock, 2000000);
+  upstream = pool_find (f.pool, STR ("i-0"));
+  ck_assert_uint_eq (pool_pause (f.pool, upstream, 2500), 2500);
+  clock_manual_advance_us (f.clock, 2499000);
+  ck_assert (!pool_take_pause_end (f.pool, upstream));
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_E_PAUSED);
+  clock_manual_advance_us (f.clock, 1000);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  ck_assert (pool_take_pause_end (f.pool, upstream));
+  ck_assert (!pool_take_pause_end (f.pool, upstream));
+  add_instance (&f, 1, "v1", "a", 0);
+  ck_assert_uint_eq (pool_pause (f.pool, upstream, UINT64_MAX),
+                     POOL_PAUSE_MAX_MS);
+  ck_assert_uint_eq (pool_pause_left_ms (f.pool, &f.criteria), 0);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  ck_assert (str_eq (upstream_id (upstream), STR ("i-1")));
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -475,6 +510,7 @@
   tcase_add_test (tcase, silent_engine_is_probed);
   tcase_add_test (tcase, withdrawn_version_gets_no_requests);
   tcase_add_test (tcase, full_instance_is_selected_again);
+  tcase_add_test (tcase, pause_is_shortened_or_passed_over);
   tcase_add_test (tcase, registration_forgets_that_an_instance_is_leaving);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
