gateway: a store that does not confirm keeps no gateway from its next reader

Change: the next reader is called beside the store; a call made for the clock alone does not count; instances are not asked of a store that just failed; what decides whether to confirm has no side effect.

--- a/packages/gateway/peerrows.c
+++ b/packages/gateway/peerrows.c
@@ -77,8 +77,11 @@
   rpc_call_t *rpc_call;
   /* Monotonic time from which the store is called as well, in ms.  */
   uint64_t hedge_at_ms;
-  /* Whether the last call to a reader was one of an intermediate reader.  */
+  /* Whether this gateway made the last call to a reader as an intermediate
+     reader.  */
   bool is_intermediate;
+  /* Whether the store was called only to learn its clock.  */
+  bool is_clock_sample;
   /* Age of the confirmation from which the store is called as well, in ms.  */
   uint64_t confirmation_max_age_ms;
   enum
@@ -374,7 +377,9 @@
       if (pending->rpc_call != NULL)
         return;
     }
-  if (code == VH_OK)
+  /* All gateways of a fleet learn the clock when they start; that does not
+     make each of them a gateway that calls the store.  */
+  if (code == VH_OK && !pending->is_clock_sample)
     fanout_store_call_ended (peer_rows->readers, true);
   if (pending->rpc_call != NULL
       && clock_ms (peer_rows->clock) >= pending->hedge_at_ms)
@@ -416,12 +421,26 @@
   call_store_waiting (pending, from, wait_ms);
 }
 
+/* Return whether a call of the store for ROWS_OPERATOR failed since the copy
+   was confirmed.  */
+static bool
+has_store_failed (const peer_rows_t *peer_rows)
+{
+  uint64_t age_ms = rowcache_age_ms (peer_rows->caches[ROWS_OPERATOR]);
+
+  return peer_rows->store_failed_ms != 0
+         && (age_ms == UINT64_MAX
+             || peer_rows->store_failed_ms + age_ms > boot_ms (peer_rows));
+}
+
 /* Call the store as well for the instances that are awaited from a reader that
    may have lost the store.  The reader notices that later for this table,
    whose calls are held for longer.  */
 static void
 hedge_instances (peer_rows_t *peer_rows)
 {
+  if (has_store_failed (peer_rows))
+    return;
   LIST_EACH (at, &peer_rows->pending)
     {
       pending_call_t *pending = CONTAINER_OF (at, pending_call_t, link);
@@ -432,6 +451,7 @@
     }
 }
 
+/* Record that a reader may have lost the store.  */
 static void
 doubt_reader (peer_rows_t *peer_rows)
 {
@@ -440,37 +460,48 @@
   hedge_instances (peer_rows);
 }
 
-/* Return whether the store is to confirm the copy of ROWS_OPERATOR: the copy
-   was not confirmed for too long, or the age of what a reader confirms is not
-   known closely, because the store never replied to this gateway.  After the
-   store failed to reply, it is called as rarely as other probes allow.  */
+/* Return whether the copy of ROWS_OPERATOR was not confirmed for too long.  */
 static bool
-needs_confirmation (const pending_call_t *pending)
+is_confirmation_old (const pending_call_t *pending)
 {
-  const peer_rows_t *peer_rows = pending->peer_rows;
-  const rowcache_t *cache = peer_rows->caches[pending->table];
-  uint64_t age_ms = rowcache_age_ms (cache);
+  uint64_t age_ms
+      = rowcache_age_ms (pending->peer_rows->caches[ROWS_OPERATOR]);
 
-  if (pending->table != ROWS_OPERATOR || age_ms == UINT64_MAX
-      || pending->store_state != STORE_NOT_CALLED)
-    return false;
-  if (age_ms < pending->confirmation_max_age_ms)
-    return !rowcache_knows_store_clock (cache)
-           && peer_rows->store_failed_ms == 0;
-  return peer_rows->store_failed_ms + age_ms <= boot_ms (peer_rows)
-         || fanout_may_probe_store (peer_rows->readers);
+  return age_ms != UINT64_MAX && age_ms >= pending->confirmation_max_age_ms;
 }
 
-/* Call the store beside the reader if it is to confirm the copy.  The store
-   replies at once, also without changes.  Return whether it was called.  */
+/* Return whether the age of what readers confirm is not known closely, because
+   the store was never called for ROWS_OPERATOR.  */
+static bool
+is_store_clock_unknown (const peer_rows_t *peer_rows)
+{
+  const rowcache_t *cache = peer_rows->caches[ROWS_OPERATOR];
+
+  return rowcache_age_ms (cache) != UINT64_MAX
+         && !rowcache_knows_store_clock (cache)
+         && peer_rows->store_failed_ms == 0;
+}
+
+/* Call the store beside the reader if the store is to confirm the copy of
+   ROWS_OPERATOR.  It replies at once, also without changes.  After it failed
+   to reply, it is called as rarely as other probes allow.  Return whether it
+   was called.  */
 static bool
 confirm_with_store (pending_call_t *pending)
 {
-  if (!needs_confirmation (pending))
+  peer_rows_t *peer_rows = pending->peer_rows;
+  bool is_old = is_confirmation_old (pending);
+
+  if (pending->table != ROWS_OPERATOR
+      || pending->store_state != STORE_NOT_CALLED
+      || (!is_old && !is_store_clock_unknown (peer_rows)))
     return false;
-  if (rowcache_age_ms (pending->peer_rows->caches[ROWS_OPERATOR])
-      >= pending->confirmation_max_age_ms)
-    doubt_reader (pending->peer_rows);
+  if (has_store_failed (peer_rows)
+      && !fanout_may_probe_store (peer_rows->readers))
+    return false;
+  if (is_old)
+    doubt_reader (peer_rows);
+  pending->is_clock_sample = !is_old;
   call_store_waiting (pending, STR (""), 0);
   return true;
 }
@@ -529,9 +560,9 @@
   return pending->store_state == STORE_CALLED || confirm_with_store (pending);
 }
 
-/* Finish PENDING with the COUNT rows WIRE_ROWS of a reader's REPLY, or go
-   on waiting if they are outdated.  Return an error and leave
-   PENDING unchanged if a row is invalid.  */
+/* Finish PENDING with the COUNT rows WIRE_ROWS of a reader's REPLY, or go on
+   waiting if the reply is outdated.  Return an error and leave PENDING
+   unchanged if a row is invalid.  */
 static vh_code_t
 deliver_rows (pending_call_t *pending, const wire_rows_res_t *reply,
               const wire_row_t *wire_rows, u_int count)
@@ -583,8 +614,8 @@
 }
 
 /* Call another reader for PENDING after a reader replied that it cannot serve
-   the call.  If there is no other reader, call the store, or fail if the store
-   is not to be probed now.  */
+   the call.  If there is no other reader, wait for the store if it was called,
+   call it, or fail if the store is not to be probed now.  */
 static void
 call_next_reader (pending_call_t *pending)
 {
@@ -597,6 +628,8 @@
       call_reader (pending, next, true);
       return;
     }
+  if (pending->store_state == STORE_CALLED)
+    return;
   if (fanout_may_probe_store (peer_rows->readers))
     {
       call_store (pending, STR (""));
@@ -631,15 +664,17 @@
     doubt_reader (pending->peer_rows);
   if (pending->store_state == STORE_NOT_CALLED && is_silent)
     call_store (pending, STR (""));
-  else if (pending->store_state == STORE_NOT_CALLED
-           && !confirm_with_store (pending))
-    call_next_reader (pending);
   else if (pending->store_state == STORE_REPLIED)
     finish_call (pending, VH_E_STORE_DOWN, NULL);
+  else if (!is_silent)
+    {
+      confirm_with_store (pending);
+      call_next_reader (pending);
+    }
 }
 
-/* Call the store as well for each pending call whose reader is late or does
-   not confirm the rows.  */
+/* Call the store as well for each pending call whose reader is late, does not
+   confirm the rows, or may have lost the store.  */
 static void
 hedge_late_calls (peer_rows_t *peer_rows, uint64_t now_ms)
 {
@@ -653,10 +688,9 @@
         call_store (pending, STR (""));
       else
         confirm_with_store (pending);
-      if (boot_ms (pending->peer_rows)
-          < pending->peer_rows->reader_doubtful_until_ms)
-        hedge_instances (pending->peer_rows);
     }
+  if (boot_ms (peer_rows) < peer_rows->reader_doubtful_until_ms)
+    hedge_instances (peer_rows);
 }
 
 /* Return how long a reader may hold PENDING, at most WAIT_MAX_MS.  Its reply
