pool: a pause, too, outlives a registration that expires and returns

Only leaving was kept when a registration ended, so an instance whose registration expires in an outage of the store and returns was taken for one that wants requests again. Both are now kept in one record when an instance is removed, and recalled for the same incarnation. The case in test_pool failed before (0 in place of 3000 ms left of the pause).

--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -108,16 +108,18 @@
   map_t *groups; /* Maps a service name to its service_group_t.  */
   map_t *disabled_zones;
   map_t *withdrawn_versions; /* Set of "SERVICE VERSION" keys.  */
-  map_t *leaving; /* Maps an instance id to its leaving_instance_t.  */
+  map_t *notices;            /* Maps an instance id to its notice_t.  */
 };
 
-/* An instance that said that it is leaving, remembered beyond its
-   registration, which expires and returns in an outage of the store.  */
+/* What a process said of itself, kept beyond its registration, which expires
+   and returns in an outage of the store.  */
 typedef struct
 {
   uint64_t incarnation;
-  uint64_t said_ms;
-} leaving_instance_t;
+  bool is_leaving;
+  uint64_t paused_until_ms;
+  uint64_t removed_ms; /* Time at which the instance was removed.  */
+} notice_t;
 
 pool_t *
 pool_create (clock_iface_t *clock, uint64_t seed,
@@ -136,7 +138,7 @@
   pool->groups = map_create ();
   pool->disabled_zones = map_create ();
   pool->withdrawn_versions = map_create ();
-  pool->leaving = map_create ();
+  pool->notices = map_create ();
   return pool;
 }
 
@@ -202,9 +204,9 @@
   map_destroy (pool->disabled_zones);
   map_destroy (pool->withdrawn_versions);
   cursor = 0;
-  while (map_next (pool->leaving, &cursor, &key, &group))
+  while (map_next (pool->notices, &cursor, &key, &group))
     free (group);
-  map_destroy (pool->leaving);
+  map_destroy (pool->notices);
   free (pool->zone);
   free (pool);
 }
@@ -218,6 +220,41 @@
   *text = str_dup (value);
 }
 
+/* Forget what instances said that were removed long ago.  */
+static void
+expire_notices (pool_t *pool, uint64_t now_ms)
+{
+  size_t cursor = 0;
+  str_t id;
+  void *value;
+
+  while (map_next (pool->notices, &cursor, &id, &value))
+    if (now_ms - ((notice_t *)value)->removed_ms >= POOL_NOTICE_MEMORY_MS)
+      {
+        map_remove (pool->notices, id);
+        free (value);
+        cursor = 0;
+      }
+}
+
+/* Keep what UPSTREAM, which is not registered, said of itself.  */
+static void
+keep_notice (pool_t *pool, const upstream_t *upstream)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+  notice_t *notice;
+
+  if (!upstream->is_leaving && now_ms >= upstream->paused_until_ms)
+    return;
+  expire_notices (pool, now_ms);
+  notice = mem_zalloc (sizeof *notice);
+  *notice = (notice_t){ .incarnation = upstream->incarnation,
+                        .is_leaving = upstream->is_leaving,
+                        .paused_until_ms = upstream->paused_until_ms,
+                        .removed_ms = now_ms };
+  free (map_put (pool->notices, str_from (upstream->id), notice));
+}
+
 /* Remove UPSTREAM from the pool.  Its running requests hold references and
    keep it allocated.  */
 static void
@@ -229,6 +266,7 @@
   upstream->usable_until_ms = 0;
   service_group_remove (upstream->group, upstream);
   map_remove (pool->by_id, str_from (upstream->id));
+  keep_notice (pool, upstream);
   upstream_unref (upstream);
 }
 
@@ -332,55 +370,20 @@
     }
 }
 
-/* Forget the instances that said long ago that they are leaving.  */
+/* Set what the process registered in INFO said of itself before its last
+   registration ended.  What another process under the same id said is
+   forgotten.  */
 static void
-expire_leaving (pool_t *pool, uint64_t now_ms)
-{
-  size_t cursor = 0;
-  str_t id;
-  void *value;
-
-  while (map_next (pool->leaving, &cursor, &id, &value))
-    if (now_ms - ((leaving_instance_t *)value)->said_ms
-        >= POOL_LEAVING_MEMORY_MS)
-      {
-        map_remove (pool->leaving, id);
-        free (value);
-        cursor = 0;
-      }
-}
-
-bool
-pool_announce_leaving (pool_t *pool, upstream_t *upstream)
+recall_notice (pool_t *pool, const upstream_info_t *info, upstream_t *upstream)
 {
-  uint64_t now_ms = clock_ms (pool->clock);
-  leaving_instance_t *leaving;
-
-  if (upstream->is_leaving)
-    return false;
-  upstream->is_leaving = true;
-  update_exclusion (upstream);
-  expire_leaving (pool, now_ms);
-  leaving = mem_zalloc (sizeof *leaving);
-  *leaving = (leaving_instance_t){ .incarnation = upstream->incarnation,
-                                   .said_ms = now_ms };
-  free (map_put (pool->leaving, str_from (upstream->id), leaving));
-  return true;
-}
+  notice_t *notice = map_remove (pool->notices, info->id);
 
-/* Return whether the process registered in INFO said that it is leaving, and
-   forget one that registered under the same id before.  */
-static bool
-is_remembered_as_leaving (pool_t *pool, const upstream_info_t *info)
-{
-  const leaving_instance_t *leaving = map_get (pool->leaving, info->id);
-
-  if (leaving == NULL)
-    return false;
-  if (leaving->incarnation == info->incarnation)
-    return true;
-  free (map_remove (pool->leaving, info->id));
-  return false;
+  if (notice != NULL && notice->incarnation == info->incarnation)
+    {
+      upstream->is_leaving = notice->is_leaving;
+      upstream->paused_until_ms = notice->paused_until_ms;
+    }
+  free (notice);
 }
 
 void
@@ -406,7 +409,7 @@
       upstream->id = str_dup (info->id);
       upstream->id_hash = str_hash (info->id, 0);
       upstream->incarnation = info->incarnation;
-      upstream->is_leaving = is_remembered_as_leaving (pool, info);
+      recall_notice (pool, info, upstream);
       list_append (&pool->upstreams, &upstream->list_node);
       map_put (pool->by_id, info->id, upstream);
       service_group_add (find_or_add_group (pool, info->service), upstream);
@@ -424,10 +427,7 @@
       = is_version_withdrawn (pool, info->service, info->version);
   upstream->slots = info->slots;
   if (upstream->draining && !info->draining)
-    {
-      upstream->is_leaving = false;
-      free (map_remove (pool->leaving, info->id));
-    }
+    upstream->is_leaving = false;
   upstream->draining = info->draining;
   update_exclusion (upstream);
   if (upstream->is_unregistered)
@@ -1089,6 +1089,26 @@
   upstream->cold_until_ms = clock_ms (pool->clock) + cold_ms;
 }
 
+/* Apply a change of what UPSTREAM says of itself.  If it was removed before
+   its response came, that is kept for a registration that returns.  */
+static void
+apply_notice (pool_t *pool, upstream_t *upstream)
+{
+  update_exclusion (upstream);
+  if (map_get (pool->by_id, str_from (upstream->id)) == NULL)
+    keep_notice (pool, upstream);
+}
+
+bool
+pool_announce_leaving (pool_t *pool, upstream_t *upstream)
+{
+  if (upstream->is_leaving)
+    return false;
+  upstream->is_leaving = true;
+  apply_notice (pool, upstream);
+  return true;
+}
+
 uint64_t
 pool_pause (pool_t *pool, upstream_t *upstream, uint64_t pause_ms)
 {
@@ -1099,7 +1119,7 @@
   if (now_ms + pause_ms <= upstream->paused_until_ms)
     return 0;
   upstream->paused_until_ms = now_ms + pause_ms;
-  update_exclusion (upstream);
+  apply_notice (pool, upstream);
   return pause_ms;
 }
 
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -92,9 +92,10 @@
      it generates no tokens: a third of the rate of a warm engine with its
      largest model.  */
   POOL_PREFILL_TOKENS_PER_MS = 12,
-  /* Time for which a leaving instance is remembered after its registration
-     ended: longer than an instance takes to stop.  */
-  POOL_LEAVING_MEMORY_MS = 600000,
+  /* Time for which it is known after the end of a registration that the
+     instance is leaving or in a pause: longer than an instance takes to
+     stop.  */
+  POOL_NOTICE_MEMORY_MS = 600000,
   /* Longest pause that an instance gets on its request.  */
   POOL_PAUSE_MAX_MS = 3600000
 };
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -472,6 +472,9 @@
   ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_E_PAUSED);
   ck_assert_uint_eq (pool_paused_count (f.pool), 1);
   ck_assert_uint_eq (pool_pause_left_ms (f.pool, &f.criteria), 3000);
+  pool_unregister (f.pool, STR ("i-0"), 0);
+  add_instance (&f, 0, "v1", "a", 0);
+  ck_assert_uint_eq (pool_pause_left_ms (f.pool, &f.criteria), 3000);
   clock_manual_advance_us (f.clock, 2000000);
   upstream = pool_find (f.pool, STR ("i-0"));
   ck_assert_uint_eq (pool_pause (f.pool, upstream, 2500), 2500);
