fanout: a failed call of the store is no probe

Cause: since a failed call set the time of the next probe. Gateways that start together have calls refused by a busy store, so none drew the random time of its first probe any more, and all probed in step.

Change: fanout is as it was before.

--- a/packages/policy/fanout.c
+++ b/packages/policy/fanout.c
@@ -219,29 +219,6 @@
     fanout->own_zone_until_ms = now_ms + FANOUT_OWN_ZONE_ONLY_MS;
 }
 
-static bool
-is_root (const fanout_t *fanout, uint64_t now_ms)
-{
-  bool own_zone_only = now_ms < fanout->own_zone_until_ms;
-
-  return is_first_in_rank (fanout,
-                           first_other (fanout, own_zone_only, now_ms));
-}
-
-/* Return the interval at which this gateway probes an unavailable store.  */
-static uint64_t
-probe_interval_ms (const fanout_t *fanout, uint64_t now_ms)
-{
-  uint64_t interval_ms
-      = (map_size (fanout->peers) + 1) * FANOUT_PROBE_INTERVAL_PER_GATEWAY_MS;
-
-  if (is_root (fanout, now_ms))
-    return FANOUT_ROOT_PROBE_INTERVAL_MS;
-  return interval_ms < FANOUT_PROBE_INTERVAL_MAX_MS
-             ? interval_ms
-             : FANOUT_PROBE_INTERVAL_MAX_MS;
-}
-
 void
 fanout_store_call_ended (fanout_t *fanout, bool responded)
 {
@@ -251,8 +228,6 @@
       = responded ? 0 : now_ms + FANOUT_STORE_BACKOFF_MS;
   fanout->store_up_until_ms
       = responded ? now_ms + FANOUT_PROBE_INTERVAL_MAX_MS : 0;
-  if (!responded)
-    fanout->next_probe_ms = now_ms + probe_interval_ms (fanout, now_ms);
 }
 
 bool
@@ -265,13 +240,21 @@
 fanout_may_probe_store (fanout_t *fanout)
 {
   uint64_t now_ms = clock_ms (fanout->clock);
-  uint64_t interval_ms = probe_interval_ms (fanout, now_ms);
+  uint64_t interval_ms
+      = (map_size (fanout->peers) + 1) * FANOUT_PROBE_INTERVAL_PER_GATEWAY_MS;
+  bool own_zone_only = now_ms < fanout->own_zone_until_ms;
+  bool is_root
+      = is_first_in_rank (fanout, first_other (fanout, own_zone_only, now_ms));
 
   if (fanout_is_store_reachable (fanout))
     return true;
+  if (is_root)
+    interval_ms = FANOUT_ROOT_PROBE_INTERVAL_MS;
+  else if (interval_ms > FANOUT_PROBE_INTERVAL_MAX_MS)
+    interval_ms = FANOUT_PROBE_INTERVAL_MAX_MS;
   /* Gateways that learn of an outage at the same time probe the store at
      random times within the interval.  */
-  if (is_large_fleet (fanout) && !is_root (fanout, now_ms)
+  if (is_large_fleet (fanout) && !is_root
       && (fanout->next_probe_ms == 0
           || now_ms > fanout->next_probe_ms + FANOUT_PROBE_INTERVAL_MAX_MS))
     fanout->next_probe_ms = now_ms + rng_below (&fanout->rng, interval_ms);
--- a/packages/policy/fanout.h
+++ b/packages/policy/fanout.h
@@ -89,8 +89,7 @@
 /* Record that gateway NAME failed as a source: it did not respond if SILENT is
    set, otherwise it responded that it has no current data.  */
 void fanout_source_failed (fanout_t *fanout, str_t name, bool silent);
-/* Record whether the store responded to a call of this gateway.  A call
-   without a response counts as a probe.  */
+/* Record whether the store responded to a call of this gateway.  */
 void fanout_store_call_ended (fanout_t *fanout, bool responded);
 /* Return whether this gateway may call the store although its source reported
    an outage.  The result is always true while the store is reachable;
