--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -77,6 +77,7 @@
   uint64_t now_ms = clock_ms (state->clock);
   pool_criteria_t criteria;
   buf_t request = BUF_NULL;
+  char content[CONTENT_TEXT_SIZE];
 
   if (now_ms + RESPONSE_TRANSIT_MS >= relay->attrs.deadline_at_ms)
     {
@@ -125,6 +126,7 @@
     }
   log_event (
       EVENT_SENT, log_field_text (FIELD_ID, str_from (relay->attempt_id)),
+      relay_content_field (relay, content),
       log_field_text (FIELD_ROUTE, relay->attrs.route->name),
       log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
       log_field_text (FIELD_VERSION, upstream_version (relay->upstream)),
--- a/packages/gateway/request_attrs.c
+++ b/packages/gateway/request_attrs.c
@@ -118,6 +118,29 @@
   return VH_OK;
 }
 
+static poison_key_t
+content_key (const request_attrs_t *attrs, const httpd_req_t *req)
+{
+  str_t query = httpd_query (req);
+  str_t body = httpd_body (req);
+  buf_t text = BUF_NULL;
+
+  buf_printf (&text, "%.*s %.*s %.*s ", STR_ARG (attrs->service->name),
+              STR_ARG (attrs->team != NULL ? attrs->team->name : STR ("-")),
+              STR_ARG (httpd_method (req)));
+  buf_append_str (&text, httpd_path (req));
+  if (query.ptr != NULL)
+    {
+      buf_append_char (&text, '?');
+      buf_append_str (&text, query);
+    }
+  buf_printf (&text, " %zu ", body.len);
+  buf_append_str (&text, body);
+  poison_key_t key = poison_digest_key (buf_str (&text));
+  buf_free (&text);
+  return key;
+}
+
 vh_code_t
 request_attrs_resolve (request_attrs_t *attrs, const gateway_state_t *state,
                        const httpd_req_t *req, str_t attempt_id)
@@ -132,7 +155,10 @@
                         ? attrs->team->priority
                         : attrs->route->priority;
   choose_service (attrs);
-  return attrs->service != NULL ? VH_OK : VH_E_NO_UPSTREAM;
+  if (attrs->service == NULL)
+    return VH_E_NO_UPSTREAM;
+  attrs->content_key = content_key (attrs, req);
+  return VH_OK;
 }
 
 void
--- a/packages/gateway/request_attrsint.h
+++ b/packages/gateway/request_attrsint.h
@@ -6,21 +6,25 @@
 #define GATEWAY_REQUEST_ATTRSINT_H
 
 #include "gateway/gatewayint.h"
+#include "policy/poison.h"
 
 typedef struct
 {
   catalog_t *catalog; /* Counted reference, held until the request ends.  */
   const route_t *route;
   const service_t *service;
-  const team_t *team;      /* NULL if the route needs no API key.  */
-  uint64_t arrived_ms;     /* Monotonic time of arrival, in ms.  */
-  uint64_t deadline_at_ms; /* Monotonic time by which the response must be
-                              complete, in ms.  */
-  uint64_t prefix_hash;    /* Hash of the prompt parts that other requests may
-                              share; 0: none.  */
-  uint64_t session_hash;   /* Hash of the session id, or of the attempt id if
-                              the request has no session.  */
-  uint32_t prompt_tokens;  /* Number of tokens of the prompt; 0: unknown.  */
+  const team_t *team;       /* NULL if the route needs no API key.  */
+  uint64_t arrived_ms;      /* Monotonic time of arrival, in ms.  */
+  uint64_t deadline_at_ms;  /* Monotonic time by which the response must be
+                               complete, in ms.  */
+  uint64_t prefix_hash;     /* Hash of the prompt parts that other requests may
+                               share; 0: none.  */
+  uint64_t session_hash;    /* Hash of the session id, or of the attempt id if
+                               the request has no session.  */
+  poison_key_t content_key; /* Key of what a caller repeats when it sends the
+                               request again: service, team, method, path,
+                               query and body.  */
+  uint32_t prompt_tokens;   /* Number of tokens of the prompt; 0: unknown.  */
   uint32_t output_tokens_max; /* Maximum number of tokens of the response; 0:
                                  unknown.  */
   uint32_t priority;  /* Priority of the team if it has one, else of the route;
