tests: a request that crashes its instances is sent on (red)

Two gateways over real sockets, three instances that crash 40 ms after they got one particular request and come back after 0.7 s under new ids; its callers send it every 0.4 s at either gateway, beside calm reads.

--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -7,7 +7,7 @@
 
 enum
 {
-  ROWS_MAX = 64,
+  ROWS_MAX = 512,
   STORE_START_MS = 1000000
 };
 
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -11,6 +11,7 @@
 enum
 {
   ACTIONS_MAX = 16,
+  CRASH_ARRIVALS_MAX = 256,
   STREAM_EVENTS = 5
 };
 
@@ -32,6 +33,13 @@
   size_t abort_count;
   buf_t last_request;
   list_t conns;
+  char *crash_text; /* Text in a request that crashes it; NULL: none.  */
+  uint64_t crash_delay_ms;
+  uint64_t crash_arrivals_ms[CRASH_ARRIVALS_MAX];
+  size_t crash_arrival_count;
+  uv_timer_t crash_timer;
+  bool has_crashed;
+  unsigned open_handles;
 };
 
 typedef struct
@@ -304,6 +312,29 @@
   upstream->arrivals_ms[upstream->requests++] = uv_now (upstream->loop);
 }
 
+static void
+on_crash_due (uv_timer_t *timer)
+{
+  fake_upstream_t *upstream = timer->data;
+
+  upstream->has_crashed = true;
+  uv_close ((uv_handle_t *)&upstream->listener, NULL);
+  LIST_EACH (at, &upstream->conns)
+    conn_close (CONTAINER_OF (at, conn_t, link), true);
+}
+
+/* Handle a request that crashes UPSTREAM.  */
+static void
+start_crash (fake_upstream_t *upstream)
+{
+  ck_assert_uint_lt (upstream->crash_arrival_count, CRASH_ARRIVALS_MAX);
+  upstream->crash_arrivals_ms[upstream->crash_arrival_count++]
+      = uv_now (upstream->loop);
+  if (!uv_is_active ((uv_handle_t *)&upstream->crash_timer))
+    uv_timer_start (&upstream->crash_timer, on_crash_due,
+                    upstream->crash_delay_ms, 0);
+}
+
 static void
 on_conn_read (uv_stream_t *stream, ssize_t got, const uv_buf_t *buf)
 {
@@ -326,6 +357,12 @@
   upstream->last_request.len = 0;
   buf_append_str (&upstream->last_request, buf_str (&conn->input));
   buf_append_char (&upstream->last_request, '\0');
+  if (upstream->crash_text != NULL
+      && strstr (upstream->last_request.ptr, upstream->crash_text) != NULL)
+    {
+      start_crash (upstream);
+      return;
+    }
   fake_action_t action = upstream->actions[upstream->next_action];
   if (upstream->next_action + 1 < upstream->action_count)
     upstream->next_action++;
@@ -359,20 +396,25 @@
   upstream->id = str_dup (str_from (id));
   upstream->action_count = 1;
   list_init (&upstream->conns);
+  uv_timer_init (loop, &upstream->crash_timer);
+  upstream->crash_timer.data = upstream;
   upstream->port = loopback_listen (loop, &upstream->listener, upstream,
                                     on_upstream_accept);
   return upstream;
 }
 
 static void
-on_listener_closed (uv_handle_t *handle)
+on_upstream_closed (uv_handle_t *handle)
 {
   fake_upstream_t *upstream = handle->data;
 
+  if (--upstream->open_handles > 0)
+    return;
   free (upstream->id);
   free (upstream->rate_limit);
   free (upstream->headers);
   free (upstream->arrivals_ms);
+  free (upstream->crash_text);
   buf_free (&upstream->last_request);
   free (upstream);
 }
@@ -382,10 +424,44 @@
 {
   LIST_EACH (at, &upstream->conns)
     conn_close (CONTAINER_OF (at, conn_t, link), false);
-  if (upstream->is_silent)
-    on_listener_closed ((uv_handle_t *)&upstream->listener);
-  else
-    uv_close ((uv_handle_t *)&upstream->listener, on_listener_closed);
+  bool is_listening = !upstream->is_silent && !upstream->has_crashed;
+  upstream->open_handles = is_listening ? 2 : 1;
+  uv_close ((uv_handle_t *)&upstream->crash_timer, on_upstream_closed);
+  if (is_listening)
+    uv_close ((uv_handle_t *)&upstream->listener, on_upstream_closed);
+}
+
+void
+fake_upstream_crash_on (fake_upstream_t *upstream, const char *text,
+                        uint64_t delay_ms)
+{
+  upstream->crash_text = str_dup (str_from (text));
+  upstream->crash_delay_ms = delay_ms;
+}
+
+bool
+fake_upstream_has_crashed (const fake_upstream_t *upstream)
+{
+  return upstream->has_crashed;
+}
+
+void
+fake_upstream_restart (fake_upstream_t *upstream)
+{
+  upstream->has_crashed = false;
+  loopback_bind_port (upstream->loop, &upstream->listener, upstream,
+                      upstream->port);
+  ck_assert_int_eq (uv_listen ((uv_stream_t *)&upstream->listener, SOMAXCONN,
+                               on_upstream_accept),
+                    0);
+}
+
+const uint64_t *
+fake_upstream_crash_arrivals_ms (const fake_upstream_t *upstream,
+                                 size_t *count)
+{
+  *count = upstream->crash_arrival_count;
+  return upstream->crash_arrivals_ms;
 }
 
 void
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -5,6 +5,7 @@
 
 #include "base/str.h"
 
+#include <stdbool.h>
 #include <uv.h>
 
 enum
@@ -65,6 +66,21 @@
    of timing out.  */
 void fake_upstream_go_silent (fake_upstream_t *upstream);
 
+/* Crash UPSTREAM DELAY_MS after it got a request that contains TEXT: stop
+   listening and reset all connections.  TEXT is copied.  */
+void fake_upstream_crash_on (fake_upstream_t *upstream, const char *text,
+                             uint64_t delay_ms);
+/* Return whether UPSTREAM crashed and was not restarted.  */
+bool fake_upstream_has_crashed (const fake_upstream_t *upstream);
+/* Listen again on the same port after a crash.  */
+void fake_upstream_restart (fake_upstream_t *upstream);
+/* Return the loop times, in ms, at which the requests arrived that contain the
+   text of fake_upstream_crash_on, and set *COUNT to their number.  Owned by
+   UPSTREAM and valid until the next request.  */
+const uint64_t *
+fake_upstream_crash_arrivals_ms (const fake_upstream_t *upstream,
+                                 size_t *count);
+
 uint16_t fake_upstream_port (const fake_upstream_t *upstream);
 
 #endif
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -24,3 +24,6 @@
 vh_test (test_billing DEPENDS vh_gateway)
 vh_test (test_rows DEPENDS vh_platform)
 target_sources (test_rows PRIVATE narrow_link.c)
+vh_test (test_crashing_request DEPENDS vh_gateway)
+target_sources (test_crashing_request PRIVATE gateway_fixture.c fake_rows.c
+  fake_upstream.c)
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -336,24 +336,59 @@
 
 /* The fixture.  */
 
-void
-gateway_fixture_register (gateway_fixture_t *f, size_t index,
-                          const char *version, const char *state)
+static const char *const instance_services[] = { "app", "llm" };
+
+static void
+format_instance_id (char *text, size_t size, const char *service, size_t index,
+                    size_t lifetime)
+{
+  int len = snprintf (text, size, "%s-%zu", service, index);
+
+  if (lifetime > 0)
+    snprintf (text + len, size - (size_t)len, "-%zu", lifetime);
+}
+
+/* Register the process number LIFETIME, counted from 0, of upstream INDEX.  */
+static void
+register_lifetime (gateway_fixture_t *f, size_t index, size_t lifetime,
+                   const char *version, const char *state)
 {
-  static const char *const services[] = { "app", "llm" };
   char key[64];
   char value[128];
 
   for (size_t i = 0; i < 2; i++)
     {
-      snprintf (key, sizeof key, "%s-%zu", services[i], index);
+      format_instance_id (key, sizeof key, instance_services[i], index,
+                          lifetime);
       snprintf (value, sizeof value, "%s 127.0.0.1:%u zone-a %s %s",
-                services[i], fake_upstream_port (f->upstreams[index]), version,
-                state);
+                instance_services[i], fake_upstream_port (f->upstreams[index]),
+                version, state);
       fake_rows_put (f->rows, ROWS_INSTANCES, key, value);
     }
 }
 
+void
+gateway_fixture_register (gateway_fixture_t *f, size_t index,
+                          const char *version, const char *state)
+{
+  register_lifetime (f, index, 0, version, state);
+}
+
+void
+gateway_fixture_restart_upstream (gateway_fixture_t *f, size_t index)
+{
+  char key[64];
+
+  fake_upstream_restart (f->upstreams[index]);
+  for (size_t i = 0; i < 2; i++)
+    {
+      format_instance_id (key, sizeof key, instance_services[i], index,
+                          f->lifetimes[index]);
+      fake_rows_remove (f->rows, ROWS_INSTANCES, key);
+    }
+  register_lifetime (f, index, ++f->lifetimes[index], "v1", "ready");
+}
+
 gateway_t *
 gateway_fixture_start_gateway (gateway_fixture_t *f, const char *name,
                                uint64_t seed)
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -38,6 +38,7 @@
   fake_rows_t *rows;
   gateway_t *gateway; /* Gateway to which callers connect.  */
   fake_upstream_t *upstreams[4];
+  size_t lifetimes[4]; /* Restarts of each upstream.  */
   size_t upstream_count;
   loop_wait_t wait;
 } gateway_fixture_t;
@@ -61,6 +62,8 @@
    or `draining'.  */
 void gateway_fixture_register (gateway_fixture_t *f, size_t index,
                                const char *version, const char *state);
+/* Restart upstream INDEX after a crash, and register it under new ids.  */
+void gateway_fixture_restart_upstream (gateway_fixture_t *f, size_t index);
 /* Send a request and wait until its connection is closed.  HEADERS are lines
    that end in CRLF.  */
 void gateway_fixture_request (gateway_fixture_t *f, caller_t *caller,
