--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -79,6 +79,10 @@
      "An instance gets requests again after the pause that it asked for")     \
   X (EVENT_PAUSE_BAD, "pool", "pause-unreadable", WARNING, 5,                 \
      "The length of a pause cannot be read and is ignored")                   \
+  X (EVENT_CRASH, "pool", "crashed", NOTICE, 50,                              \
+     "An instance crashed while requests ran there")                          \
+  X (EVENT_CRASH_WRITE, "pool", "crash-write-failed", WARNING, 5,             \
+     "Crashes could not be written to the store")                             \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
   X (EVENT_ZONE_BACK, "zone", "back", NOTICE, 20, "A zone is taken back")     \
   X (EVENT_ENTRIES, "entries", "count", INFO, 20,                             \
@@ -108,6 +112,14 @@
   X (EVENT_REFUSED, "request", "refused", INFO, 200, "Refused")               \
   X (EVENT_FAILED, "request", "failed", INFO, 200, "Failed")                  \
   X (EVENT_CUT, "request", "cut", INFO, 200, "An answer was cut")             \
+  X (EVENT_SUSPECTED, "request", "suspected", INFO, 100,                      \
+     "A request is suspected of a crash")                                     \
+  X (EVENT_SUSPECT_REFUSED, "request", "suspect-refused", INFO, 50,           \
+     "A request is not sent because its runs crashed")                        \
+  X (EVENT_SUSPECT_TESTED, "request", "suspect-tested", NOTICE, 50,           \
+     "A refused request gets a test run")                                     \
+  X (EVENT_SUSPECT_CLEARED, "request", "suspect-cleared", INFO, 50,           \
+     "A suspected request ran without a crash")                               \
   X (EVENT_LEFT, "request", "left", INFO, 50, "The caller left")
 
 /* X (symbol, key, meaning).  */
@@ -191,6 +203,8 @@
   X ("no_upstream", "The route names a service that the configuration does "  \
                     "not have.")                                              \
   X ("connect", "No connection to the instances tried could be made.")        \
+  X ("poison", "The instances that ran it crashed; see "                      \
+               "`request.suspected' with the same content.")                  \
   X ("address", "The instance is listed under an address that is none.")      \
   X ("misdirected", "Another instance has the address now, and refused it.")  \
   X ("cut", "The upstream's connection ended before its answer was whole: "   \
--- a/packages/entry/entry.c
+++ b/packages/entry/entry.c
@@ -134,6 +134,7 @@
 vh_code_t
 entry_create (const entry_options_t *options, entry_t **out)
 {
+  static const poison_options_t no_test_runs = { 0 };
   entry_t *entry = mem_zalloc (sizeof *entry);
   const settings_t *settings = options->settings;
   const quality_sampling_t sampling = QUALITY_SAMPLING_DEFAULTS;
@@ -157,7 +158,7 @@
                                  settings->rpc_keys_count, &rpc_hooks, entry);
   entry->quality = quality_create (rpc_node_epoch (entry->node), &sampling);
   entry->cascade = cascade_create (rpc_node_epoch (entry->node));
-  entry->poison = poison_create (options->clock);
+  entry->poison = poison_create (options->clock, &no_test_runs);
   entry->degradation = degradation_create (rpc_node_epoch (entry->node));
   entry->burn = burn_create (rpc_node_epoch (entry->node), BURN_CELLS_DEFAULT);
   entry->leader = leader_create (entry);
--- a/packages/gateway/announced_limits.c
+++ b/packages/gateway/announced_limits.c
@@ -220,19 +220,6 @@
   shared->has_row = false;
 }
 
-/* Return whether it is this gateway's turn to delete the row of instance ID,
-   which is gone.  */
-static bool
-is_turn_to_delete (const announced_limits_t *limits, str_t id)
-{
-  const gateway_state_t *state = limits->state;
-  uint64_t turn
-      = table_sync_store_now_ms (state->operator_rows_sync) / DELETE_TURN_MS;
-
-  return allotment_rank (state->allotment, str_hash (id, 0), STR (""))
-         == turn % allotment_gateway_count (state->allotment);
-}
-
 /* Return whether the row of SHARED, of the unregistered instance ID, is to be
    deleted now.  */
 static bool
@@ -242,7 +229,7 @@
   if (shared->orphaned_ms == 0)
     shared->orphaned_ms = now_ms;
   return now_ms - shared->orphaned_ms >= ORPHAN_TIMEOUT_MS
-         && is_turn_to_delete (limits, id);
+         && gateway_has_turn (limits->state, str_hash (id, 0), DELETE_TURN_MS);
 }
 
 /* Return whether the row of instance ID lacks what this gateway knows.  If so,
--- /dev/null
+++ b/packages/gateway/crash_recordsint.h
@@ -0,0 +1,70 @@
+/* Which requests ran on instances that crashed.
+
+   An instance has crashed if a connection to it ended before the response and
+   nothing listens at its address right after, or if another process registers
+   under its id.  A connection that ends while the instance goes on, a machine
+   that no longer responds and an instance that is leaving are no crashes.  A
+   crash is recorded for each request of this gateway that was lost there, and
+   for those given up shortly before.  policy/poison.h tells when such a
+   request is refused.
+
+   The records are shared through the store, one row for each crash of a
+   content, crash/CONTENT/CRASH, with the store time of the crash as its value.
+   The row crash/CONTENT/ran, with the store time of a run that did not crash,
+   clears the crashes before.  The deletion of a row clears nothing.  Without
+   crashes there are no rows.  While the store does not answer, each gateway
+   uses what it knows.  */
+
+#ifndef GATEWAY_CRASH_RECORDSINT_H
+#define GATEWAY_CRASH_RECORDSINT_H
+
+#include "gateway/gatewayint.h"
+
+/* Create the records, at first empty.  STATE and ROWS must outlive the
+   result.  */
+crash_records_t *crash_records_create (gateway_state_t *state, rows_t *rows);
+void crash_records_destroy (crash_records_t *records);
+
+/* Return the class of the request with CONTENT that is about to be sent.  A
+   refused request whose test run is due at this gateway is a suspect, and the
+   test run counts as started.  */
+poison_class_t crash_records_admit (crash_records_t *records,
+                                    poison_key_t content);
+/* Return the time in ms until a test run of the refused CONTENT is due;
+   UINT64_MAX if there will be none.  */
+uint64_t crash_records_test_wait_ms (const crash_records_t *records,
+                                     poison_key_t content);
+/* Return the number of crashes for which CONTENT is held.  */
+uint32_t crash_records_count (const crash_records_t *records,
+                              poison_key_t content);
+/* Return the number of suspected and refused contents.  */
+size_t crash_records_suspect_count (const crash_records_t *records);
+
+/* Record that a request with CONTENT at UPSTREAM got no complete response.
+   IS_CUT: the connection ended, so UPSTREAM is probed.  Otherwise this gateway
+   gave the request up.  */
+void crash_records_send_lost (crash_records_t *records,
+                              const upstream_t *upstream, poison_key_t content,
+                              bool is_cut);
+/* Return whether it is not yet known if an instance crashed under CONTENT.  */
+bool crash_records_awaits_probe (const crash_records_t *records,
+                                 poison_key_t content);
+/* Apply the RESULT of a probe of instance ID.  */
+void crash_records_probe_finished (crash_records_t *records, str_t id,
+                                   probe_result_t result);
+/* Apply the registration INFO before the pool does.  */
+void crash_records_apply_registration (crash_records_t *records,
+                                       const upstream_info_t *info);
+/* Record that a request with CONTENT ran without a crash.  */
+void crash_records_send_survived (crash_records_t *records,
+                                  poison_key_t content);
+
+/* Apply ROW, read from the shared table.  */
+void crash_records_apply_row (crash_records_t *records, const rows_row_t *row);
+/* Handle the deletion of the row KEY.  */
+void crash_records_remove_row (crash_records_t *records, str_t key);
+/* Write the rows that the shared table lacks, and delete old ones.  Called
+   several times a second.  */
+void crash_records_tick (crash_records_t *records);
+
+#endif
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include "gateway/gatewayint.h"
 
 #include "base/eventlog.h"
+#include "gateway/crash_recordsint.h"
 
 #include <stdlib.h>
 
@@ -169,6 +170,10 @@
   set_gauge (gateway, "vanillahook_gateway_limited_instances", "",
              "Instances that announce a rate limit.",
              (double)pool_count_rate_limits (state->pool));
+  set_gauge (gateway, "vanillahook_gateway_suspects", "",
+             "Requests suspected of crashing instances, the refused among "
+             "them.",
+             (double)crash_records_suspect_count (state->crash_records));
   set_gauge (gateway, "vanillahook_gateway_ready", "",
              "1: the readiness check succeeds.", is_ready (gateway));
   set_gauge (gateway, "vanillahook_gateway_bills_waiting", "",
@@ -421,13 +426,26 @@
 }
 
 static void
-on_probe_done (void *arg, str_t id, bool is_reachable)
+on_probe_done (void *arg, str_t id, probe_result_t result)
 {
   gateway_state_t *state = arg;
+  bool is_reachable = result == PROBE_ACCEPTED;
 
   log_event (EVENT_LOOKED, log_field_text (FIELD_UPSTREAM, id),
              log_field_number (FIELD_REACHED, is_reachable));
   pool_probe_finished (state->pool, id, is_reachable);
+  crash_records_probe_finished (state->crash_records, id, result);
+}
+
+bool
+gateway_has_turn (const gateway_state_t *state, uint64_t hash,
+                  uint64_t turn_ms)
+{
+  uint64_t turn
+      = table_sync_store_now_ms (state->operator_rows_sync) / turn_ms;
+
+  return allotment_rank (state->allotment, hash, STR (""))
+         == turn % allotment_gateway_count (state->allotment);
 }
 
 vh_code_t
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -32,7 +32,9 @@
   X (limited_sends, "Sends to upstreams that announced a rate limit.")        \
   X (resumes, "Interrupted streams resumed by another send.")                 \
   X (escalations, "Responses discarded to escalate to a larger model.")       \
-  X (events, "Events of streams forwarded to callers.")
+  X (events, "Events of streams forwarded to callers.")                       \
+  X (crashes, "Crashes of instances that ran requests of this process.")      \
+  X (suspects_refused, "Requests refused because their runs crashed.")
 
 typedef struct
 {
@@ -44,6 +46,10 @@
 /* Rate limits that instances announced; see announced_limitsint.h.  */
 typedef struct announced_limits announced_limits_t;
 
+/* Crashes of instances and the requests that ran there; see
+   crash_recordsint.h.  */
+typedef struct crash_records crash_records_t;
+
 /* State that the request path reads.  */
 typedef struct
 {
@@ -57,6 +63,7 @@
   prober_t *prober; /* Probes instances of POOL that have sent no data for
                        some time.  */
   announced_limits_t *announced_limits;
+  crash_records_t *crash_records;
   catalog_t *catalog; /* Configuration in force; NULL if none is known.  */
   uint64_t config_load_started_ms; /* Time at which the loading of a newer
                                       configuration began, in ms of the boot
@@ -140,6 +147,10 @@
 /* Return the model escalation state of SERVICE, created on first use.  */
 escalation_t *gateway_service_escalation (gateway_state_t *state,
                                           str_t service);
+/* Return whether it is this gateway's turn to do what one gateway at a time
+   does for the object with HASH.  The turns have TURN_MS.  */
+bool gateway_has_turn (const gateway_state_t *state, uint64_t hash,
+                       uint64_t turn_ms);
 /* Return the time since the loading of a configuration newer than the one in
    force began, in ms; 0 if none is being loaded.  */
 uint64_t gateway_config_load_elapsed_ms (const gateway_state_t *state);
--- a/packages/gateway/prober.c
+++ b/packages/gateway/prober.c
@@ -52,12 +52,12 @@
 }
 
 static void
-probe_finish (probe_t *probe, bool is_reachable)
+probe_finish (probe_t *probe, probe_result_t result)
 {
   prober_t *prober = probe->prober;
 
   probe_close (probe);
-  prober->cb (prober->arg, str_from (probe->id), is_reachable);
+  prober->cb (prober->arg, str_from (probe->id), result);
 }
 
 static void
@@ -66,13 +66,15 @@
   probe_t *probe = connect->data;
 
   if (probe->prober != NULL)
-    probe_finish (probe, status == 0);
+    probe_finish (probe, status == 0                 ? PROBE_ACCEPTED
+                         : status == UV_ECONNREFUSED ? PROBE_REFUSED
+                                                     : PROBE_NO_RESPONSE);
 }
 
 static void
 on_timeout (void *arg)
 {
-  probe_finish (arg, false);
+  probe_finish (arg, PROBE_NO_RESPONSE);
 }
 
 static bool
--- a/packages/gateway/prober.h
+++ b/packages/gateway/prober.h
@@ -22,9 +22,15 @@
 
 typedef struct prober prober_t;
 
-/* Called with the result of a probe.  IS_REACHABLE: instance ID accepted the
-   connection.  */
-typedef void (*prober_cb_t) (void *arg, str_t id, bool is_reachable);
+typedef enum
+{
+  PROBE_ACCEPTED,   /* The instance accepted the connection.  */
+  PROBE_REFUSED,    /* The machine runs, and nothing listens there.  */
+  PROBE_NO_RESPONSE /* Neither, or not in time.  */
+} probe_result_t;
+
+/* Called with the RESULT of a probe of instance ID.  */
+typedef void (*prober_cb_t) (void *arg, str_t id, probe_result_t result);
 
 prober_t *prober_create (uv_loop_t *loop, prober_cb_t cb, void *arg);
 /* Cancel the probes in progress without calling their callbacks.  PROBER may
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -8,6 +8,7 @@
 
 #include "gateway/relayint.h"
 
+#include "gateway/crash_recordsint.h"
 #include "gateway/forward.h"
 
 #include <stdlib.h>
@@ -48,7 +49,10 @@
   STARTUP_POLL_MS = 10,
   /* Mean Retry-After during a planned stop.  Short, because the platform's
      load balancer already directs callers to other gateway processes.  */
-  RETRY_AFTER_DRAINING_MS = 50
+  RETRY_AFTER_DRAINING_MS = 50,
+  /* Mean Retry-After of a request whose runs crashed and that gets no further
+     test run.  */
+  RETRY_AFTER_CRASHED_MS = POISON_EXPIRY_MS
 };
 
 /* Part of the route's latency objective after which a repeatable request to a
@@ -70,6 +74,28 @@
   return urgency < FORWARD_URGENCY_MAX ? urgency : FORWARD_URGENCY_MAX;
 }
 
+/* Fail the request because its runs crashed.  */
+static void
+refuse_suspect (relay_t *relay)
+{
+  gateway_state_t *state = relay->state;
+  poison_key_t content_key = relay->attrs.content_key;
+  uint64_t wait_ms
+      = crash_records_test_wait_ms (state->crash_records, content_key);
+  char content[CONTENT_TEXT_SIZE];
+
+  counter_add (state->counters.suspects_refused, 1);
+  log_event (
+      EVENT_SUSPECT_REFUSED,
+      log_field_text (FIELD_ID, str_from (relay->attempt_id)),
+      relay_content_field (relay, content),
+      log_field_number (FIELD_COUNT, crash_records_count (state->crash_records,
+                                                          content_key)));
+  relay_fail (relay, VH_E_POISON, "poison",
+              wait_ms < RETRY_AFTER_CRASHED_MS ? wait_ms + 1
+                                               : RETRY_AFTER_CRASHED_MS);
+}
+
 void
 relay_send (relay_t *relay)
 {
@@ -84,6 +110,14 @@
       relay_fail (relay, VH_E_DEADLINE, "deadline", 0);
       return;
     }
+  relay->poison_class
+      = crash_records_admit (state->crash_records, relay->attrs.content_key);
+  if (relay->poison_class == POISON_REFUSED)
+    {
+      relay->upstream = NULL;
+      refuse_suspect (relay);
+      return;
+    }
   relay_selection_criteria (relay, &criteria);
   vh_code_t code = pool_select (state->pool, &criteria, &relay->upstream);
   if ((code == VH_E_NO_UPSTREAM || code == VH_E_PAUSED)
@@ -147,6 +181,7 @@
   relay->unread_prompt_tokens = relay->attrs.prompt_tokens;
   pool_request_started (state->pool, relay->upstream,
                         relay->attrs.prompt_tokens);
+  relay_count_in_flight (relay, 1);
   relay->phase = PHASE_AWAITING_RESPONSE;
   relay->sent_ms = now_ms;
   relay->dispatched_ms = now_ms;
@@ -192,6 +227,11 @@
 static bool
 may_switch_upstream (const relay_t *relay)
 {
+  /* A suspect that is slow may be about to crash the upstream, and then would
+     crash the other as well.  */
+  if (relay->poison_class == POISON_SUSPECT
+      && relay->attrs.route->kind != ROUTE_STREAM)
+    return false;
   return relay_may_retry (relay)
          && relay->possible_run_count + 1
                 < relay->attrs.route->possible_runs_max
@@ -283,6 +323,11 @@
       relay_resume_stream (relay);
       return;
     }
+  if (relay->phase == PHASE_AWAITING_PROBE)
+    {
+      relay_continue_after_probe (relay);
+      return;
+    }
   if (now_ms >= silence_check_due_ms (relay))
     {
       if (should_probe (relay, now_ms))
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -1,3 +1,4 @@
+#include "gateway/crash_recordsint.h"
 #include "gateway/relayint.h"
 
 #include <inttypes.h>
@@ -96,14 +97,43 @@
         table_sync_store_now_ms (relay->state->operator_rows_sync));
 }
 
+/* Report the current send to the crash records if it ends without a complete
+   response.  */
+static void
+report_lost_send (const relay_t *relay, send_outcome_t outcome)
+{
+  bool is_cut = relay->call == NULL && relay->is_connection_lost;
+  bool is_given_up
+      = relay->call != NULL && http_exchange_was_sent (relay->call);
+
+  if ((outcome == SEND_FAILED || outcome == SEND_CANCELLED)
+      && (is_cut || is_given_up))
+    crash_records_send_lost (relay->state->crash_records, relay->upstream,
+                             relay->attrs.content_key, is_cut);
+}
+
+void
+relay_count_in_flight (const relay_t *relay, int change)
+{
+  poison_in_flight_t *in_flight = upstream_poison_in_flight (relay->upstream);
+
+  if (relay->poison_class == POISON_SUSPECT)
+    in_flight->suspect_count += (uint32_t)change;
+  if (!relay->attrs.is_repeatable)
+    in_flight->nonidempotent_count += (uint32_t)change;
+}
+
 void
 relay_finish_send (relay_t *relay, send_outcome_t outcome)
 {
+  if (relay->upstream != NULL)
+    report_lost_send (relay, outcome);
   if (relay->call != NULL)
     http_exchange_cancel (relay->call);
   relay->call = NULL;
   if (relay->upstream == NULL)
     return;
+  relay_count_in_flight (relay, -1);
   record_trial_outcome (relay, outcome);
   pool_request_finished (relay->state->pool, relay->upstream,
                          relay->unread_prompt_tokens, outcome);
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -1,5 +1,6 @@
 #include "gateway/relayint.h"
 
+#include "gateway/crash_recordsint.h"
 #include "gateway/forward.h"
 #include "gateway/instance_noticesint.h"
 
@@ -20,7 +21,12 @@
   RESPONSE_HEADERS_MAX = 64,
   /* Interval at which an interrupted stream looks for an upstream that can
      resume it.  Allows a few attempts within route_t.event_gap_max_ms.  */
-  RESUME_POLL_MS = 150
+  RESUME_POLL_MS = 150,
+  /* Longest time for which a request waits for the result of a probe before it
+     is sent again.  A machine that runs accepts or refuses a connection within
+     a round trip.  */
+  PROBE_WAIT_MS = 50,
+  PROBE_POLL_MS = 5
 };
 
 bool
@@ -87,6 +93,35 @@
   peer_timer_start (&relay->timer, RESUME_POLL_MS);
 }
 
+/* Send the request again after a send that failed for REASON, or fail it.  */
+static void
+resend (relay_t *relay, const char *reason, bool may_have_run)
+{
+  bool may_resend
+      = may_have_run ? relay_may_retry (relay) : relay->send_count < SENDS_MAX;
+
+  if (may_resend && relay->has_response_started)
+    relay_resume_stream (relay);
+  else if (may_resend && take_retry (relay))
+    relay_send (relay);
+  else
+    relay_fail (relay, may_have_run ? VH_E_UPSTREAM_CUT : VH_E_FULL, reason,
+                0);
+}
+
+void
+relay_continue_after_probe (relay_t *relay)
+{
+  const gateway_state_t *state = relay->state;
+
+  if (crash_records_awaits_probe (state->crash_records,
+                                  relay->attrs.content_key)
+      && clock_ms (state->clock) < relay->probe_wait_end_ms)
+    peer_timer_start (&relay->timer, PROBE_POLL_MS);
+  else
+    resend (relay, relay->failure_reason, true);
+}
+
 void
 relay_send_failed (relay_t *relay, const char *reason, bool may_have_run)
 {
@@ -113,15 +148,18 @@
   relay->response_headers.len = 0;
   relay->response_body.len = 0;
   sse_filter_discard_partial (&relay->sse);
-  bool may_resend
-      = may_have_run ? relay_may_retry (relay) : relay->send_count < SENDS_MAX;
-  if (may_resend && relay->has_response_started)
-    relay_resume_stream (relay);
-  else if (may_resend && take_retry (relay))
-    relay_send (relay);
-  else
-    relay_fail (relay, may_have_run ? VH_E_UPSTREAM_CUT : VH_E_FULL, reason,
-                0);
+  /* A request that crashed the upstream must not reach the next one before
+     that is known.  */
+  if (may_have_run
+      && crash_records_awaits_probe (relay->state->crash_records,
+                                     relay->attrs.content_key))
+    {
+      relay->phase = PHASE_AWAITING_PROBE;
+      relay->probe_wait_end_ms = now_ms + PROBE_WAIT_MS;
+      peer_timer_start (&relay->timer, PROBE_POLL_MS);
+      return;
+    }
+  resend (relay, reason, may_have_run);
 }
 
 /* Copy the status of HEAD and the headers to forward into RELAY.  */
@@ -277,6 +315,8 @@
   if (!relay->is_success && head->status >= 500 && relay_may_retry (relay)
       && relay_has_retry_budget (relay))
     {
+      crash_records_send_survived (relay->state->crash_records,
+                                   relay->attrs.content_key);
       relay_send_failed (relay, "upstream-error", true);
       return;
     }
@@ -383,6 +423,8 @@
                          true);
       return;
     }
+  crash_records_send_survived (relay->state->crash_records,
+                               relay->attrs.content_key);
   relay_finish_send (relay, relay->is_success || relay->response_status < 500
                                 ? SEND_OK
                                 : SEND_FAILED);
--- a/packages/gateway/relay_select.c
+++ b/packages/gateway/relay_select.c
@@ -109,6 +109,8 @@
     .affinity_key
     = attrs->prefix_hash != 0 ? attrs->prefix_hash ^ (index + 1) : 0,
     .is_extra_send = relay->send_count > 0,
+    .is_repeatable = attrs->is_repeatable,
+    .poison_class = relay->poison_class,
     .tried = relay->tried,
     .tried_count = relay->tried_count,
   };
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -39,6 +39,8 @@
                               process.  */
   PHASE_AWAITING_UPSTREAM, /* Interrupted stream waits for an upstream with a
                               free slot.  */
+  PHASE_AWAITING_PROBE,    /* The send failed, and it is not known yet if the
+                              upstream crashed.  */
   PHASE_AWAITING_RESPONSE, /* Request sent; no response head received yet.  */
   PHASE_RECEIVING_RESPONSE /* Response head received.  */
 } relay_phase_t;
@@ -90,8 +92,11 @@
   const upstream_t *tried[POOL_TRIED_MAX];
   size_t tried_count;
   size_t send_count;
-  size_t possible_run_count; /* Sends that an upstream may have run.  */
-  bool has_response_started; /* The response head was sent to the caller.  */
+  size_t possible_run_count;   /* Sends that an upstream may have run.  */
+  poison_class_t poison_class; /* At the time of the last send.  */
+  uint64_t probe_wait_end_ms;  /* Monotonic time, in ms, at which the request
+                                  waits no longer in PHASE_AWAITING_PROBE.  */
+  bool has_response_started;   /* The response head was sent to the caller.  */
   sse_filter_t sse;
   uint64_t event_count; /* Events sent to the caller.  */
 
@@ -120,6 +125,9 @@
 /* End the current send, if any, and report its OUTCOME to the pool and the
    roll-out.  */
 void relay_finish_send (relay_t *relay, send_outcome_t outcome);
+/* Add CHANGE, 1 or -1, for the current send to the counts by which the pool
+   keeps suspects apart from other requests.  */
+void relay_count_in_flight (const relay_t *relay, int change);
 /* Record the end of the request: bill, metrics by route, team and outcome,
    and one log line.  */
 void relay_record_end (const relay_t *relay, log_event_t event, int status,
@@ -189,6 +197,9 @@
    upstream reported that it did not run the request.  Retries the request if
    allowed, else fails it.  */
 void relay_send_failed (relay_t *relay, const char *reason, bool may_have_run);
+/* Continue in PHASE_AWAITING_PROBE: send the request again if the result is
+   known, else wait on.  */
+void relay_continue_after_probe (relay_t *relay);
 /* Resume an interrupted stream at another upstream, as soon as an upstream has
    a free slot and the retry budget allows another send.
 
--- a/packages/gateway/request_attrs.c
+++ b/packages/gateway/request_attrs.c
@@ -1,5 +1,14 @@
 #include "gateway/request_attrsint.h"
 
+#include <inttypes.h>
+
+enum
+{
+  /* Seeds of the two hashes of a request's body.  */
+  BODY_SEED_HIGH = 3,
+  BODY_SEED_LOW = 4
+};
+
 /* Return the hash of all parts of the prompt but the last, which is unique to
    the request; 0 if there are no such parts.  */
 static uint64_t
@@ -125,17 +134,12 @@
   str_t body = httpd_body (req);
   buf_t text = BUF_NULL;
 
-  buf_printf (&text, "%.*s %.*s %.*s ", STR_ARG (attrs->service->name),
-              STR_ARG (attrs->team != NULL ? attrs->team->name : STR ("-")),
-              STR_ARG (httpd_method (req)));
-  buf_append_str (&text, httpd_path (req));
-  if (query.ptr != NULL)
-    {
-      buf_append_char (&text, '?');
-      buf_append_str (&text, query);
-    }
-  buf_printf (&text, " %zu ", body.len);
-  buf_append_str (&text, body);
+  buf_printf (&text, "%.*s %.*s %.*s %.*s?%.*s %zu %" PRIx64 " %" PRIx64,
+              STR_ARG (attrs->service->name),
+              STR_ARG (attrs->team != NULL ? attrs->team->name : STR ("")),
+              STR_ARG (httpd_method (req)), STR_ARG (httpd_path (req)),
+              STR_ARG (query.ptr != NULL ? query : STR ("")), body.len,
+              str_hash (body, BODY_SEED_HIGH), str_hash (body, BODY_SEED_LOW));
   poison_key_t key = poison_digest_key (buf_str (&text));
   buf_free (&text);
   return key;
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -7,6 +7,7 @@
 
 #include "base/eventlog.h"
 #include "gateway/announced_limitsint.h"
+#include "gateway/crash_recordsint.h"
 #include "gateway/loader.h"
 #include "gateway/rolloutsint.h"
 
@@ -204,6 +205,7 @@
              log_field_text (FIELD_ZONE, info.zone),
              log_field_number (FIELD_DRAINING, info.draining),
              log_field_number (FIELD_COLD_MS, info.cold_ms));
+  crash_records_apply_registration (state->crash_records, &info);
   pool_put (state->pool, &info);
   announced_limits_apply_registration (state->announced_limits, info.id);
   state->dialect->free_holder (holder);
@@ -300,6 +302,8 @@
     rollouts_apply_evidence (sync->rollouts, row->key, false, row->value);
   else if (str_eq (kind, STR ("limit")) && rest.len > 0)
     announced_limits_apply_row (sync->state->announced_limits, rest, row);
+  else if (str_eq (kind, STR ("crash")))
+    crash_records_apply_row (sync->state->crash_records, row);
   else if (str_eq (kind, STR ("entry")) && rest.len > 0)
     {
       str_t after_zone;
@@ -319,6 +323,8 @@
 
   if (str_eq (kind, STR ("limit")))
     announced_limits_remove_row (sync->state->announced_limits, rest);
+  else if (str_eq (kind, STR ("crash")))
+    crash_records_remove_row (sync->state->crash_records, key);
   else if (str_eq (kind, STR ("entry")))
     {
       allotment_remove (sync->state->allotment, rest);
@@ -439,6 +445,7 @@
   if (has_second_elapsed)
     divide_limits (sync);
   announced_limits_tick (state->announced_limits);
+  crash_records_tick (state->crash_records);
   rollouts_tick (sync->rollouts, has_second_elapsed);
 }
 
@@ -500,6 +507,7 @@
   sync->peer_rows = peer_rows;
   sync->rollouts = rollouts_create (state, rows, peer_rows);
   state->announced_limits = announced_limits_create (state, rows);
+  state->crash_records = crash_records_create (state, rows);
   sync->loader = loader_create (state->loop, state->dialect->read_catalog,
                                 on_catalog, sync);
   state->operator_rows_sync = table_sync_create (
@@ -545,6 +553,8 @@
   rollouts_destroy (sync->rollouts);
   announced_limits_destroy (sync->state->announced_limits);
   sync->state->announced_limits = NULL;
+  crash_records_destroy (sync->state->crash_records);
+  sync->state->crash_records = NULL;
   sync->rows->ops->cancel (sync->rows, sync);
   uv_close ((uv_handle_t *)&sync->tick_timer, on_tick_closed);
 }
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -18,25 +18,38 @@
 typedef struct
 {
   poison_key_t key;
-  uint64_t crash_ids[POISON_CRASHES_TO_REFUSE];
+  uint64_t crash_ids[POISON_CRASHES_MAX];
   uint64_t last_crash_ms; /* Time of the newest recorded crash.  */
+  uint64_t last_test_ms;  /* Time of the last test run; 0 if there was
+                             none.  */
   /* Number of recorded crashes; 0 if the slot is free.  */
   uint32_t crash_count;
 } slot_t;
 
+/* The last run of a key that ended without a crash.  */
+typedef struct
+{
+  poison_key_t key;
+  uint64_t ended_ms;
+} success_t;
+
 struct poison
 {
   clock_iface_t *clock;
+  poison_options_t options;
   slot_t *slots;
+  success_t *successes; /* Indexed by hash; a newer key replaces another.  */
 };
 
 poison_t *
-poison_create (clock_iface_t *clock)
+poison_create (clock_iface_t *clock, const poison_options_t *options)
 {
   poison_t *poison = mem_zalloc (sizeof *poison);
 
   poison->clock = clock;
+  poison->options = *options;
   poison->slots = mem_zalloc (POISON_KEYS_MAX * sizeof (slot_t));
+  poison->successes = mem_zalloc (POISON_SUCCESSES_MAX * sizeof (success_t));
   return poison;
 }
 
@@ -46,6 +59,7 @@
   if (poison == NULL)
     return;
   free (poison->slots);
+  free (poison->successes);
   free (poison);
 }
 
@@ -122,22 +136,62 @@
   return dropped;
 }
 
+static success_t *
+success_entry (const poison_t *poison, poison_key_t key)
+{
+  return &poison->successes[key.high % POISON_SUCCESSES_MAX];
+}
+
+/* Return the last run of KEY that ended without a crash in the last
+   POISON_SUCCESS_MEMORY_MS, or NULL if none is known.  */
+static const success_t *
+find_success (const poison_t *poison, poison_key_t key)
+{
+  const success_t *success = success_entry (poison, key);
+
+  return is_same_key (success->key, key)
+                 && clock_ms (poison->clock)
+                        < success->ended_ms + POISON_SUCCESS_MEMORY_MS
+             ? success
+             : NULL;
+}
+
+/* Return the number of crashes with which KEY is refused.  */
+static uint32_t
+crashes_to_refuse (const poison_t *poison, poison_key_t key)
+{
+  return find_success (poison, key) != NULL ? POISON_CRASHES_TO_REFUSE_PROVEN
+                                            : POISON_CRASHES_TO_REFUSE;
+}
+
+/* Return the number of crashes with which KEY gets no further test run.  */
+static uint32_t
+crashes_to_end_tests (const poison_t *poison, poison_key_t key)
+{
+  uint32_t count
+      = crashes_to_refuse (poison, key) + poison->options.test_runs_max;
+
+  return count < POISON_CRASHES_MAX ? count : POISON_CRASHES_MAX;
+}
+
 bool
 poison_merge (poison_t *poison, const poison_record_t *record)
 {
   slot_t *slot = (slot_t *)find_slot (poison, record->key);
+  const success_t *success = find_success (poison, record->key);
   uint64_t now = clock_ms (poison->clock);
   uint64_t last_crash_ms = now > record->age_ms ? now - record->age_ms : 0;
 
-  if (record->age_ms >= POISON_EXPIRY_MS)
+  if (record->age_ms >= POISON_EXPIRY_MS
+      || (success != NULL && last_crash_ms < success->ended_ms))
     return false;
   if (slot == NULL)
     slot = allocate_slot (poison, record->key);
   for (uint32_t i = 0; i < slot->crash_count; i++)
     if (slot->crash_ids[i] == record->crash_id)
       return false;
-  /* Further crashes change nothing for a key that is already refused.  */
-  if (slot->crash_count == POISON_CRASHES_TO_REFUSE)
+  /* Further crashes change nothing for a key that is refused for good.  */
+  if (slot->crash_count >= crashes_to_end_tests (poison, record->key))
     return false;
   slot->crash_ids[slot->crash_count++] = record->crash_id;
   if (slot->last_crash_ms < last_crash_ms)
@@ -165,11 +219,67 @@
     crash_count = by_digest->crash_count;
   if (by_request != NULL && by_request->crash_count > crash_count)
     crash_count = by_request->crash_count;
-  if (crash_count >= POISON_CRASHES_TO_REFUSE)
+  if (crash_count >= crashes_to_refuse (poison, digest))
     return POISON_REFUSED;
   return crash_count > 0 ? POISON_SUSPECT : POISON_CLEAR;
 }
 
+uint32_t
+poison_record_success (poison_t *poison, poison_key_t key, uint64_t age_ms)
+{
+  slot_t *slot = (slot_t *)find_slot (poison, key);
+  success_t *success = success_entry (poison, key);
+  uint64_t now = clock_ms (poison->clock);
+  uint64_t ended_ms = now > age_ms ? now - age_ms : 0;
+  uint32_t cleared = 0;
+
+  if (!is_same_key (success->key, key) || success->ended_ms < ended_ms)
+    *success = (success_t){ key, ended_ms };
+  if (slot != NULL && slot->last_crash_ms <= ended_ms)
+    {
+      cleared = slot->crash_count;
+      slot->crash_count = 0;
+    }
+  return cleared;
+}
+
+uint32_t
+poison_crash_count (const poison_t *poison, poison_key_t key)
+{
+  const slot_t *slot = find_slot (poison, key);
+
+  return slot != NULL ? slot->crash_count : 0;
+}
+
+uint64_t
+poison_test_wait_ms (const poison_t *poison, poison_key_t key)
+{
+  const slot_t *slot = find_slot (poison, key);
+  uint64_t now = clock_ms (poison->clock);
+  uint32_t to_refuse = crashes_to_refuse (poison, key);
+
+  if (slot == NULL || slot->crash_count < to_refuse)
+    return 0;
+  uint32_t failed_tests = slot->crash_count - to_refuse;
+  if (slot->crash_count >= crashes_to_end_tests (poison, key))
+    return UINT64_MAX;
+  uint64_t since_ms = slot->last_test_ms > slot->last_crash_ms
+                          ? slot->last_test_ms
+                          : slot->last_crash_ms;
+  uint64_t due_ms
+      = since_ms + ((uint64_t)POISON_TEST_DELAY_MS << failed_tests);
+  return due_ms > now ? due_ms - now : 0;
+}
+
+void
+poison_test_started (poison_t *poison, poison_key_t key)
+{
+  slot_t *slot = (slot_t *)find_slot (poison, key);
+
+  if (slot != NULL)
+    slot->last_test_ms = clock_ms (poison->clock);
+}
+
 bool
 poison_may_run_beside (poison_class_t class, bool idempotent,
                        const poison_in_flight_t *in_flight)
@@ -191,11 +301,10 @@
 poison_next_record (const poison_t *poison, size_t *cursor,
                     poison_record_t *record)
 {
-  for (; *cursor < (size_t)POISON_KEYS_MAX * POISON_CRASHES_TO_REFUSE;
-       ++*cursor)
+  for (; *cursor < (size_t)POISON_KEYS_MAX * POISON_CRASHES_MAX; ++*cursor)
     {
-      const slot_t *slot = &poison->slots[*cursor / POISON_CRASHES_TO_REFUSE];
-      size_t crash_index = *cursor % POISON_CRASHES_TO_REFUSE;
+      const slot_t *slot = &poison->slots[*cursor / POISON_CRASHES_MAX];
+      size_t crash_index = *cursor % POISON_CRASHES_MAX;
 
       if (crash_index >= slot->crash_count || !is_live (poison, slot))
         continue;
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -14,10 +14,20 @@
    one request refused at most; and with no request that is not idempotent,
    whose outcome would be unknown after a crash.
 
+   A process that sees a crash only as broken connections records it for each
+   request that it lost there, most of which ran there by chance.  Two rules
+   keep those from being refused.  A run that ends without a crash clears the
+   records of its request.  A request that ended so within
+   POISON_SUCCESS_MEMORY_MS, such as a read that many callers repeat, is
+   refused with POISON_CRASHES_TO_REFUSE_PROVEN crashes only.  A request that
+   is refused in spite of them gets poison_options_t.test_runs_max test runs,
+   the first after POISON_TEST_DELAY_MS, each further one after twice the
+   time.
+
    Records are pairs of a key and a crash id, so that a process may merge the
    records of another process in any order and any number of times.
 
-   - POISON_KEYS_MAX 4096 of 48 bytes: a crash is recorded for all requests
+   - POISON_KEYS_MAX 4096 of 88 bytes: a crash is recorded for all requests
      that an upstream runs, some dozens, under two keys each, so there is room
      for about thirty crashes at a time.  Keys are stored in small sets by
      hash.  When the set of a new key is full, one key of the set is dropped
@@ -38,9 +48,24 @@
   POISON_KEYS_MAX = 4096,
   POISON_EXPIRY_MS = 3600000,
   /* Number of different crashes with which a request is refused.  */
-  POISON_CRASHES_TO_REFUSE = 2
+  POISON_CRASHES_TO_REFUSE = 2,
+  /* The same for a request that ran without a crash recently.  */
+  POISON_CRASHES_TO_REFUSE_PROVEN = 4,
+  POISON_SUCCESS_MEMORY_MS = 60000,
+  /* Keys whose last run without a crash is remembered.  */
+  POISON_SUCCESSES_MAX = 4096,
+  POISON_TEST_DELAY_MS = 60000,
+  /* Different crashes with which a request gets no further test run.  */
+  POISON_CRASHES_MAX = 6
 };
 
+typedef struct
+{
+  /* Test runs of a request that is refused.  There are fewer if it reaches
+     POISON_CRASHES_MAX before.  */
+  uint32_t test_runs_max;
+} poison_options_t;
+
 typedef struct poison poison_t;
 
 typedef struct
@@ -73,8 +98,9 @@
 } poison_in_flight_t;
 
 /* Return a new table without records, owned by the caller.  CLOCK is
-   borrowed.  */
-poison_t *poison_create (clock_iface_t *clock);
+   borrowed, OPTIONS copied.  */
+poison_t *poison_create (clock_iface_t *clock,
+                         const poison_options_t *options);
 /* Free POISON, which may be NULL.  */
 void poison_destroy (poison_t *poison);
 
@@ -94,6 +120,18 @@
 poison_class_t poison_classify (const poison_t *poison, poison_key_t digest,
                                 poison_key_t request);
 
+/* Record that the request with KEY ended AGE_MS ago without a crash.  Return
+   the number of crashes that were recorded for it and are cleared.  */
+uint32_t poison_record_success (poison_t *poison, poison_key_t key,
+                                uint64_t age_ms);
+/* Return the number of crashes recorded for KEY.  */
+uint32_t poison_crash_count (const poison_t *poison, poison_key_t key);
+/* Return the time in ms until a test run of the refused request with KEY is
+   due; UINT64_MAX if it gets none.  */
+uint64_t poison_test_wait_ms (const poison_t *poison, poison_key_t key);
+/* Record that a test run of the request with KEY starts now.  */
+void poison_test_started (poison_t *poison, poison_key_t key);
+
 /* Return whether a request of CLASS may start on an upstream that runs
    IN_FLIGHT.  IDEMPOTENT: the request may be sent again after a crash.  */
 bool poison_may_run_beside (poison_class_t class, bool idempotent,
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -78,6 +78,7 @@
   uint64_t paused_until_ms; /* End of the pause that the instance asked for; 0
                                if there was none or its end was taken.  */
   bool is_unreachable;      /* Whether the last probe could not connect.  */
+  poison_in_flight_t poison_in_flight; /* Requests of this gateway.  */
   unsigned refs;
   unsigned consecutive_failures;
   uint64_t ejection_ms;      /* Length of the last ejection; 0 for none.  */
@@ -767,12 +768,16 @@
 {
   bool include_ejected;
   bool include_limited; /* Instances that announce a rate limit.  */
+  bool include_unsafe;  /* Instances with requests beside which the request
+                           should not run.  */
 } selection_scope_t;
 
 /* Eligible instances that a selection found.  */
 typedef struct
 {
-  bool any;      /* There is one, even if it may get no request now.  */
+  bool any;        /* There is one, even if it may get no request now.  */
+  bool any_unsafe; /* One runs requests beside which the request should not
+                      run.  */
   bool any_full; /* One may get no request now for another reason than the rate
                     limit that it announced.  */
   size_t paused_count;  /* Instances that are in a pause and would otherwise be
@@ -815,6 +820,14 @@
           || (!scope.include_limited && upstream->rate_limit.is_announced))
         continue;
       eligible->any = true;
+      if (!scope.include_unsafe
+          && !poison_may_run_beside (criteria->poison_class,
+                                     criteria->is_repeatable,
+                                     &upstream->poison_in_flight))
+        {
+          eligible->any_unsafe = true;
+          continue;
+        }
       if (!has_capacity (pool, upstream, criteria, now_ms))
         {
           eligible->any_full = true;
@@ -843,9 +856,12 @@
 pool_select (pool_t *pool, const pool_criteria_t *criteria, upstream_t **out)
 {
   const selection_scope_t unlimited = { 0 };
-  const selection_scope_t listed = { .include_limited = true };
-  const selection_scope_t all
-      = { .include_limited = true, .include_ejected = true };
+  const selection_scope_t safe = { .include_limited = true };
+  const selection_scope_t listed
+      = { .include_limited = true, .include_unsafe = true };
+  const selection_scope_t all = { .include_limited = true,
+                                  .include_unsafe = true,
+                                  .include_ejected = true };
   uint64_t now_ms = clock_ms (pool->clock);
   eligible_instances_t eligible = { 0 };
 
@@ -854,6 +870,11 @@
   if (criteria->is_extra_send)
     *out = select_best (pool, criteria, unlimited, now_ms, &eligible);
   if (*out == NULL)
+    {
+      eligible = (eligible_instances_t){ 0 };
+      *out = select_best (pool, criteria, safe, now_ms, &eligible);
+    }
+  if (*out == NULL && eligible.any_unsafe)
     {
       eligible = (eligible_instances_t){ 0 };
       *out = select_best (pool, criteria, listed, now_ms, &eligible);
@@ -1206,6 +1227,12 @@
   return upstream->incarnation;
 }
 
+bool
+upstream_is_leaving (const upstream_t *upstream)
+{
+  return upstream->draining || upstream->is_leaving;
+}
+
 str_t
 upstream_address (const upstream_t *upstream)
 {
@@ -1230,6 +1257,12 @@
   return upstream->slots;
 }
 
+poison_in_flight_t *
+upstream_poison_in_flight (upstream_t *upstream)
+{
+  return &upstream->poison_in_flight;
+}
+
 uint32_t
 upstream_running_count (const upstream_t *upstream)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -38,6 +38,10 @@
      version.  Spread over all instances, a tenth of the traffic leaves them
      idle, and a version that is slow or fails under load passes until it has
      all traffic.
+   - A request suspected of crashing the instances that run it
+     (policy/poison.h) goes to an instance without another suspect and without
+     requests that must not be repeated, as long as there is one, and those
+     requests avoid the instances with suspects.
    - An instance that sends no data while requests run there: the instance is
      probed, and ejected immediately if it accepts no connection.  */
 
@@ -48,6 +52,7 @@
 #include "base/code.h"
 #include "base/str.h"
 #include "policy/allotment.h"
+#include "policy/poison.h"
 #include "policy/ratelimit.h"
 
 #define POOL_HOT_LOAD_FACTOR 1.5
@@ -155,6 +160,8 @@
   size_t max_instances;
   uint64_t affinity_key; /* Hash of the shared prompt prefix; 0 for none.  */
   bool is_extra_send;    /* The request was sent before.  */
+  bool is_repeatable;    /* The request may be run more than once.  */
+  poison_class_t poison_class;
   /* Instances that this request was already sent to; none is selected
      again.  */
   const upstream_t *const *tried;
@@ -279,6 +286,9 @@
 str_t upstream_id (const upstream_t *upstream);
 /* Return the number that differs for each process start under the id.  */
 uint64_t upstream_incarnation (const upstream_t *upstream);
+/* Return whether UPSTREAM, by its registration or what it says, is about to
+   stop.  */
+bool upstream_is_leaving (const upstream_t *upstream);
 str_t upstream_address (const upstream_t *upstream);
 str_t upstream_version (const upstream_t *upstream);
 const rate_limit_t *upstream_rate_limit (const upstream_t *upstream);
@@ -287,6 +297,9 @@
 double upstream_request_count (const pool_t *pool, const upstream_t *upstream);
 /* Return how many requests UPSTREAM runs concurrently, as last reported.  */
 uint32_t upstream_slots (const upstream_t *upstream);
+/* Return the requests of this gateway at UPSTREAM beside which some others do
+   not start.  The caller counts them.  */
+poison_in_flight_t *upstream_poison_in_flight (upstream_t *upstream);
 /* Return how many requests of this gateway run at UPSTREAM.  */
 uint32_t upstream_running_count (const upstream_t *upstream);
 
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -22,7 +22,8 @@
   CRASHING_CALL_EVERY = 16,
   CRASH_DELAY_MS = 40,
   DOWN_MS = 700,
-  LOAD_MS = 9000,
+  LOAD_MS = 6000,
+  RESETS_MS = 2000,
   /* After the third crash and this time, at most this many sends of the
      request may reach instances.  */
   LATE_AFTER_MS = 3000,
@@ -36,6 +37,8 @@
   const char *method;
   const char *path;
   const char *body;
+  bool has_other_body; /* Each time with another body: the crashes have causes
+                          of their own.  */
 } crashing_request_t;
 
 typedef struct
@@ -43,6 +46,8 @@
   gateway_fixture_t fixture;
   gateway_t *gateways[GATEWAYS];
   const crashing_request_t *crashing;
+  const char *calm_path; /* Path of the calm requests; NULL: another one
+                            each.  */
   caller_t *callers;
   size_t caller_count;
   uint64_t crashed_ms[UPSTREAMS]; /* Time at which the crash was noticed; 0:
@@ -72,6 +77,7 @@
   size_t index = load->caller_count++;
   char headers[128];
   char path[32];
+  char body[64];
 
   restart_upstreams (load);
   ck_assert_uint_lt (index, CALLERS_MAX);
@@ -79,10 +85,14 @@
   snprintf (headers, sizeof headers,
             KEY_HEADER "vanillahook-attempt-id: a%zu\r\n", index);
   snprintf (path, sizeof path, "/read/%zu", index);
+  if (load->calm_path != NULL)
+    snprintf (path, sizeof path, "%s", load->calm_path);
+  snprintf (body, sizeof body, "%s", load->crashing->body);
+  if (load->crashing->has_other_body)
+    snprintf (body, sizeof body, "%zu", index);
   if (index % CRASHING_CALL_EVERY == 0)
     caller_start (&load->fixture, &load->callers[index],
-                  load->crashing->method, load->crashing->path, headers,
-                  load->crashing->body);
+                  load->crashing->method, load->crashing->path, headers, body);
   else
     caller_start (&load->fixture, &load->callers[index], "GET", path, headers,
                   "");
@@ -111,11 +121,11 @@
 }
 
 static void
-load_run (load_t *load)
+load_run (load_t *load, uint64_t ms)
 {
   uv_timer_start (&load->timer, on_call_due, CALL_INTERVAL_MS,
                   CALL_INTERVAL_MS);
-  loop_wait_for_ms (&load->fixture.wait, LOAD_MS);
+  loop_wait_for_ms (&load->fixture.wait, ms);
   uv_timer_stop (&load->timer);
   for (size_t i = 0; i < load->caller_count; i++)
     gateway_fixture_wait (&load->fixture, load->callers[i].closed);
@@ -175,22 +185,92 @@
 START_TEST (request_that_crashes_its_instances_is_sent_on)
 {
   static const crashing_request_t cases[] = {
-    { "GET", "/read/" CRASH_TEXT, "" },
-    { "POST", "/read/a", "{\"text\":\"" CRASH_TEXT "\"}" },
-    { "POST", "/book/" CRASH_TEXT, "{}" },
-    { "POST", "/chat/" CRASH_TEXT, "{}" },
-    { "GET", "/open/a?x=" CRASH_TEXT, "" },
+    { "GET", "/read/" CRASH_TEXT, "", false },
+    { "POST", "/read/a", "{\"text\":\"" CRASH_TEXT "\"}", false },
+    { "POST", "/book/" CRASH_TEXT, "{}", false },
+    { "POST", "/chat/" CRASH_TEXT, "{}", false },
+    { "GET", "/open/a?x=" CRASH_TEXT, "", false },
   };
   load_t load;
   size_t total;
 
   load_setup (&load, &cases[_i]);
-  load_run (&load);
+  load_run (&load, LOAD_MS);
   ck_assert_uint_le (count_late_sends (&load, &total), LATE_SENDS_MAX);
   load_teardown (&load);
 }
 END_TEST
 
+/* Return how many callers got a response that contains TEXT.  */
+static size_t
+count_responses (const load_t *load, const char *text)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < load->caller_count; i++)
+    count += caller_response_contains (&load->callers[i], text);
+  return count;
+}
+
+/* One read of many callers runs on every instance that crashes, each time for
+   another cause, and is refused.  */
+START_TEST (common_request_is_taken_for_the_cause_of_crashes)
+{
+  static const crashing_request_t others
+      = { "POST", "/read/" CRASH_TEXT, "", true };
+  load_t load;
+
+  load_setup (&load, &others);
+  load.calm_path = "/read/common";
+  load_run (&load, LOAD_MS);
+  ck_assert_uint_eq (count_responses (&load, "\"poison\""), 0);
+  load_teardown (&load);
+}
+END_TEST
+
+/* An instance that resets connections and goes on is taken for one that
+   crashed.  */
+START_TEST (lost_connections_are_taken_for_crashes)
+{
+  static const crashing_request_t none = { "GET", "/read/b", "", false };
+  fake_action_t reset = ACT_RESET;
+  load_t load;
+
+  load_setup (&load, &none);
+  load.calm_path = "/read/a";
+  for (size_t i = 0; i < UPSTREAMS; i++)
+    fake_upstream_script (load.fixture.upstreams[i], &reset, 1);
+  load_run (&load, RESETS_MS);
+  ck_assert_uint_eq (count_responses (&load, "\"poison\""), 0);
+  load_teardown (&load);
+}
+END_TEST
+
+/* A gateway that starts after the crashes sends the request on.  */
+START_TEST (gateway_that_starts_sends_the_request_on)
+{
+  static const crashing_request_t request
+      = { "GET", "/read/" CRASH_TEXT, "", false };
+  load_t load;
+  caller_t caller;
+
+  load_setup (&load, &request);
+  load_run (&load, LOAD_MS);
+  gateway_fixture_t *f = &load.fixture;
+  gateway_t *started = gateway_fixture_start_gateway (f, "gateway-3", 3);
+  f->gateway = started;
+  gateway_fixture_wait (f, gateway_fixture_ready_status (f) == 200);
+  gateway_fixture_request (f, &caller, request.method, request.path,
+                           KEY_HEADER "vanillahook-attempt-id: late\r\n", "");
+  ck_assert_int_eq (caller_status (&caller), 503);
+  ck_assert (caller_response_contains (&caller, "\"poison\""));
+  ck_assert (caller_response_contains (&caller, "\"not-run\""));
+  caller_free (f, &caller);
+  gateway_destroy (started);
+  load_teardown (&load);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -202,6 +282,9 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, request_that_crashes_its_instances_is_sent_on, 0,
                        5);
+  tcase_add_test (tcase, common_request_is_taken_for_the_cause_of_crashes);
+  tcase_add_test (tcase, lost_connections_are_taken_for_crashes);
+  tcase_add_test (tcase, gateway_that_starts_sends_the_request_on);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -7,6 +7,7 @@
 
 #include <stdio.h>
 
+static const poison_options_t no_test_runs = { 0 };
 static clock_iface_t *manual_clock;
 static poison_t *poison;
 
@@ -14,7 +15,7 @@
 setup (void)
 {
   manual_clock = clock_manual_create (0);
-  poison = poison_create (manual_clock);
+  poison = poison_create (manual_clock, &no_test_runs);
 }
 
 static void
@@ -142,7 +143,7 @@
    any order and any number of times, must refuse the request.  */
 START_TEST (merge_depends_on_order_or_redelivery)
 {
-  poison_t *other = poison_create (manual_clock);
+  poison_t *other = poison_create (manual_clock, &no_test_runs);
   poison_record_t exchanged;
   size_t cursor = 0;
 
@@ -203,6 +204,230 @@
 }
 END_TEST
 
+static const poison_options_t gateway_options = { .test_runs_max = 3 };
+
+static void
+use_gateway_options (void)
+{
+  poison_destroy (poison);
+  poison = poison_create (manual_clock, &gateway_options);
+}
+
+/* Record crash CRASH_ID of CONTENT as a gateway does, AGE_MS ago.  */
+static bool
+merge (const char *content, uint64_t crash_id, uint64_t age_ms)
+{
+  return poison_merge (
+      poison, &(poison_record_t){ digest_key (content), crash_id, age_ms });
+}
+
+static poison_class_t
+judge_content (const char *content)
+{
+  return poison_classify (poison, digest_key (content), digest_key (content));
+}
+
+static void
+advance_ms (uint64_t ms)
+{
+  clock_manual_advance_us (manual_clock, ms * 1000);
+}
+
+/* A request that ran beside the cause of two crashes, and well in between, is
+   refused.  */
+START_TEST (run_without_a_crash_clears_nothing)
+{
+  advance_ms (1000);
+  merge ("beside", 1, 0);
+  ck_assert_int_eq (judge_content ("beside"), POISON_SUSPECT);
+  advance_ms (10);
+  ck_assert_uint_eq (poison_record_success (poison, digest_key ("beside"), 0),
+                     1);
+  ck_assert_int_eq (judge_content ("beside"), POISON_CLEAR);
+  /* A crash from before that is told late changes nothing.  */
+  ck_assert (!merge ("beside", 1, 10));
+  ck_assert_int_eq (judge_content ("beside"), POISON_CLEAR);
+  /* A run from before a crash that is told late clears nothing.  */
+  merge ("late", 1, 0);
+  ck_assert_uint_eq (poison_record_success (poison, digest_key ("late"), 50),
+                     0);
+  ck_assert_int_eq (judge_content ("late"), POISON_SUSPECT);
+}
+END_TEST
+
+/* A read that many callers repeat runs on three instances that all crash at
+   once, and is refused though it ran well just before.  */
+START_TEST (common_request_is_refused_after_a_crash_of_many)
+{
+  use_gateway_options ();
+  poison_record_success (poison, digest_key ("hot"), 0);
+  advance_ms (1000);
+  for (uint64_t crash = 1; crash < POISON_CRASHES_TO_REFUSE_PROVEN; crash++)
+    {
+      merge ("hot", crash, 0);
+      ck_assert_int_eq (judge_content ("hot"), POISON_SUSPECT);
+    }
+  merge ("hot", POISON_CRASHES_TO_REFUSE_PROVEN, 0);
+  ck_assert_int_eq (judge_content ("hot"), POISON_REFUSED);
+}
+END_TEST
+
+/* A request that was refused by mistake stays refused, or one that crashes its
+   instances is tested without end.  */
+START_TEST (refused_request_is_never_or_always_tested)
+{
+  poison_key_t key = digest_key ("bad");
+  uint64_t delay_ms = POISON_TEST_DELAY_MS;
+
+  use_gateway_options ();
+  merge ("bad", 1, 0);
+  ck_assert_uint_eq (poison_test_wait_ms (poison, key), 0);
+  merge ("bad", 2, 0);
+  for (uint64_t crash = 3; crash <= 5; crash++)
+    {
+      ck_assert_uint_eq (poison_test_wait_ms (poison, key), delay_ms);
+      advance_ms (delay_ms);
+      ck_assert_uint_eq (poison_test_wait_ms (poison, key), 0);
+      poison_test_started (poison, key);
+      ck_assert_uint_eq (poison_test_wait_ms (poison, key), delay_ms);
+      ck_assert_int_eq (judge_content ("bad"), POISON_REFUSED);
+      merge ("bad", crash, 0);
+      delay_ms *= 2;
+    }
+  ck_assert_uint_eq (poison_test_wait_ms (poison, key), UINT64_MAX);
+  ck_assert (!merge ("bad", 6, 0));
+  ck_assert_uint_eq (poison_record_success (poison, key, 0), 5);
+  ck_assert_int_eq (judge_content ("bad"), POISON_CLEAR);
+}
+END_TEST
+
+/* A request that ran well once and then crashes each instance gets more than
+   three runs after the third crash.  */
+START_TEST (proven_request_crashes_too_many)
+{
+  use_gateway_options ();
+  poison_record_success (poison, digest_key ("turned"), 0);
+  for (uint64_t crash = 1; crash <= POISON_CRASHES_MAX; crash++)
+    {
+      advance_ms (1);
+      ck_assert (merge ("turned", crash, 0));
+    }
+  ck_assert (!merge ("turned", POISON_CRASHES_MAX + 1, 0));
+  ck_assert_uint_eq (poison_test_wait_ms (poison, digest_key ("turned")),
+                     UINT64_MAX);
+}
+END_TEST
+
+/* Callers of one service in virtual time: half of the requests have one
+   content, the others one each.  A request that is lost in a crash is sent
+   twice more.  */
+typedef struct
+{
+  double crashes_per_s; /* Of each instance, without a guilty request.  */
+  bool has_guilty;      /* A request that crashes its instances comes every
+                           400 ms.  */
+} crash_load_t;
+
+typedef struct
+{
+  unsigned sent;
+  unsigned refused; /* Without the guilty ones.  */
+  unsigned guilty_crashes;
+} crash_outcome_t;
+
+/* Return whether a request with the content TEXT may run now.  */
+static bool
+may_run (const char *text)
+{
+  if (judge_content (text) != POISON_REFUSED)
+    return true;
+  if (poison_test_wait_ms (poison, digest_key (text)) > 0)
+    return false;
+  poison_test_started (poison, digest_key (text));
+  return true;
+}
+
+static crash_outcome_t
+run_crash_load (const crash_load_t *load, uint64_t seed)
+{
+  enum
+  {
+    INSTANCES = 3,
+    RUN_MS = 30,
+    REQUEST_INTERVAL_MS = 10,
+    GUILTY_START_MS = 5000,
+    GUILTY_INTERVAL_MS = 400,
+    DOWN_MS = 3000,
+    SPAN_MS = 120000,
+    SENDS = 3
+  };
+  rng_t rng = rng_make (seed);
+  uint64_t up_at_ms[INSTANCES] = { 0 };
+  uint64_t next_crash = 1;
+  crash_outcome_t outcome = { 0 };
+
+  use_gateway_options ();
+  for (uint64_t ms = 0; ms < SPAN_MS; ms += REQUEST_INTERVAL_MS)
+    {
+      bool is_guilty = load->has_guilty && ms >= GUILTY_START_MS
+                       && ms % GUILTY_INTERVAL_MS == 0;
+      char text[32];
+      snprintf (text, sizeof text, is_guilty ? "guilty" : "hot");
+      if (!is_guilty && rng_below (&rng, 2) == 0)
+        snprintf (text, sizeof text, "r%llu", (unsigned long long)ms);
+      outcome.sent += !is_guilty;
+      for (int send = 0; send < SENDS; send++)
+        {
+          size_t instance = rng_below (&rng, INSTANCES);
+          if (ms < up_at_ms[instance])
+            continue;
+          if (!may_run (text))
+            {
+              outcome.refused += !is_guilty;
+              break;
+            }
+          if (!is_guilty
+              && (double)rng_below (&rng, 1000000)
+                     >= load->crashes_per_s * RUN_MS * 1000)
+            {
+              poison_record_success (poison, digest_key (text), 0);
+              break;
+            }
+          merge (text, next_crash, 0);
+          /* The common request runs there as well in one of two cases.  */
+          if (rng_below (&rng, 2) == 0)
+            merge ("hot", next_crash, 0);
+          next_crash++;
+          up_at_ms[instance] = ms + DOWN_MS;
+          outcome.guilty_crashes += is_guilty;
+        }
+      advance_ms (REQUEST_INTERVAL_MS);
+    }
+  return outcome;
+}
+
+/* Calm callers are refused because instances crash for other reasons, or a
+   guilty request costs many instances.  */
+START_TEST (crashes_of_other_causes_refuse_calm_requests)
+{
+  static const crash_load_t loads[] = {
+    { 0.01, false }, { 0.3, false }, { 1, false }, { 0, true }, { 0.3, true },
+  };
+  unsigned sent = 0;
+  unsigned refused = 0;
+
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      crash_outcome_t outcome = run_crash_load (&loads[_i], seed);
+      sent += outcome.sent;
+      refused += outcome.refused;
+      ck_assert_uint_le (outcome.guilty_crashes, 3);
+    }
+  /* The share of requests that may be denied.  */
+  ck_assert_uint_le (refused, 5 + sent / 500);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -218,6 +443,12 @@
   tcase_add_test (tcase, records_do_not_expire);
   tcase_add_test (tcase, merge_depends_on_order_or_redelivery);
   tcase_add_test (tcase, full_memory_drops_refusals);
+  tcase_add_test (tcase, run_without_a_crash_clears_nothing);
+  tcase_add_test (tcase, common_request_is_refused_after_a_crash_of_many);
+  tcase_add_test (tcase, refused_request_is_never_or_always_tested);
+  tcase_add_test (tcase, proven_request_crashes_too_many);
+  tcase_add_loop_test (tcase, crashes_of_other_causes_refuse_calm_requests, 0,
+                       5);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
