platform: store.era tells when the store comes back from another copy

What was seen: an answer with a lower version may have been overtaken, or the store's counter went back; the log could not tell.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -42,6 +42,10 @@
      "A stale answer is left out")                                            \
   X (EVENT_STORE_FORGOT, "store", "forgot", NOTICE, 20,                       \
      "The history is gone and the table is read anew")                        \
+  X (EVENT_STORE_ERA, "store", "era", NOTICE, 20,                             \
+     "The store has another era")                                             \
+  X (EVENT_STORE_ERA_BAD, "store", "era-unreadable", WARNING, 5,              \
+     "The era of a response of the store cannot be read")                     \
   X (EVENT_STORE_CALL, "store", "call-failed", INFO, 20,                      \
      "A call of the store failed")                                            \
   X (EVENT_READER, "store", "reader-failed", INFO, 20,                        \
@@ -150,6 +154,9 @@
   X (FIELD_EXTRA, "extra", "Extra sends that the service has left here")      \
   X (FIELD_CONFIDENCE, "confidence", "Confidence of the dropped answer")      \
   X (FIELD_TABLE, "table", "Table of the store")                              \
+  X (FIELD_ERA, "era",                                                        \
+     "Era of the store, which rises when it comes back from an older copy")   \
+  X (FIELD_SEQUENCE, "sequence", "Number of the registration's last write")   \
   X (FIELD_SEEN, "seen", "Store version seen before")                         \
   X (FIELD_CODE, "code", "Result code; see CODES.md")                         \
   X (FIELD_COUNT, "count", "How many")                                        \
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -204,7 +204,8 @@
              log_field_text (FIELD_VERSION, info.version),
              log_field_text (FIELD_ZONE, info.zone),
              log_field_number (FIELD_DRAINING, info.draining),
-             log_field_number (FIELD_COLD_MS, info.cold_ms));
+             log_field_number (FIELD_COLD_MS, info.cold_ms),
+             log_field_number (FIELD_SEQUENCE, info.sequence));
   crash_records_apply_registration (state->crash_records, &info);
   pool_put (state->pool, &info);
   announced_limits_apply_registration (state->announced_limits, info.id);
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -120,6 +120,8 @@
   bool draining;
   uint64_t cold_ms;     /* Remaining time until the instance is warm.  */
   uint64_t incarnation; /* Differs for each process start under an id.  */
+  uint64_t sequence;    /* Rises with each write of the registration by one
+                           process; 0: unknown.  */
 } upstream_info_t;
 
 typedef struct
