rows: versions of the store bear its era

A gateway that called only after the counter had passed missed the changes between.

Cause: versions were taken as always rising; nobody read Store-Era. Class: a counter that its giver restarts, compared without its generation.

A watch after a version of an earlier era ends as without history, pages of two eras are not joined, a reader in an earlier era says that it cannot serve, a condition of an earlier era is a conflict and is not sent. The table is read once more 10 s after a change of the era, for what was older in the copy.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -44,6 +44,8 @@
      "The history is gone and the table is read anew")                        \
   X (EVENT_STORE_ERA, "store", "era", NOTICE, 20,                             \
      "The store has another era")                                             \
+  X (EVENT_TABLE_ERA, "store", "table-era", NOTICE, 20,                       \
+     "The store came back from an older copy and the table is read anew")     \
   X (EVENT_STORE_ERA_BAD, "store", "era-unreadable", WARNING, 5,              \
      "The era of a response of the store cannot be read")                     \
   X (EVENT_STORE_CALL, "store", "call-failed", INFO, 20,                      \
--- a/packages/gateway/peerrows.c
+++ b/packages/gateway/peerrows.c
@@ -275,7 +275,8 @@
   bool is_serving = may_serve (peer_rows, call->tells);
   if (is_serving)
     receive_piggyback (peer_rows, call);
-  if (!rowcache_is_complete (cache) || rowcache_is_down (cache) || !is_serving)
+  if (!rowcache_is_complete (cache) || rowcache_is_down (cache) || !is_serving
+      || rowcache_is_before_era (cache, call->after))
     reply_code (request, VH_E_STORE_DOWN);
   else if (call->whole)
     reply_rows (peer_rows, request, call->table, 0, true);
--- a/packages/gateway/rowcache.c
+++ b/packages/gateway/rowcache.c
@@ -162,7 +162,12 @@
                        const rows_result_t *result)
 {
   uint64_t now_ms = clock_boottime_ms (cache->clock);
+  uint64_t era = rows_version_era (result->version);
 
+  if (era < rows_version_era (cache->version)
+      || (call->is_read && !call->is_first_page
+          && era != rows_version_era (cache->read_version)))
+    return;
   if (call->is_read && call->is_first_page)
     {
       free_rows (cache);
@@ -238,6 +243,12 @@
   return cache->is_complete;
 }
 
+bool
+rowcache_is_before_era (const rowcache_t *cache, uint64_t after)
+{
+  return rows_version_era (cache->version) < rows_version_era (after);
+}
+
 bool
 rowcache_has_history (const rowcache_t *cache, uint64_t after)
 {
--- a/packages/gateway/rowcache.h
+++ b/packages/gateway/rowcache.h
@@ -32,7 +32,9 @@
 void rowcache_destroy (rowcache_t *cache);
 
 /* Apply RESULT, the reply to CALL.  The reply to a watch is ignored if its
-   store version is lower than the cached version.  */
+   store version is lower than the cached version, any reply if it is from an
+   earlier era of the store, and a further page if it is from another era than
+   the first.  */
 void rowcache_apply_result (rowcache_t *cache, const rowcache_call_t *call,
                             const rows_result_t *result);
 /* Record that the store did not reply to the last call.  rowcache_is_down
@@ -57,6 +59,9 @@
                                const rows_result_t *result);
 /* Return whether all rows of the table are known.  */
 bool rowcache_is_complete (const rowcache_t *cache);
+/* Return whether a caller that has version AFTER knows a later era of the
+   store than CACHE.  */
+bool rowcache_is_before_era (const rowcache_t *cache, uint64_t after);
 /* Return whether all deletions after version AFTER are known.  */
 bool rowcache_has_history (const rowcache_t *cache, uint64_t after);
 /* Return whether a row changed after version AFTER.  */
--- a/packages/gateway/rows.h
+++ b/packages/gateway/rows.h
@@ -9,10 +9,16 @@
    and on the link: if slow calls were aborted and repeated, a large reply over
    a slow link would never arrive.
 
+   Versions order all changes of the store.  The store counts its transactions.
+   When it comes back from an older copy, it gives counts out again and its era
+   rises, so a version consists of the era and the count, and versions of
+   different eras compare as the eras do.
+
    Codes: VH_OK; VH_E_CONFLICT, a condition of a write did not hold;
    VH_E_NOT_FOUND, the store no longer has all changes after the version given
-   in a watch; VH_E_STORE_BUSY and VH_E_STORE_DOWN, nothing was written;
-   VH_E_STORE_LATE, a write may have been applied or may still be applied.  */
+   in a watch, or is in a later era than that version; VH_E_STORE_BUSY and
+   VH_E_STORE_DOWN, nothing was written; VH_E_STORE_LATE, a write may have been
+   applied or may still be applied.  */
 
 #ifndef GATEWAY_ROWS_H
 #define GATEWAY_ROWS_H
@@ -20,6 +26,30 @@
 #include "base/code.h"
 #include "base/str.h"
 
+enum
+{
+  ROWS_COUNT_BITS = 40, /* Bits of a version that hold the count.  */
+  ROWS_ERA_MAX = (1 << (64 - ROWS_COUNT_BITS)) - 1
+};
+
+static inline uint64_t
+rows_version_make (uint64_t era, uint64_t count)
+{
+  return era << ROWS_COUNT_BITS | count;
+}
+
+static inline uint64_t
+rows_version_era (uint64_t version)
+{
+  return version >> ROWS_COUNT_BITS;
+}
+
+static inline uint64_t
+rows_version_count (uint64_t version)
+{
+  return version & (((uint64_t)1 << ROWS_COUNT_BITS) - 1);
+}
+
 typedef enum
 {
   ROWS_OPERATOR,  /* Configuration and other rows written by operators; read
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -459,8 +459,10 @@
 on_operator_rows_synced (void *arg, bool is_full_read)
 {
   static const table_sync_events_t events
-      = { on_instance_put, on_instance_removed, on_instances_synced,
-          on_instances_reachability };
+      = { .put = on_instance_put,
+          .removed = on_instance_removed,
+          .synced = on_instances_synced,
+          .reachability = on_instances_reachability };
   store_sync_t *sync = arg;
   gateway_state_t *state = sync->state;
 
@@ -490,8 +492,10 @@
                    peer_rows_t *peer_rows)
 {
   static const table_sync_events_t operator_events
-      = { on_operator_row_put, on_operator_row_removed,
-          on_operator_rows_synced, on_operator_rows_reachability };
+      = { .put = on_operator_row_put,
+          .removed = on_operator_row_removed,
+          .synced = on_operator_rows_synced,
+          .reachability = on_operator_rows_reachability };
   static const table_sync_options_t shared_rows
       = { .table = ROWS_SHARED,
           .name = "own",
@@ -500,7 +504,9 @@
           .timeout_slack_ms = SHARED_TIMEOUT_SLACK_MS,
           .call_gap_ms = SHARED_CALL_GAP_MS };
   static const table_sync_events_t shared_events
-      = { on_shared_put, on_shared_removed, on_shared_synced, NULL };
+      = { .put = on_shared_put,
+          .removed = on_shared_removed,
+          .synced = on_shared_synced };
   store_sync_t *sync = mem_zalloc (sizeof *sync);
 
   sync->state = state;
--- a/packages/gateway/tablesync.c
+++ b/packages/gateway/tablesync.c
@@ -28,6 +28,9 @@
                             applied.  */
   uint64_t read_version; /* Store version of the first page of the current
                             read.  */
+  uint64_t reread_ms; /* Time, in ms of the boot clock, at which the table is
+                         read again after a change of the era; 0: none is
+                         due.  */
   /* Time at which the last call was sent, in ms of the boot clock.  */
   uint64_t sent_ms;
   /* Time at which the call for the first page of the current read was sent, in
@@ -88,6 +91,21 @@
                            : TABLE_SYNC_WATCH_GAP_MS);
 }
 
+static bool
+is_later_era (uint64_t version, uint64_t than)
+{
+  return rows_version_era (version) > rows_version_era (than);
+}
+
+/* Read the whole table from its first page on.  */
+static void
+restart_read (table_sync_t *sync)
+{
+  sync->is_reading = true;
+  sync->next_key.len = 0;
+  schedule_call (sync, TABLE_SYNC_WATCH_GAP_MS);
+}
+
 /* Schedule the next call after a call that failed with CODE.  */
 static void
 handle_failure (table_sync_t *sync, vh_code_t code)
@@ -96,9 +114,7 @@
     {
       log_event (EVENT_STORE_FORGOT,
                  log_field_text (FIELD_TABLE, str_from (sync->options.name)));
-      sync->is_reading = true;
-      sync->next_key.len = 0;
-      schedule_call (sync, TABLE_SYNC_WATCH_GAP_MS);
+      restart_read (sync);
       return;
     }
   set_down (sync, true, code);
@@ -159,11 +175,29 @@
   sync->retry_delay_ms = TABLE_SYNC_RETRY_MIN_MS;
 }
 
+/* Prepare for the rows of a store whose era is that of RESULT.  */
+static void
+begin_era (table_sync_t *sync, const rows_result_t *result)
+{
+  log_event (
+      EVENT_TABLE_ERA,
+      log_field_text (FIELD_TABLE, str_from (sync->options.name)),
+      log_field_number (FIELD_ERA, rows_version_era (result->version)),
+      log_field_number (FIELD_BEFORE, rows_version_era (sync->version)),
+      log_field_number (FIELD_ORDER, rows_version_count (result->version)),
+      log_field_number (FIELD_SEEN, rows_version_count (sync->version)));
+  sync->reread_ms = clock_boottime_ms (sync->clock) + TABLE_SYNC_REWRITE_MS;
+  if (sync->events.era_changed != NULL)
+    sync->events.era_changed (sync->arg);
+}
+
 static void
 apply_page (table_sync_t *sync, const rows_result_t *result)
 {
   if (sync->next_key.len == 0)
     {
+      if (sync->version != 0 && is_later_era (result->version, sync->version))
+        begin_era (sync, result);
       sync->read_number++;
       sync->read_version = result->version;
       sync->read_sent_ms = sync->sent_ms;
@@ -229,10 +263,13 @@
   if (result->version < sync->version)
     {
       /* Rows of an older version would undo changes that are in force.  */
-      log_event (EVENT_STORE_STALE,
-                 log_field_text (FIELD_TABLE, str_from (sync->options.name)),
-                 log_field_number (FIELD_ORDER, result->version),
-                 log_field_number (FIELD_SEEN, sync->version));
+      log_event (
+          EVENT_STORE_STALE,
+          log_field_text (FIELD_TABLE, str_from (sync->options.name)),
+          log_field_number (FIELD_ERA, rows_version_era (result->version)),
+          log_field_number (FIELD_ORDER, rows_version_count (result->version)),
+          log_field_number (FIELD_BEFORE, rows_version_era (sync->version)),
+          log_field_number (FIELD_SEEN, rows_version_count (sync->version)));
       sync->next_key.len = 0;
       schedule_retry (sync, rng_jitter (&sync->rng, TABLE_SYNC_RETRY_MAX_MS));
       return;
@@ -240,7 +277,13 @@
   /* Report the end of an outage before passing on the rows, because the
      callbacks treat rows removed shortly after an outage differently.  */
   set_down (sync, false, VH_OK);
-  if (sync->is_reading)
+  /* Changes and pages of different eras do not belong together.  */
+  if (sync->is_reading
+          ? sync->next_key.len > 0
+                && is_later_era (result->version, sync->read_version)
+          : is_later_era (result->version, sync->version))
+    restart_read (sync);
+  else if (sync->is_reading)
     apply_page (sync, result);
   else
     apply_changes (sync, result);
@@ -251,6 +294,12 @@
 send_call (table_sync_t *sync)
 {
   sync->sent_ms = clock_boottime_ms (sync->clock);
+  if (sync->reread_ms != 0 && sync->sent_ms >= sync->reread_ms)
+    {
+      sync->reread_ms = 0;
+      sync->is_reading = true;
+      sync->next_key.len = 0;
+    }
   if (sync->is_reading)
     sync->rows->ops->read (sync->rows, sync->options.table,
                            buf_str (&sync->next_key),
--- a/packages/gateway/tablesync.h
+++ b/packages/gateway/tablesync.h
@@ -13,7 +13,12 @@
    up to date: the time at which the call was sent whose reply was applied.  A
    reply whose store version is lower than that of an earlier reply is stale:
    its rows are not applied, and the reply does not count as a
-   confirmation.  */
+   confirmation.
+
+   When the store comes back from an older copy, its era rises, and the whole
+   table is read anew.  That read may return rows that are older than those
+   known, until their writers have written them again.  So the table is read
+   once more after TABLE_SYNC_REWRITE_MS.  */
 
 #ifndef GATEWAY_TABLESYNC_H
 #define GATEWAY_TABLESYNC_H
@@ -40,7 +45,10 @@
   TABLE_SYNC_READ_TIMEOUT_MS = 1500,
   /* Shortest pause between watch calls.  Prevents a busy loop if the store
      replies to watches at once without changes.  */
-  TABLE_SYNC_WATCH_GAP_MS = 20
+  TABLE_SYNC_WATCH_GAP_MS = 20,
+  /* Time after the return of the store from an older copy in which the rows
+     that were lost are written again.  */
+  TABLE_SYNC_REWRITE_MS = 10000
 };
 
 typedef struct
@@ -75,6 +83,11 @@
   /* Called when the store stopped replying (IS_DOWN) or replies again; may be
      NULL.  */
   void (*reachability) (void *arg, bool is_down);
+  /* Called before the first rows of a read that found the store in a later
+     era; may be NULL.  The rows up to the next call of synced with
+     IS_FULL_READ are from the copy from which the store came back, or were
+     written since.  */
+  void (*era_changed) (void *arg);
 } table_sync_events_t;
 
 /* Start to synchronise a table.  ROWS must outlive the result; OPTIONS and
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -484,11 +484,11 @@
 trial_merge (trial_t *trial, str_t process, bool was_sent_by_peer, str_t text)
 {
   counts_t received = { .was_sent_by_peer = was_sent_by_peer };
-  double order;
+  uint64_t order;
 
-  if (!read_number (&text, &order))
+  if (!str_to_u64 (str_cut (text, ' ', &text), &order))
     return VH_E_PROTOCOL;
-  if ((uint64_t)order != trial->order)
+  if (order != trial->order)
     return VH_OK;
   for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
     for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -53,7 +53,8 @@
   stored_row_t rows[ROWS_MAX];
   size_t count;
   uint64_t version;
-  row_set_t *copy;        /* NULL: none was taken.  */
+  row_set_t *copy; /* NULL: none was taken.  */
+  uint64_t era;
   uint64_t stale_version; /* Version of the rows in replies; 0: the newest
                              version.  */
   /* Watches after a version lower than this end with VH_E_NOT_FOUND.  */
@@ -105,11 +106,12 @@
   void *arg = call->arg;
   uint64_t version_max
       = fake->stale_version != 0 ? fake->stale_version : fake->version;
-  rows_result_t result = { .rows = rows,
-                           .version = version_max,
-                           .store_now_ms = fake_rows_now_ms (fake),
-                           .is_direct = true,
-                           .store_confirmed_ms = fake_rows_now_ms (fake) };
+  rows_result_t result
+      = { .rows = rows,
+          .version = rows_version_make (fake->era, version_max),
+          .store_now_ms = fake_rows_now_ms (fake),
+          .is_direct = true,
+          .store_confirmed_ms = fake_rows_now_ms (fake) };
   vh_code_t code = fake->is_down ? VH_E_STORE_DOWN : call->code;
 
   if (call->kind == CALL_WATCH
@@ -124,7 +126,8 @@
         continue;
       rows[result.count++]
           = (rows_row_t){ str_from (row->key), str_from (row->value),
-                          row->version, row->deleted };
+                          rows_version_make (fake->era, row->version),
+                          row->deleted };
     }
   call_end (call);
   cb (arg, code, code == VH_OK ? &result : NULL);
@@ -173,14 +176,19 @@
             uint64_t timeout_ms, rows_cb_t cb, void *arg)
 {
   fake_rows_t *fake = (fake_rows_t *)rows;
-  bool has_changes = after < fake->history_floor || after > fake->version;
+  uint64_t count = rows_version_count (after);
+  bool is_earlier_era = rows_version_era (after) < fake->era;
+  bool has_changes
+      = is_earlier_era || count < fake->history_floor || count > fake->version;
 
   (void)timeout_ms;
   for (size_t i = 0; i < fake->count; i++)
-    if (fake->rows[i].table == table && fake->rows[i].version > after)
+    if (fake->rows[i].table == table && fake->rows[i].version > count)
       has_changes = true;
-  call_add (fake, CALL_WATCH, table, after, has_changes ? 1 : wait_ms, cb,
-            arg);
+  fake_call_t *call = call_add (fake, CALL_WATCH, table, count,
+                                has_changes ? 1 : wait_ms, cb, arg);
+  if (is_earlier_era)
+    call->code = VH_E_NOT_FOUND;
 }
 
 /* Reply to the watches on TABLE on a later iteration of the loop.  */
@@ -232,6 +240,8 @@
       const stored_row_t *row
           = find_row (fake, writes[i].table, writes[i].key);
       uint64_t version = row == NULL || row->deleted ? 0 : row->version;
+      if (version != 0)
+        version = rows_version_make (fake->era, version);
       if (writes[i].is_conditional && version != writes[i].expected_version)
         call->code = VH_E_CONFLICT;
     }
@@ -386,6 +396,12 @@
     reply_to_watches (fake, table);
 }
 
+void
+fake_rows_set_era (fake_rows_t *fake, uint64_t era)
+{
+  fake->era = era;
+}
+
 void
 fake_rows_take_copy (fake_rows_t *fake)
 {
@@ -405,6 +421,8 @@
   copy_rows (fake->copy->rows, fake->rows, fake->copy->count);
   fake->count = fake->copy->count;
   fake->version = fake->copy->version;
+  if (fake->era > 0)
+    fake->era++;
   LIST_EACH (at, &fake->pending)
     {
       fake_call_t *call = CONTAINER_OF (at, fake_call_t, link);
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -33,6 +33,9 @@
 /* Drop the history of changes: watches after an older version end with
    VH_E_NOT_FOUND.  */
 void fake_rows_drop_history (fake_rows_t *fake);
+/* Use versions of ERA, which rises with each return to a copy.  Without a call
+   the versions have no era, as those in the responses of a store.  */
+void fake_rows_set_era (fake_rows_t *fake, uint64_t era);
 /* Copy all rows and the version; a copy taken before is dropped.  */
 void fake_rows_take_copy (fake_rows_t *fake);
 /* Go back to the rows and the version of the copy.  Pending calls and watches
--- a/tests/test_config_delay.c
+++ b/tests/test_config_delay.c
@@ -26,6 +26,7 @@
   ZONES = 3,
   WAIT_LIMIT_MS = 15000,
   STEP_MS = 5,
+  LOST_CHANGES = 5, /* Changes that a return of the store loses.  */
   /* Time from the start of the fleets to the change.  */
   CHANGE_AT_MS = 2500
 };
@@ -60,6 +61,7 @@
   size_t gateway_count;
   size_t unreachable_count;
   store_access_t access;
+  bool is_return; /* The store also comes back from an older copy.  */
 } scenario_t;
 
 typedef struct
@@ -98,7 +100,7 @@
             const table_sync_options_t *options, table_copy_t *copy)
 {
   static const table_sync_events_t events
-      = { on_put, on_removed, on_synced, NULL };
+      = { .put = on_put, .removed = on_removed, .synced = on_synced };
 
   copy->sync = table_sync_create (&f->loop, clock_system (),
                                   peer_rows_iface (gateway->peer_rows), seed,
@@ -176,6 +178,7 @@
       fleet_t *fleet = &f->fleets[k];
       fleet->fault_at_ms = first_ms + k * spacing_ms;
       fleet->store = fake_rows_create (&f->loop);
+      fake_rows_set_era (fleet->store, 1);
       fake_rows_put (fleet->store, ROWS_OPERATOR, "a", "one");
       fake_rows_put (fleet->store, ROWS_INSTANCES, "a", "one");
       fleet->gateways
@@ -187,6 +190,15 @@
   for (size_t k = 0; k < count; k++)
     for (size_t i = 0; i < scenario->gateway_count; i++)
       LOOP_WAIT (&f->wait, has_value (&f->fleets[k].gateways[i], "one"));
+  for (size_t k = 0; scenario->is_return && k < count; k++)
+    {
+      fake_rows_take_copy (f->fleets[k].store);
+      for (size_t i = 0; i < LOST_CHANGES; i++)
+        {
+          fake_rows_put (f->fleets[k].store, ROWS_OPERATOR, "a", "lost");
+          fake_rows_put (f->fleets[k].store, ROWS_INSTANCES, "a", "lost");
+        }
+    }
 }
 
 static void
@@ -223,6 +235,8 @@
       if (fleet->has_fault || elapsed_ms < fleet->fault_at_ms)
         continue;
       fleet->has_fault = true;
+      if (f->scenario->is_return)
+        fake_rows_return_to_copy (fleet->store);
       for (size_t i = 0; i < f->scenario->unreachable_count; i++)
         partitioned_store_set_access (fleet->gateways[i].store,
                                       f->scenario->access);
@@ -275,19 +289,23 @@
   enum
   {
     /* The fault begins between this time before the change and shortly after
-       the change.  */
+       the change.  A return of the store comes before the change, which would
+       be lost else.  */
     EARLIEST_BEFORE_CHANGE_MS = 1400,
-    SPAN_MS = 1600
+    SPAN_MS = 1600,
+    RETURN_SPAN_MS = 1380
   };
   fixture_t f;
+  uint64_t span_ms = scenario->is_return ? RETURN_SPAN_MS : SPAN_MS;
 
   setup (&f, scenario, fleet_count, CHANGE_AT_MS - EARLIEST_BEFORE_CHANGE_MS,
-         SPAN_MS / fleet_count);
+         span_ms / fleet_count);
   uint64_t longest_ms = measure_delay (&f);
-  printf ("%zu gateways, %zu without the store (%s): in force after at most "
+  printf ("%zu gateways, %zu without the store (%s)%s: in force after at most "
           "%llu ms\n",
           scenario->gateway_count, scenario->unreachable_count,
           scenario->access == STORE_SILENT ? "silent" : "refusing",
+          scenario->is_return ? ", which returns" : "",
           (unsigned long long)longest_ms);
   ck_assert_uint_lt (longest_ms, APPLY_MAX_MS);
   teardown (&f);
@@ -299,10 +317,10 @@
 START_TEST (change_is_missed_while_readers_cannot_reach_the_store)
 {
   static const scenario_t scenarios[] = {
-    { 6, 1, STORE_SILENT },
-    { 6, 2, STORE_SILENT },
-    { 6, 3, STORE_SILENT },
-    { 6, 2, STORE_REFUSING },
+    { 6, 1, STORE_SILENT, false },
+    { 6, 2, STORE_SILENT, false },
+    { 6, 3, STORE_SILENT, false },
+    { 6, 2, STORE_REFUSING, false },
   };
 
   check_delay (&scenarios[_i], 32);
@@ -313,16 +331,31 @@
 START_TEST (change_is_missed_in_a_large_fleet_whose_readers_lost_the_store)
 {
   static const scenario_t scenarios[] = {
-    { 22, 8, STORE_SILENT },
-    { 22, 8, STORE_REFUSING },
-    { 40, 14, STORE_SILENT },
-    { 40, 14, STORE_REFUSING },
+    { 22, 8, STORE_SILENT, false },
+    { 22, 8, STORE_REFUSING, false },
+    { 40, 14, STORE_SILENT, false },
+    { 40, 14, STORE_REFUSING, false },
   };
 
   check_delay (&scenarios[_i], 4);
 }
 END_TEST
 
+/* The store came back from an older copy, and gateways that learned it late,
+   or only through a reader, missed the next change.  */
+START_TEST (change_is_missed_after_the_store_came_back)
+{
+  static const scenario_t scenarios[] = {
+    { 6, 0, STORE_REACHABLE, true },
+    { 6, 2, STORE_SILENT, true },
+    { 22, 0, STORE_REACHABLE, true },
+    { 40, 14, STORE_REFUSING, true },
+  };
+
+  check_delay (&scenarios[_i], scenarios[_i].gateway_count > 6 ? 4 : 32);
+}
+END_TEST
+
 /* The waits and timeouts that a change may meet on its way added up to more
    than the time within which it must be in force.  */
 START_TEST (waits_of_a_change_exceed_its_time)
@@ -375,6 +408,8 @@
   tcase_add_loop_test (
       tcase, change_is_missed_in_a_large_fleet_whose_readers_lost_the_store, 0,
       4);
+  tcase_add_loop_test (tcase, change_is_missed_after_the_store_came_back, 0,
+                       4);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -262,7 +262,7 @@
                                                 .wait_ms = 1500,
                                                 .timeout_slack_ms = 500 };
   static const table_sync_events_t events
-      = { on_put, on_removed, on_synced, NULL };
+      = { .put = on_put, .removed = on_removed, .synced = on_synced };
 
   f->sync = table_sync_create (&f->loop, clock_system (), f->rows, 1, &options,
                                &events, f);
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -82,7 +82,7 @@
                                                      .wait_ms = 1500,
                                                      .timeout_slack_ms = 500 };
   static const table_sync_events_t events
-      = { on_put, on_removed, on_synced, NULL };
+      = { .put = on_put, .removed = on_removed, .synced = on_synced };
   fleet_gateway_t *gateway = &f->gateways[index];
   char name[16];
 
--- a/tests/test_share_fleet.c
+++ b/tests/test_share_fleet.c
@@ -229,9 +229,9 @@
                                                    .wait_ms = 8000,
                                                    .timeout_slack_ms = 1000 };
       static const table_sync_events_t events
-          = { on_put, on_removed, on_synced, NULL };
+          = { .put = on_put, .removed = on_removed, .synced = on_synced };
       static const table_sync_events_t shared_events
-          = { ignore_put, on_removed, on_synced, NULL };
+          = { .put = ignore_put, .removed = on_removed, .synced = on_synced };
       fleet_gateway_t *gateway = &f->gateways[i];
       rows_t *rows = peer_rows_iface (gateway->peer_rows);
       gateway->sync = table_sync_create (&f->loop, clock_system (), rows, 1,
--- a/tests/test_store_copy.c
+++ b/tests/test_store_copy.c
@@ -325,7 +325,11 @@
 
   fleet_setup (&fleet);
   put_instance (&fleet, 0, "zone-b", "ready", 1);
+  /* Without another instance, requests go to that in the zone.  */
+  for (size_t i = 1; i < UPSTREAMS; i++)
+    put_instance (&fleet, i, "zone-a", "draining", 1);
   start_gateways (&fleet);
+  ck_assert_uint_gt (count_requests (&fleet, 0, CHECK_MS), 0);
   fake_rows_take_copy (fleet.fixture.rows);
   fake_rows_put (fleet.fixture.rows, ROWS_OPERATOR, "zone/zone-b", "");
   return_to_copy (&fleet, "2");
@@ -388,6 +392,31 @@
 }
 END_TEST
 
+/* Responses without an era, or with one that cannot be read, keep the gateways
+   from the changes.  */
+START_TEST (unreadable_era_hides_a_change)
+{
+  static const char *const eras[]
+      = { NULL, "", "soon", "-1", "999999999999999999999", "1" };
+  fleet_t fleet;
+  char value[32];
+
+  fleet_setup (&fleet);
+  start_gateways (&fleet);
+  for (size_t i = 0; i < sizeof eras / sizeof eras[0]; i++)
+    {
+      http_store_set_era (fleet.store, eras[i]);
+      fleet_run_for (&fleet, SETTLE_MS);
+      snprintf (value, sizeof value, "%zu key-%zu", i + 2, i + 2);
+      fake_rows_put (fleet.fixture.rows, ROWS_OPERATOR, "catalog", value);
+      fleet_run_for (&fleet, SETTLE_MS);
+      ck_assert_uint_gt (count_status (&fleet, value + 2, CHECK_MS, 200),
+                         CHECK_MS / CALL_INTERVAL_MS / 2);
+    }
+  fleet_teardown (&fleet);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -408,6 +437,7 @@
   tcase_add_test (tcase, zone_taken_out_before_the_return_gets_requests);
   tcase_add_test (tcase, rows_of_gateways_stay_lost);
   tcase_add_test (tcase, second_return_hides_a_change);
+  tcase_add_test (tcase, unreadable_era_hides_a_change);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/test_tablesync.c
+++ b/tests/test_tablesync.c
@@ -126,7 +126,7 @@
   static const table_sync_options_t options
       = { .table = ROWS_OPERATOR, .name = "orders", .wait_ms = 100 };
   static const table_sync_events_t events
-      = { on_put, on_removed, on_synced, NULL };
+      = { .put = on_put, .removed = on_removed, .synced = on_synced };
   fixture_t f = { .rows = { .base = { &ops } } };
 
   uv_loop_init (&f.loop);
