gateway: an older copy of the store does not bring older content back

Seen (test_store_copy): a leaving instance that the copy lists as ready, one that was gone, and a zone that was taken out got requests again, until their writers had written the newer rows once more. A roll-out whose request was written again would have begun anew.

Cause: of each row the newest version counts, and after the return the copy is the newest. Content has an order of its own.

- Registrations: of one process the higher sequence counts; one that ended is not taken from the copy unless its process wrote it since.
- Zones: an exclusion whose row is missing in the copy lasts 10 s more, unless it is written again.
- Roll-outs: a request with the same version and time, known from before the return, is the same roll-out in its phase; another request in the copy is the older one.
- Configurations already had their revision.
After 10 s the table is read once more and its rows are taken as they are.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -65,6 +65,8 @@
   X (EVENT_LISTED, "pool", "listed", INFO, 100, "An instance is listed")      \
   X (EVENT_UNLISTED, "pool", "unlisted", INFO, 100,                           \
      "An instance is no longer listed")                                       \
+  X (EVENT_OUTDATED, "pool", "outdated", INFO, 50,                            \
+     "A registration that ended is listed in an older copy")                  \
   X (EVENT_LISTING_BAD, "pool", "unreadable", WARNING, 20,                    \
      "A registration is left out")                                            \
   X (EVENT_LOOKED, "pool", "looked", INFO, 50,                                \
@@ -90,12 +92,16 @@
   X (EVENT_CRASH_WRITE, "pool", "crash-write-failed", WARNING, 5,             \
      "Crashes could not be written to the store")                             \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
+  X (EVENT_ZONE_KEPT, "zone", "kept", NOTICE, 20,                             \
+     "A zone stays out though its row is missing in an older copy")           \
   X (EVENT_ZONE_BACK, "zone", "back", NOTICE, 20, "A zone is taken back")     \
   X (EVENT_ENTRIES, "entries", "count", INFO, 20,                             \
      "The entries known changed")                                             \
   X (EVENT_ENTRY_WRITE, "entries", "write-failed", WARNING, 5,                \
      "This entry could not be listed")                                        \
   X (EVENT_ROLLOUT, "rollout", "ordered", NOTICE, 20, "A version is ordered") \
+  X (EVENT_ROLLOUT_KEPT, "rollout", "kept", NOTICE, 20,                       \
+     "A roll-out goes on after the store came back from an older copy")       \
   X (EVENT_ROLLOUT_BAD, "rollout", "unreadable", WARNING, 20,                 \
      "An order or evidence cannot be read")                                   \
   X (EVENT_ROLLOUT_STEP, "rollout", "step", NOTICE, 20,                       \
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -28,6 +28,9 @@
   /* Monotonic time, in ms, since which a state row is due to be written; 0 if
      none is due.  */
   uint64_t write_due_ms;
+  /* Monotonic time, in ms, until which operators write the requests again that
+     the store lost; 0 if it lost none.  */
+  uint64_t rewrite_until_ms;
   map_t *state_rows; /* Map of service name to state_row_t.  */
 };
 
@@ -121,7 +124,40 @@
 }
 
 void
-rollouts_apply_request (rollouts_t *rollouts, const rows_row_t *row)
+rollouts_era_changed (rollouts_t *rollouts)
+{
+  rollouts->rewrite_until_ms
+      = clock_ms (rollouts->state->clock) + TABLE_SYNC_REWRITE_MS;
+}
+
+/* Return whether SPEC, the request in ROW, is that of TRIAL, written again
+   after the store lost it.  */
+static bool
+is_rewritten_request (const rollouts_t *rollouts, const trial_t *trial,
+                      const rollout_spec_t *spec, const rows_row_t *row)
+{
+  bool was_lost
+      = rows_version_era (trial_order (trial))
+            < rows_version_era (row->version)
+        || clock_ms (rollouts->state->clock) < rollouts->rewrite_until_ms;
+
+  return was_lost && str_eq (spec->version, trial_version (trial))
+         && spec->within_ms == trial_time_limit_ms (trial);
+}
+
+/* Return whether ROW is an older request than that of TRIAL, from a copy of
+   the store.  */
+static bool
+is_older_request (const trial_t *trial, const rows_row_t *row, bool is_copy)
+{
+  return is_copy
+         && rows_version_era (trial_order (trial))
+                < rows_version_era (row->version);
+}
+
+void
+rollouts_apply_request (rollouts_t *rollouts, const rows_row_t *row,
+                        bool is_copy)
 {
   gateway_state_t *state = rollouts->state;
   rollout_spec_t spec;
@@ -135,7 +171,18 @@
       return;
     }
   trial_t *trial = map_get (state->trials, spec.service);
-  if (trial == NULL || trial_order (trial) != row->version)
+  bool is_known = trial != NULL && trial_order (trial) == row->version;
+  if (trial != NULL && !is_known
+      && is_rewritten_request (rollouts, trial, &spec, row))
+    {
+      trial_set_order (trial, row->version);
+      log_event (EVENT_ROLLOUT_KEPT,
+                 log_field_text (FIELD_SERVICE, spec.service),
+                 log_field_text (FIELD_VERSION, spec.version),
+                 log_field_number (FIELD_ORDER, row->version));
+      is_known = true;
+    }
+  if (!is_known && (trial == NULL || !is_older_request (trial, row, is_copy)))
     {
       /* Instances of a rolled-back version stay registered for some time.
          They must not count as the old version of the next roll-out.  */
--- a/packages/gateway/rolloutsint.h
+++ b/packages/gateway/rolloutsint.h
@@ -22,8 +22,16 @@
                              peer_rows_t *peer_rows);
 void rollouts_destroy (rollouts_t *rollouts);
 
-/* Apply an operator's request for a roll-out, read from the store as ROW.  */
-void rollouts_apply_request (rollouts_t *rollouts, const rows_row_t *row);
+/* Record that the store came back from an older copy, before its rows are
+   applied.  */
+void rollouts_era_changed (rollouts_t *rollouts);
+/* Apply an operator's request for a roll-out, read from the store as ROW.
+   IS_COPY: the row may be older than the one known.
+
+   A request that the operators write again after the store came back is the
+   same roll-out, whose phase stays as it is.  */
+void rollouts_apply_request (rollouts_t *rollouts, const rows_row_t *row,
+                             bool is_copy);
 /* Apply the state row of SERVICE's roll-out, which may be read before the
    operator's request.  */
 void rollouts_apply_state_row (rollouts_t *rollouts, str_t service,
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -89,8 +89,19 @@
      CONFIRMATION_AGED_MS or more.  */
   bool is_confirmation_aged;
   rollouts_t *rollouts;
+  /* The rows that are read now are from the copy from which the store came
+     back.  */
+  bool is_operator_copy;
+  bool is_instances_copy;
+  map_t *kept_zones; /* Map of the name of each excluded zone whose row is
+                        missing in the copy to a kept_zone_t.  */
 };
 
+typedef struct
+{
+  uint64_t until_ms; /* Monotonic time at which the exclusion ends.  */
+} kept_zone_t;
+
 /* Rows written by operators (ROWS_OPERATOR).  */
 
 /* Put CATALOG in force if its revision is newer than the one in force.  CODE
@@ -157,9 +168,10 @@
       parse_catalog (sync, row);
       break;
     case OPERATOR_ROW_ROLLOUT:
-      rollouts_apply_request (sync->rollouts, row);
+      rollouts_apply_request (sync->rollouts, row, sync->is_operator_copy);
       break;
     case OPERATOR_ROW_ZONE_EXCLUSION:
+      free (map_remove (sync->kept_zones, name));
       log_event (EVENT_ZONE_OUT, log_field_text (FIELD_ZONE, name));
       pool_set_zone_disabled (state->pool, name, true);
       break;
@@ -168,6 +180,13 @@
     }
 }
 
+static void
+end_zone_exclusion (store_sync_t *sync, str_t zone)
+{
+  log_event (EVENT_ZONE_BACK, log_field_text (FIELD_ZONE, zone));
+  pool_set_zone_disabled (sync->state->pool, zone, false);
+}
+
 static void
 on_operator_row_removed (void *arg, str_t key)
 {
@@ -177,8 +196,43 @@
   if (sync->state->dialect->operator_row_kind (key, &name)
       != OPERATOR_ROW_ZONE_EXCLUSION)
     return;
-  log_event (EVENT_ZONE_BACK, log_field_text (FIELD_ZONE, name));
-  pool_set_zone_disabled (sync->state->pool, name, false);
+  if (!sync->is_operator_copy)
+    {
+      end_zone_exclusion (sync, name);
+      return;
+    }
+  /* The row may have been lost with the store, and is then written again.  */
+  kept_zone_t *kept = mem_alloc (sizeof *kept);
+  kept->until_ms = clock_ms (sync->state->clock) + TABLE_SYNC_REWRITE_MS;
+  free (map_put (sync->kept_zones, name, kept));
+  log_event (EVENT_ZONE_KEPT, log_field_text (FIELD_ZONE, name),
+             log_field_number (FIELD_KEEP_MS, TABLE_SYNC_REWRITE_MS));
+}
+
+/* End the exclusions of zones whose rows were not written again in time.  */
+static void
+release_kept_zones (store_sync_t *sync)
+{
+  size_t cursor = 0;
+  str_t zone;
+  void *value;
+
+  while (map_next (sync->kept_zones, &cursor, &zone, &value))
+    if (clock_ms (sync->state->clock) >= ((kept_zone_t *)value)->until_ms)
+      {
+        end_zone_exclusion (sync, zone);
+        free (map_remove (sync->kept_zones, zone));
+        cursor = 0;
+      }
+}
+
+static void
+on_operator_era_changed (void *arg)
+{
+  store_sync_t *sync = arg;
+
+  sync->is_operator_copy = true;
+  rollouts_era_changed (sync->rollouts);
 }
 
 /* Registrations of upstream instances (ROWS_INSTANCES).  */
@@ -206,6 +260,13 @@
              log_field_number (FIELD_DRAINING, info.draining),
              log_field_number (FIELD_COLD_MS, info.cold_ms),
              log_field_number (FIELD_SEQUENCE, info.sequence));
+  if (sync->is_instances_copy && pool_was_removed (state->pool, &info))
+    {
+      log_event (EVENT_OUTDATED, log_field_text (FIELD_UPSTREAM, info.id),
+                 log_field_number (FIELD_SEQUENCE, info.sequence));
+      state->dialect->free_holder (holder);
+      return;
+    }
   crash_records_apply_registration (state->crash_records, &info);
   pool_put (state->pool, &info);
   announced_limits_apply_registration (state->announced_limits, info.id);
@@ -239,12 +300,24 @@
     sync->state->is_initialized = true;
 }
 
+/* Registrations that are missing in the copy are kept as after an outage,
+   until the instances have written them again.  */
+static void
+on_instances_era_changed (void *arg)
+{
+  store_sync_t *sync = arg;
+
+  sync->is_instances_copy = true;
+  sync->store_recovered_ms = clock_ms (sync->state->clock);
+}
+
 static void
 on_instances_synced (void *arg, bool is_full_read)
 {
   store_sync_t *sync = arg;
 
-  (void)is_full_read;
+  if (is_full_read)
+    sync->is_instances_copy = false;
   sync->has_read_instances = true;
   update_initialized (sync);
 }
@@ -433,6 +506,7 @@
   uint64_t store_now_ms = table_sync_store_now_ms (state->operator_rows_sync);
 
   log_confirmation_age (sync);
+  release_kept_zones (sync);
   if (store_now_ms != 0)
     pool_set_shared_time (state->pool, store_now_ms);
   pool_set_gateway_list_stale (
@@ -462,11 +536,13 @@
       = { .put = on_instance_put,
           .removed = on_instance_removed,
           .synced = on_instances_synced,
-          .reachability = on_instances_reachability };
+          .reachability = on_instances_reachability,
+          .era_changed = on_instances_era_changed };
   store_sync_t *sync = arg;
   gateway_state_t *state = sync->state;
 
-  (void)is_full_read;
+  if (is_full_read)
+    sync->is_operator_copy = false;
   if (sync->instances_sync == NULL)
     sync->instances_sync = table_sync_create (
         state->loop, state->clock, sync->rows, rng_u64 (&state->rng),
@@ -495,7 +571,8 @@
       = { .put = on_operator_row_put,
           .removed = on_operator_row_removed,
           .synced = on_operator_rows_synced,
-          .reachability = on_operator_rows_reachability };
+          .reachability = on_operator_rows_reachability,
+          .era_changed = on_operator_era_changed };
   static const table_sync_options_t shared_rows
       = { .table = ROWS_SHARED,
           .name = "own",
@@ -512,6 +589,7 @@
   sync->state = state;
   sync->rows = rows;
   sync->peer_rows = peer_rows;
+  sync->kept_zones = map_create ();
   sync->rollouts = rollouts_create (state, rows, peer_rows);
   state->announced_limits = announced_limits_create (state, rows);
   state->crash_records = crash_records_create (state, rows);
@@ -544,7 +622,15 @@
 static void
 on_tick_closed (uv_handle_t *handle)
 {
-  free (handle->data);
+  store_sync_t *sync = handle->data;
+  size_t cursor = 0;
+  str_t zone;
+  void *value;
+
+  while (map_next (sync->kept_zones, &cursor, &zone, &value))
+    free (value);
+  map_destroy (sync->kept_zones);
+  free (sync);
 }
 
 void
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -71,6 +71,7 @@
   char *zone;
   char *version;
   uint64_t incarnation;
+  uint64_t sequence; /* Of the registration; 0: unknown.  */
   bool is_zone_disabled;
   bool is_withdrawn;
   bool draining;
@@ -112,11 +113,13 @@
   map_t *notices;            /* Maps an instance id to its notice_t.  */
 };
 
-/* What a process said of itself, kept beyond its registration, which expires
-   and returns in an outage of the store.  */
+/* What a process said of itself, and the last registration that it wrote, kept
+   beyond the registration: it expires and returns in an outage of the store,
+   or returns with an older copy of the store.  */
 typedef struct
 {
   uint64_t incarnation;
+  uint64_t sequence; /* Of the last registration.  */
   bool is_leaving;
   uint64_t paused_until_ms;
   uint64_t removed_ms; /* Time at which the instance was removed.  */
@@ -245,11 +248,13 @@
   uint64_t now_ms = clock_ms (pool->clock);
   notice_t *notice;
 
-  if (!upstream->is_leaving && now_ms >= upstream->paused_until_ms)
+  if (!upstream->is_leaving && now_ms >= upstream->paused_until_ms
+      && upstream->sequence == 0)
     return;
   expire_notices (pool, now_ms);
   notice = mem_zalloc (sizeof *notice);
   *notice = (notice_t){ .incarnation = upstream->incarnation,
+                        .sequence = upstream->sequence,
                         .is_leaving = upstream->is_leaving,
                         .paused_until_ms = upstream->paused_until_ms,
                         .removed_ms = now_ms };
@@ -387,12 +392,37 @@
   free (notice);
 }
 
+bool
+pool_was_removed (const pool_t *pool, const upstream_info_t *info)
+{
+  const notice_t *notice = map_get (pool->notices, info->id);
+
+  return notice != NULL && map_get (pool->by_id, info->id) == NULL
+         && notice->incarnation == info->incarnation && info->sequence != 0
+         && info->sequence <= notice->sequence;
+}
+
+static void
+take_back_unregistration (pool_t *pool, upstream_t *upstream)
+{
+  if (upstream->is_unregistered)
+    pool->unregistered_count--;
+  upstream->is_unregistered = false;
+}
+
 void
 pool_put (pool_t *pool, const upstream_info_t *info)
 {
   uint64_t now_ms = clock_ms (pool->clock);
   upstream_t *upstream = map_get (pool->by_id, info->id);
 
+  if (upstream != NULL && upstream->incarnation == info->incarnation
+      && info->sequence != 0 && info->sequence < upstream->sequence)
+    {
+      take_back_unregistration (pool, upstream);
+      return;
+    }
+
   if (upstream != NULL
       && (upstream->incarnation != info->incarnation
           || !str_eq (str_from (upstream->service), info->service)
@@ -431,9 +461,8 @@
     upstream->is_leaving = false;
   upstream->draining = info->draining;
   update_exclusion (upstream);
-  if (upstream->is_unregistered)
-    pool->unregistered_count--;
-  upstream->is_unregistered = false;
+  upstream->sequence = info->sequence;
+  take_back_unregistration (pool, upstream);
   if (info->cold_ms > 0)
     upstream->cold_until_ms = now_ms + info->cold_ms;
 }
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -97,9 +97,9 @@
      it generates no tokens: a third of the rate of a warm engine with its
      largest model.  */
   POOL_PREFILL_TOKENS_PER_MS = 12,
-  /* Time for which it is known after the end of a registration that the
-     instance is leaving or in a pause: longer than an instance takes to
-     stop.  */
+  /* Time for which it is known after the end of a registration that it ended,
+     and that the instance is leaving or in a pause: longer than an instance
+     takes to stop.  */
   POOL_NOTICE_MEMORY_MS = 600000,
   /* Longest pause that an instance gets on its request.  */
   POOL_PAUSE_MAX_MS = 3600000
@@ -183,12 +183,17 @@
                      const pool_options_t *options);
 void pool_destroy (pool_t *pool);
 
-/* Add the instance with the id in INFO, or update its registration.  */
+/* Add the instance with the id in INFO, or update its registration.  Of an
+   instance whose process wrote a later registration than INFO, only the end of
+   its registration is taken back.  */
 void pool_put (pool_t *pool, const upstream_info_t *info);
 /* Handle the end of the registration of instance ID.  The instance remains
    selectable for KEEP_MS, because registrations also expire while the store is
    unavailable; with 0 it is removed immediately.  */
 void pool_unregister (pool_t *pool, str_t id, uint64_t keep_ms);
+/* Return whether the registration of the process in INFO, or a later one of
+   the same process, has ended.  */
+bool pool_was_removed (const pool_t *pool, const upstream_info_t *info);
 /* Set whether VERSION of SERVICE is withdrawn.  A withdrawn version gets no
    requests, whichever version is on trial.  */
 void pool_set_version_withdrawn (pool_t *pool, str_t service, str_t version,
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -109,6 +109,12 @@
   return trial->order;
 }
 
+void
+trial_set_order (trial_t *trial, uint64_t order)
+{
+  trial->order = order;
+}
+
 uint64_t
 trial_time_limit_ms (const trial_t *trial)
 {
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -228,6 +228,8 @@
 void trial_destroy (trial_t *trial);
 str_t trial_version (const trial_t *trial);
 uint64_t trial_order (const trial_t *trial);
+/* Change the number of the order, which the operators wrote again.  */
+void trial_set_order (trial_t *trial, uint64_t order);
 uint64_t trial_time_limit_ms (const trial_t *trial);
 trial_phase_t trial_phase (const trial_t *trial);
 const char *trial_phase_name (trial_phase_t phase);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -457,6 +457,56 @@
 }
 END_TEST
 
+/* Put the registration of process INCARNATION of instance i-0, its write
+   number SEQUENCE.  */
+static bool
+put_write (fixture_t *f, uint64_t incarnation, uint64_t sequence,
+           bool draining)
+{
+  const upstream_info_t info = { .id = STR ("i-0"),
+                                 .service = STR ("llm"),
+                                 .address = STR ("127.0.0.1:1"),
+                                 .zone = STR ("a"),
+                                 .version = STR ("v1"),
+                                 .slots = 64,
+                                 .draining = draining,
+                                 .incarnation = incarnation,
+                                 .sequence = sequence };
+  bool was_removed = pool_was_removed (f->pool, &info);
+
+  pool_put (f->pool, &info);
+  return was_removed;
+}
+
+/* An older copy of the store lists a leaving instance as ready, or one that is
+   gone.  */
+START_TEST (older_registration_replaces_a_later_one)
+{
+  upstream_t *upstream;
+  fixture_t f;
+
+  setup (&f, 0);
+  put_write (&f, 7, 5, true);
+  put_write (&f, 7, 2, false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream),
+                    VH_E_NO_UPSTREAM);
+  put_write (&f, 7, 6, false);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  /* An older one ends an unregistration all the same.  */
+  pool_unregister (f.pool, STR ("i-0"), 100);
+  put_write (&f, 7, 2, false);
+  clock_manual_advance_us (f.clock, 1000000);
+  ck_assert_int_eq (pool_select (f.pool, &f.criteria, &upstream), VH_OK);
+  pool_unregister (f.pool, STR ("i-0"), 0);
+  ck_assert (put_write (&f, 7, 6, false));
+  pool_unregister (f.pool, STR ("i-0"), 0);
+  ck_assert (!put_write (&f, 7, 8, false));
+  pool_unregister (f.pool, STR ("i-0"), 0);
+  ck_assert (!put_write (&f, 8, 1, false));
+  teardown (&f);
+}
+END_TEST
+
 /* Pauses of an instance: a shorter one does not end a longer one, and all
    instances in pauses are passed over, ejected or not.  */
 START_TEST (pause_is_shortened_or_passed_over)
@@ -513,6 +563,7 @@
   tcase_add_test (tcase, silent_engine_is_probed);
   tcase_add_test (tcase, withdrawn_version_gets_no_requests);
   tcase_add_test (tcase, full_instance_is_selected_again);
+  tcase_add_test (tcase, older_registration_replaces_a_later_one);
   tcase_add_test (tcase, pause_is_shortened_or_passed_over);
   tcase_add_test (tcase, registration_forgets_that_an_instance_is_leaving);
   suite_add_tcase (suite, tcase);
