billing: acknowledged batches are written again after the store came back

Seen: nothing yet; a batch that the store acknowledged and lost with its return to an older copy would have stayed lost, so its requests were never billed. Cause: a batch is forgotten with its acknowledgement. Batches are kept for a minute (20,000 bills at most) and written again on a change of the era, on the condition that the row does not exist, so those that the copy has stay as they are.

acknowledged_bills_are_lost_with_the_store (test_billing) is new: two batches stored, one lost, bills stored once after. It cannot fail on the code before, which has no such call.

--- a/packages/gateway/billing.c
+++ b/packages/gateway/billing.c
@@ -16,7 +16,8 @@
   list_t link;
   uint64_t sequence;
   size_t bill_count;
-  buf_t lines; /* One JSON array per bill, each on a line.  */
+  uint64_t written_ms; /* Loop time of the write.  */
+  buf_t lines;         /* One JSON array per bill, each on a line.  */
 } batch_t;
 
 struct billing
@@ -29,6 +30,10 @@
   uv_timer_t timer;
   list_t batches; /* Oldest first; new bills are added to the last
                      one.  */
+  list_t written; /* Written batches that are kept, oldest first.  */
+  size_t written_bill_count;
+  size_t rewrite_count; /* Batches at the start of BATCHES that are written
+                           again.  */
   size_t queued_bill_count;
   uint64_t dropped_bill_count;
   bool is_write_pending; /* A write of the oldest batch is in progress.  */
@@ -44,14 +49,47 @@
 }
 
 static void
-batch_destroy (billing_t *billing, batch_t *batch)
+batch_free (batch_t *batch)
 {
-  billing->queued_bill_count -= batch->bill_count;
   list_remove (&batch->link);
   buf_free (&batch->lines);
   free (batch);
 }
 
+static void
+batch_destroy (billing_t *billing, batch_t *batch)
+{
+  billing->queued_bill_count -= batch->bill_count;
+  batch_free (batch);
+}
+
+/* Drop the written batches that are too old or too many to be kept.  */
+static void
+expire_written (billing_t *billing)
+{
+  LIST_EACH (at, &billing->written)
+    {
+      batch_t *batch = CONTAINER_OF (at, batch_t, link);
+      if (uv_now (billing->timer.loop) - batch->written_ms < BILLING_KEEP_MS
+          && billing->written_bill_count <= BILLING_QUEUED_BILLS_MAX)
+        break;
+      billing->written_bill_count -= batch->bill_count;
+      batch_free (batch);
+    }
+}
+
+/* Keep BATCH, which was written.  */
+static void
+keep_written (billing_t *billing, batch_t *batch)
+{
+  list_remove (&batch->link);
+  list_append (&billing->written, &batch->link);
+  batch->written_ms = uv_now (billing->timer.loop);
+  billing->queued_bill_count -= batch->bill_count;
+  billing->written_bill_count += batch->bill_count;
+  expire_written (billing);
+}
+
 static void write_oldest_batch (billing_t *billing);
 
 static void
@@ -70,7 +108,11 @@
   /* A conflict means that the row exists: an earlier write was applied and its
      reply was lost.  */
   if (code == VH_OK || code == VH_E_CONFLICT)
-    batch_destroy (billing, oldest_batch (billing));
+    {
+      keep_written (billing, oldest_batch (billing));
+      if (billing->rewrite_count > 0)
+        billing->rewrite_count--;
+    }
   else
     log_event (EVENT_BILLS_WRITE, log_field_number (FIELD_CODE, code),
                log_field_number (FIELD_COUNT, billing->queued_bill_count));
@@ -79,7 +121,7 @@
   if (code != VH_OK && code != VH_E_CONFLICT)
     delay_ms = WRITE_RETRY_MS;
   else if (next != NULL
-           && (billing->is_flushing
+           && (billing->is_flushing || billing->rewrite_count > 0
                || next->bill_count >= BILLING_BATCH_BILLS))
     delay_ms = 0;
   uv_timer_start (&billing->timer, on_timer, delay_ms, 0);
@@ -174,6 +216,27 @@
     write_oldest_batch (billing);
 }
 
+void
+billing_write_again (billing_t *billing)
+{
+  expire_written (billing);
+  /* The batch that is being written stays the oldest one.  */
+  list_t *position = &billing->batches;
+  if (billing->is_write_pending)
+    position = billing->batches.next;
+  while (!list_is_empty (&billing->written))
+    {
+      batch_t *batch = CONTAINER_OF (billing->written.prev, batch_t, link);
+      list_remove (&batch->link);
+      list_append (position->next, &batch->link);
+      billing->queued_bill_count += batch->bill_count;
+      billing->rewrite_count++;
+    }
+  billing->written_bill_count = 0;
+  if (billing->rewrite_count > 0 && !billing->is_write_pending)
+    uv_timer_start (&billing->timer, on_timer, 0, 0);
+}
+
 void
 billing_flush (billing_t *billing)
 {
@@ -202,6 +265,7 @@
   billing->name = str_dup (name);
   billing->epoch = epoch;
   list_init (&billing->batches);
+  list_init (&billing->written);
   uv_timer_init (loop, &billing->timer);
   billing->timer.data = billing;
   uv_timer_start (&billing->timer, on_timer, BILLING_INTERVAL_MS, 0);
@@ -215,6 +279,8 @@
 
   while (oldest_batch (billing) != NULL)
     batch_destroy (billing, oldest_batch (billing));
+  LIST_EACH (at, &billing->written)
+    batch_free (CONTAINER_OF (at, batch_t, link));
   free (billing->name);
   free (billing);
 }
--- a/packages/gateway/billing.h
+++ b/packages/gateway/billing.h
@@ -8,6 +8,10 @@
    bill, which contains its attempt id, because only one gateway process
    receives the request.
 
+   A store that comes back from an older copy has lost the batches that were
+   written since, so written batches are kept for BILLING_KEEP_MS and written
+   again then.  The condition leaves those that the copy has.
+
    A process that is killed loses the bills of the last BILLING_INTERVAL_MS; in
    an outage of the store, all bills since the outage began.
 
@@ -17,7 +21,7 @@
    - BILLING_BATCH_BILLS 400: about 40 KB, below the size limit of a row.
    - BILLING_QUEUED_BILLS_MAX 20000, about 2 MB: 20 s of an outage at one
    request a millisecond.  When the queue is full, the oldest bills are dropped
-   and counted.  */
+   and counted.  As many written bills are kept at most.  */
 
 #ifndef GATEWAY_BILLING_H
 #define GATEWAY_BILLING_H
@@ -30,7 +34,8 @@
 {
   BILLING_INTERVAL_MS = 15000,
   BILLING_BATCH_BILLS = 400,
-  BILLING_QUEUED_BILLS_MAX = 20000
+  BILLING_QUEUED_BILLS_MAX = 20000,
+  BILLING_KEEP_MS = 60000
 };
 
 typedef struct billing billing_t;
@@ -59,6 +64,9 @@
    NULL.  */
 void billing_destroy (billing_t *billing);
 void billing_add (billing_t *billing, const bill_t *bill);
+/* Write the batches again that were written in the last BILLING_KEEP_MS,
+   because the store came back from an older copy.  */
+void billing_write_again (billing_t *billing);
 /* Write the queued bills now instead of at the next interval, for a planned
    stop.  */
 void billing_flush (billing_t *billing);
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -233,6 +233,7 @@
 
   sync->is_operator_copy = true;
   rollouts_era_changed (sync->rollouts);
+  billing_write_again (sync->state->billing);
 }
 
 /* Registrations of upstream instances (ROWS_INSTANCES).  */
--- a/tests/test_billing.c
+++ b/tests/test_billing.c
@@ -194,6 +194,33 @@
 }
 END_TEST
 
+/* The store comes back from an older copy, without batches that it had
+   acknowledged.  Each bill must be stored once, also if the copy has some.  */
+START_TEST (acknowledged_bills_are_lost_with_the_store)
+{
+  fixture_t f;
+
+  setup (&f);
+  add_bills (&f, BILLING_BATCH_BILLS);
+  flush_and_wait (&f);
+  add_bills (&f, 7);
+  flush_and_wait (&f);
+  ck_assert_uint_eq (f.store.row_count, 2);
+  memset (&f.store.line_counts[1], 0, sizeof f.store.line_counts[1]);
+  f.store.row_count = 1;
+  add_bills (&f, 3);
+  billing_write_again (f.bills);
+  while (billing_queued_bill_count (f.bills) > 0)
+    {
+      f.store.next_code = VH_OK;
+      uv_run (&f.loop, UV_RUN_ONCE);
+    }
+  ck_assert_uint_eq (f.store.row_count, 3);
+  ck_assert_uint_eq (stored_bill_count (&f), BILLING_BATCH_BILLS + 10);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -203,6 +230,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, lost_reply_does_not_duplicate_bills);
   tcase_add_test (tcase, bills_are_queued_during_outage);
+  tcase_add_test (tcase, acknowledged_bills_are_lost_with_the_store);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
