gateway: rows of gateways that the store lost are written again

Seen (test_store_copy): after the store came back from an older copy the registrations of gateways stayed lost, so each gateway took the limits that all share for itself alone; an announced limit whose row was lost ended; the state of a roll-out and its status stayed lost, and writes on the condition of its old version failed.

Cause: a row counts as written once the store acknowledged it. Now, on a change of the era, a gateway compares the copy with what it knows and writes what differs: its registration, the limits in force, the records of crashes, the state and status of roll-outs under the number that the rewritten order has. State in the copy does not replace state that is known.

--- a/packages/gateway/announced_limits.c
+++ b/packages/gateway/announced_limits.c
@@ -40,6 +40,7 @@
   rows_t *rows;
   map_t *by_id; /* Map of instance id to shared_limit_t.  */
   bool is_write_pending;
+  bool is_copy; /* The rows are from an older copy of the table.  */
 };
 
 /* Return the text of RATE_PER_S, stored in BUFFER.  */
@@ -183,6 +184,18 @@
     announce_limit (limits, upstream, shared->row_rate_per_s, "peer");
 }
 
+/* If the rows are from an older copy, keep the limit of instance ID that is in
+   force, and let it be written again.  */
+static void
+keep_limit (const announced_limits_t *limits, str_t id, shared_limit_t *shared)
+{
+  const upstream_t *upstream = pool_find (limits->state->pool, id);
+
+  if (limits->is_copy && upstream != NULL
+      && upstream_rate_limit (upstream)->is_announced)
+    shared->is_unwritten = true;
+}
+
 void
 announced_limits_apply_row (announced_limits_t *limits, str_t id,
                             const rows_row_t *row)
@@ -204,6 +217,7 @@
   shared->has_row = true;
   shared->row_rate_per_s = rate_per_s;
   shared->row_incarnation = number;
+  keep_limit (limits, id, shared);
   announced_limits_apply_registration (limits, id);
 }
 
@@ -215,11 +229,18 @@
 
   if (shared == NULL)
     return;
+  keep_limit (limits, id, shared);
   if (!shared->is_unwritten && is_row_of (shared, upstream))
     end_limit (limits, upstream, "peer");
   shared->has_row = false;
 }
 
+void
+announced_limits_set_copy (announced_limits_t *limits, bool is_copy)
+{
+  limits->is_copy = is_copy;
+}
+
 /* Return whether the row of SHARED, of the unregistered instance ID, is to be
    deleted now.  */
 static bool
--- a/packages/gateway/announced_limitsint.h
+++ b/packages/gateway/announced_limitsint.h
@@ -43,6 +43,10 @@
    was read just now.  */
 void announced_limits_apply_registration (announced_limits_t *limits,
                                           str_t id);
+/* Set whether the rows that are applied or removed from now on are those of an
+   older copy of the table.  The limits that are known stay in force, and
+   are written again where the copy differs.  */
+void announced_limits_set_copy (announced_limits_t *limits, bool is_copy);
 /* Write the changes that the shared table lacks, and delete the rows of
    instances that are gone.  Called several times a second.  */
 void announced_limits_tick (announced_limits_t *limits);
--- a/packages/gateway/crash_records.c
+++ b/packages/gateway/crash_records.c
@@ -442,9 +442,13 @@
 }
 
 void
-crash_records_remove_row (crash_records_t *records, str_t key)
+crash_records_remove_row (crash_records_t *records, str_t key, bool is_lost)
 {
-  free (map_remove (records->stored, key));
+  crash_row_t *row = map_remove (records->stored, key);
+
+  if (row != NULL && is_lost)
+    queue_write (records, key, row);
+  free (row);
 }
 
 /* Queue the deletion of the rows that are no longer needed.  */
--- a/packages/gateway/crash_recordsint.h
+++ b/packages/gateway/crash_recordsint.h
@@ -61,8 +61,10 @@
 
 /* Apply ROW, read from the shared table.  */
 void crash_records_apply_row (crash_records_t *records, const rows_row_t *row);
-/* Handle the deletion of the row KEY.  */
-void crash_records_remove_row (crash_records_t *records, str_t key);
+/* Handle the deletion of the row KEY.  IS_LOST: the row is only missing in an
+   older copy of the table, and is written again.  */
+void crash_records_remove_row (crash_records_t *records, str_t key,
+                               bool is_lost);
 /* Write the rows that the shared table lacks, and delete old ones.  Called
    several times a second.  */
 void crash_records_tick (crash_records_t *records);
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -15,8 +15,10 @@
 /* The state row of a roll-out, as last read from the store.  */
 typedef struct
 {
-  uint64_t version; /* Version of the row in the store.  */
+  uint64_t version; /* Version of the row in the store; 0: there is none.  */
   buf_t text;
+  bool is_outdated; /* The store lost the state that is in force here, so it is
+                       to be written again.  */
 } state_row_t;
 
 struct rollouts
@@ -61,7 +63,7 @@
 apply_state_row (rollouts_t *rollouts, str_t service)
 {
   trial_t *trial = map_get (rollouts->state->trials, service);
-  const state_row_t *row = map_get (rollouts->state_rows, service);
+  state_row_t *row = map_get (rollouts->state_rows, service);
   uint64_t numbers[4];
 
   if (row == NULL)
@@ -76,6 +78,7 @@
   if (trial == NULL || phase_name.ptr == NULL
       || numbers[0] != trial_order (trial))
     return;
+  row->is_outdated = false;
   trial_set_progress (trial, numbers[1], (uint32_t)numbers[2], numbers[3]);
   log_event (EVENT_ROLLOUT_STEP, log_field_text (FIELD_SERVICE, service),
              log_field_text (FIELD_VERSION, trial_version (trial)),
@@ -95,9 +98,8 @@
   trial_set_final_phase_stored (trial, is_final);
 }
 
-void
-rollouts_apply_state_row (rollouts_t *rollouts, str_t service,
-                          const rows_row_t *row)
+static state_row_t *
+find_or_add_state_row (rollouts_t *rollouts, str_t service)
 {
   state_row_t *state_row = map_get (rollouts->state_rows, service);
 
@@ -106,11 +108,43 @@
       state_row = mem_zalloc (sizeof *state_row);
       map_put (rollouts->state_rows, service, state_row);
     }
+  return state_row;
+}
+
+/* Return whether the state of SERVICE's roll-out is known here.  */
+static bool
+is_state_known (const rollouts_t *rollouts, str_t service)
+{
+  const trial_t *trial = map_get (rollouts->state->trials, service);
+
+  return trial != NULL && trial_start_ms (trial) != 0;
+}
+
+void
+rollouts_apply_state_row (rollouts_t *rollouts, str_t service,
+                          const rows_row_t *row, bool is_copy)
+{
+  state_row_t *state_row = find_or_add_state_row (rollouts, service);
+
   state_row->version = row->version;
   state_row->text.len = 0;
   buf_append_str (&state_row->text, row->value);
   rollouts->write_due_ms = 0;
-  apply_state_row (rollouts, service);
+  if (is_copy && is_state_known (rollouts, service))
+    state_row->is_outdated = true;
+  else
+    apply_state_row (rollouts, service);
+}
+
+void
+rollouts_remove_state_row (rollouts_t *rollouts, str_t service)
+{
+  state_row_t *state_row = find_or_add_state_row (rollouts, service);
+
+  state_row->version = 0;
+  state_row->text.len = 0;
+  state_row->is_outdated = true;
+  rollouts->write_due_ms = 0;
 }
 
 /* Return the store version of the state row of SERVICE's roll-out; 0 if there
@@ -176,6 +210,8 @@
       && is_rewritten_request (rollouts, trial, &spec, row))
     {
       trial_set_order (trial, row->version);
+      find_or_add_state_row (rollouts, spec.service)->is_outdated = true;
+      apply_state_row (rollouts, spec.service);
       log_event (EVENT_ROLLOUT_KEPT,
                  log_field_text (FIELD_SERVICE, spec.service),
                  log_field_text (FIELD_VERSION, spec.version),
@@ -413,6 +449,14 @@
   buf_free (&reason);
 }
 
+static bool
+is_state_outdated (const rollouts_t *rollouts, str_t service)
+{
+  const state_row_t *state_row = map_get (rollouts->state_rows, service);
+
+  return state_row != NULL && state_row->is_outdated;
+}
+
 /* Carry out the step of TRIAL that is due, if any.  HAS_SECOND_ELAPSED is true
    in one call a second.  */
 static void
@@ -433,6 +477,12 @@
       write_state (rollouts, service, trial, start_ms, 0, start_ms);
       return;
     }
+  if (is_state_outdated (rollouts, service))
+    {
+      write_state (rollouts, service, trial, trial_start_ms (trial),
+                   trial_step (trial), trial_step_start_ms (trial));
+      return;
+    }
   if (trial_phase (trial) == TRIAL_PHASE_RUNNING)
     {
       if (has_second_elapsed)
--- a/packages/gateway/rolloutsint.h
+++ b/packages/gateway/rolloutsint.h
@@ -33,9 +33,13 @@
 void rollouts_apply_request (rollouts_t *rollouts, const rows_row_t *row,
                              bool is_copy);
 /* Apply the state row of SERVICE's roll-out, which may be read before the
-   operator's request.  */
+   operator's request.  IS_COPY: the row is from an older copy of the table;
+   the state that is known stays, and is written again.  */
 void rollouts_apply_state_row (rollouts_t *rollouts, str_t service,
-                               const rows_row_t *row);
+                               const rows_row_t *row, bool is_copy);
+/* Handle the end of the state row of SERVICE's roll-out, which is written
+   again.  */
+void rollouts_remove_state_row (rollouts_t *rollouts, str_t service);
 /* Apply the evidence TEXT under KEY, which is evidence/SERVICE/GATEWAY.
    IS_DIRECT is true if GATEWAY sent the evidence to this gateway, false if the
    evidence was read from the store.  */
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -75,6 +75,8 @@
   bool has_read_instances;   /* The instances were read at least once.  */
   /* The last write of this gateway's registration succeeded.  */
   bool is_registered;
+  /* The shared table has this gateway's registration as it was written.  */
+  bool has_own_row;
   /* A write of this gateway's registration has no reply yet.  */
   bool is_registration_pending;
   /* Earliest monotonic time at which a failed registration is repeated, in
@@ -93,6 +95,7 @@
      back.  */
   bool is_operator_copy;
   bool is_instances_copy;
+  bool is_shared_copy;
   map_t *kept_zones; /* Map of the name of each excluded zone whose row is
                         missing in the copy to a kept_zone_t.  */
 };
@@ -364,6 +367,27 @@
   peer_rows_add_gateway (peer_rows, name, zone, address, (uint32_t)link_mbps);
 }
 
+/* Write the value of the row that registers this gateway to OUT.  */
+static void
+format_registration (const store_sync_t *sync, buf_t *out)
+{
+  const gateway_options_t *options = &sync->state->options;
+
+  buf_printf (out, "%.*s %.*s %u", STR_ARG (options->zone),
+              STR_ARG (options->rpc_listen), (unsigned)options->link_mbps);
+}
+
+static bool
+is_own_registration (const store_sync_t *sync, str_t value)
+{
+  buf_t own = BUF_NULL;
+
+  format_registration (sync, &own);
+  bool is_equal = str_eq (value, buf_str (&own));
+  buf_free (&own);
+  return is_equal;
+}
+
 static void
 on_shared_put (void *arg, const rows_row_t *row)
 {
@@ -372,7 +396,7 @@
   str_t kind = row_key_first_segment (row->key, &rest);
 
   if (str_eq (kind, STR ("rollout")))
-    rollouts_apply_state_row (sync->rollouts, rest, row);
+    rollouts_apply_state_row (sync->rollouts, rest, row, sync->is_shared_copy);
   else if (str_eq (kind, STR ("evidence")))
     rollouts_apply_evidence (sync->rollouts, row->key, false, row->value);
   else if (str_eq (kind, STR ("limit")) && rest.len > 0)
@@ -382,6 +406,8 @@
   else if (str_eq (kind, STR ("entry")) && rest.len > 0)
     {
       str_t after_zone;
+      if (str_eq (rest, sync->state->options.name))
+        sync->has_own_row = is_own_registration (sync, row->value);
       allotment_put (sync->state->allotment, rest,
                      str_cut (row->value, ' ', &after_zone));
       if (sync->peer_rows != NULL)
@@ -399,9 +425,14 @@
   if (str_eq (kind, STR ("limit")))
     announced_limits_remove_row (sync->state->announced_limits, rest);
   else if (str_eq (kind, STR ("crash")))
-    crash_records_remove_row (sync->state->crash_records, key);
+    crash_records_remove_row (sync->state->crash_records, key,
+                              sync->is_shared_copy);
+  else if (str_eq (kind, STR ("rollout")))
+    rollouts_remove_state_row (sync->rollouts, rest);
   else if (str_eq (kind, STR ("entry")))
     {
+      if (str_eq (rest, sync->state->options.name))
+        sync->has_own_row = false;
       allotment_remove (sync->state->allotment, rest);
       if (sync->peer_rows != NULL)
         peer_rows_remove_gateway (sync->peer_rows, rest);
@@ -429,12 +460,29 @@
     send_budget_set_gateway_count (value, gateways);
 }
 
+/* Mark the rows that are read next as those of an older copy.  The gateways
+   write again what it lacks.  */
+static void
+on_shared_era_changed (void *arg)
+{
+  store_sync_t *sync = arg;
+
+  sync->is_shared_copy = true;
+  sync->has_own_row = false;
+  announced_limits_set_copy (sync->state->announced_limits, true);
+}
+
 static void
 on_shared_synced (void *arg, bool is_full_read)
 {
   store_sync_t *sync = arg;
 
-  (void)is_full_read;
+  if (is_full_read && sync->is_shared_copy)
+    {
+      sync->is_shared_copy = false;
+      announced_limits_set_copy (sync->state->announced_limits, false);
+      sync->is_registered = sync->has_own_row;
+    }
   sync->has_read_shared_rows = true;
   update_initialized (sync);
   allotment_set_loaded (sync->state->allotment);
@@ -469,9 +517,7 @@
 
   buf_append_str (&key, STR ("entry/"));
   buf_append_str (&key, sync->state->options.name);
-  buf_printf (&value, "%.*s %.*s %u", STR_ARG (sync->state->options.zone),
-              STR_ARG (sync->state->options.rpc_listen),
-              (unsigned)sync->state->options.link_mbps);
+  format_registration (sync, &value);
   rows_write_t write = { .table = ROWS_SHARED,
                          .key = buf_str (&key),
                          .value = buf_str (&value),
@@ -584,7 +630,8 @@
   static const table_sync_events_t shared_events
       = { .put = on_shared_put,
           .removed = on_shared_removed,
-          .synced = on_shared_synced };
+          .synced = on_shared_synced,
+          .era_changed = on_shared_era_changed };
   store_sync_t *sync = mem_zalloc (sizeof *sync);
 
   sync->state = state;
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -30,3 +30,4 @@
 vh_test (test_store_copy DEPENDS vh_gateway vh_platform)
 target_sources (test_store_copy PRIVATE gateway_fixture.c fake_rows.c
   fake_upstream.c http_store.c)
+set_tests_properties (test_store_copy PROPERTIES TIMEOUT 240)
