gateway: Retry-After of a suspect is not before its test run

The mean was spread by half to both sides, so a caller could be told a time at which the request is still refused.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -50,8 +50,8 @@
   /* Mean Retry-After during a planned stop.  Short, because the platform's
      load balancer already directs callers to other gateway processes.  */
   RETRY_AFTER_DRAINING_MS = 50,
-  /* Mean Retry-After of a request whose runs crashed and that gets no further
-     test run.  */
+  /* Retry-After of a request whose runs crashed and that gets no further test
+     run.  */
   RETRY_AFTER_CRASHED_MS = POISON_EXPIRY_MS
 };
 
@@ -91,9 +91,10 @@
       relay_content_field (relay, content),
       log_field_number (FIELD_COUNT, crash_records_count (state->crash_records,
                                                           content_key)));
-  relay_fail (relay, VH_E_POISON, "poison",
-              wait_ms < RETRY_AFTER_CRASHED_MS ? wait_ms + 1
-                                               : RETRY_AFTER_CRASHED_MS);
+  if (wait_ms > RETRY_AFTER_CRASHED_MS)
+    wait_ms = RETRY_AFTER_CRASHED_MS;
+  relay->retry_after_min_ms = wait_ms;
+  relay_fail (relay, VH_E_POISON, "poison", wait_ms);
 }
 
 void
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -439,6 +439,12 @@
     reply_to_watches (fake, table);
 }
 
+void
+fake_rows_set_clock_back (fake_rows_t *fake, uint64_t ms)
+{
+  fake->advanced_ms -= ms;
+}
+
 size_t
 fake_rows_call_count (const fake_rows_t *fake)
 {
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -43,6 +43,8 @@
 void fake_rows_return_to_copy (fake_rows_t *fake);
 /* Advance the store's clock by MS.  */
 void fake_rows_advance_clock (fake_rows_t *fake, uint64_t ms);
+/* Set the store's clock back by MS.  */
+void fake_rows_set_clock_back (fake_rows_t *fake, uint64_t ms);
 /* Return the store's clock, in ms.  */
 uint64_t fake_rows_now_ms (const fake_rows_t *fake);
 /* Return the number of calls since the store was created.  */
--- a/tests/test_store_copy.c
+++ b/tests/test_store_copy.c
@@ -26,6 +26,7 @@
   CHECK_MS = 300,
   /* Time in which the gateways learn a change while the store is well.  */
   SETTLE_MS = 500,
+  CLOCK_BACK_MS = 8000,
   /* Changes that are lost with the store.  */
   LOST_CHANGES = 8
 };
@@ -243,9 +244,13 @@
   fake_rows_take_copy (fleet.fixture.rows);
   fake_rows_put (fleet.fixture.rows, ROWS_OPERATOR, "catalog", "2 key-1");
   return_to_copy (&fleet, "2");
-  /* The changes come before or after the gateways call the store again.  */
+  /* The changes come before or after the gateways call the store again, and
+     then the store's clock has gone back as well.  */
   if (_i / COUNTER_POSITIONS == 1)
-    fleet_run_for (&fleet, 100);
+    {
+      fake_rows_set_clock_back (fleet.fixture.rows, CLOCK_BACK_MS);
+      fleet_run_for (&fleet, 100);
+    }
   advance_counter (&fleet, (counter_position_t)(_i % COUNTER_POSITIONS));
   fake_rows_put (fleet.fixture.rows, ROWS_OPERATOR, "catalog", "3 key-2");
   put_instance (&fleet, 0, "zone-a", "draining", 9);
