--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -477,12 +477,6 @@
       write_state (rollouts, service, trial, start_ms, 0, start_ms);
       return;
     }
-  if (is_state_outdated (rollouts, service))
-    {
-      write_state (rollouts, service, trial, trial_start_ms (trial),
-                   trial_step (trial), trial_step_start_ms (trial));
-      return;
-    }
   if (trial_phase (trial) == TRIAL_PHASE_RUNNING)
     {
       if (has_second_elapsed)
@@ -490,9 +484,10 @@
       evaluate_trial (rollouts, service, trial);
     }
   /* Repeat the write until the state row has a decision, of this or another
-     gateway.  */
-  if (trial_phase (trial) != TRIAL_PHASE_RUNNING
-      && !trial_is_final_phase_stored (trial))
+     gateway, or again has the state that the store lost.  */
+  if (is_state_outdated (rollouts, service)
+      || (trial_phase (trial) != TRIAL_PHASE_RUNNING
+          && !trial_is_final_phase_stored (trial)))
     write_state (rollouts, service, trial, trial_start_ms (trial),
                  trial_step (trial), trial_step_start_ms (trial));
   else if (has_second_elapsed && trial_phase (trial) == TRIAL_PHASE_RUNNING
