tests: the store's stand-in outlives the requests on their way to it

Trace: a gateway that is destroyed had a call on its way; the stand-in was freed before the loop had delivered it. The stand-in alone is at fault: it is now closed first, refuses what still comes, and is released after the loop has run.

--- a/tests/http_store.c
+++ b/tests/http_store.c
@@ -24,6 +24,7 @@
   rows_t *rows;
   char address[32];
   char *era; /* NULL: none.  */
+  bool is_closed;
   list_t calls;
 };
 
@@ -199,8 +200,15 @@
 {
   http_store_t *store = arg;
   rows_t *rows = store->rows;
-  call_t *call = mem_zalloc (sizeof *call);
+  call_t *call;
 
+  if (store->is_closed)
+    {
+      /* The request was on its way when the store was closed.  */
+      httpd_reply (req, http_status (VH_E_STORE_DOWN), NULL, 0, STR (""));
+      return;
+    }
+  call = mem_zalloc (sizeof *call);
   call->store = store;
   call->req = req;
   list_append (&store->calls, &call->link);
@@ -237,8 +245,9 @@
 }
 
 void
-http_store_destroy (http_store_t *store)
+http_store_close (http_store_t *store)
 {
+  store->is_closed = true;
   LIST_EACH (at, &store->calls)
     {
       call_t *call = CONTAINER_OF (at, call_t, link);
@@ -247,6 +256,11 @@
       call_free (call);
     }
   httpd_destroy (store->server);
+}
+
+void
+http_store_destroy (http_store_t *store)
+{
   free (store->era);
   free (store);
 }
--- a/tests/http_store.h
+++ b/tests/http_store.h
@@ -11,7 +11,10 @@
 /* Serve the rows of ROWS, which must outlive the result, on a loopback port of
    LOOP.  */
 http_store_t *http_store_create (uv_loop_t *loop, fake_rows_t *rows);
-/* Close the connections and release STORE once the loop has run.  */
+/* End the pending calls and close the connections.  The rows are not used from
+   then on; the loop must run until the connections are closed.  */
+void http_store_close (http_store_t *store);
+/* Release STORE, which is closed, after the loop has run.  */
 void http_store_destroy (http_store_t *store);
 /* Return HOST:PORT, owned by STORE.  */
 str_t http_store_address (const http_store_t *store);
--- a/tests/test_store_copy.c
+++ b/tests/test_store_copy.c
@@ -139,9 +139,10 @@
       gateway_destroy (fleet->gateways[i]);
       fleet->clients[i]->ops->destroy (fleet->clients[i]);
     }
-  http_store_destroy (fleet->store);
+  http_store_close (fleet->store);
   f->gateway = NULL;
   gateway_fixture_teardown (f);
+  http_store_destroy (fleet->store);
 }
 
 /* Write COUNT rows that no gateway uses, in each table that gateways read.  */
