tests: a crashed stand-in keeps its port until it is back

The stand-in now binds the port again at once without listening, which refuses connections as before.

--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -19,7 +19,11 @@
 {
   uv_loop_t *loop;
   char *id;
-  uv_tcp_t listener;
+  /* The socket that listens.  After a crash, the other one is bound to the
+     port without listening, so that the port stays taken and connections are
+     refused.  */
+  uv_tcp_t listeners[2];
+  size_t listener;
   bool is_silent;
   uint16_t port;
   fake_action_t actions[ACTIONS_MAX];
@@ -318,9 +322,12 @@
   fake_upstream_t *upstream = timer->data;
 
   upstream->has_crashed = true;
-  uv_close ((uv_handle_t *)&upstream->listener, NULL);
+  uv_close ((uv_handle_t *)&upstream->listeners[upstream->listener], NULL);
   LIST_EACH (at, &upstream->conns)
     conn_close (CONTAINER_OF (at, conn_t, link), true);
+  upstream->listener = 1 - upstream->listener;
+  loopback_bind_port (upstream->loop, &upstream->listeners[upstream->listener],
+                      upstream, upstream->port);
 }
 
 /* Handle a request that crashes UPSTREAM.  */
@@ -398,7 +405,7 @@
   list_init (&upstream->conns);
   uv_timer_init (loop, &upstream->crash_timer);
   upstream->crash_timer.data = upstream;
-  upstream->port = loopback_listen (loop, &upstream->listener, upstream,
+  upstream->port = loopback_listen (loop, &upstream->listeners[0], upstream,
                                     on_upstream_accept);
   return upstream;
 }
@@ -424,11 +431,11 @@
 {
   LIST_EACH (at, &upstream->conns)
     conn_close (CONTAINER_OF (at, conn_t, link), false);
-  bool is_listening = !upstream->is_silent && !upstream->has_crashed;
-  upstream->open_handles = is_listening ? 2 : 1;
+  upstream->open_handles = upstream->is_silent ? 1 : 2;
   uv_close ((uv_handle_t *)&upstream->crash_timer, on_upstream_closed);
-  if (is_listening)
-    uv_close ((uv_handle_t *)&upstream->listener, on_upstream_closed);
+  if (!upstream->is_silent)
+    uv_close ((uv_handle_t *)&upstream->listeners[upstream->listener],
+              on_upstream_closed);
 }
 
 void
@@ -448,12 +455,11 @@
 void
 fake_upstream_restart (fake_upstream_t *upstream)
 {
+  uv_tcp_t *listener = &upstream->listeners[upstream->listener];
+
   upstream->has_crashed = false;
-  loopback_bind_port (upstream->loop, &upstream->listener, upstream,
-                      upstream->port);
-  ck_assert_int_eq (uv_listen ((uv_stream_t *)&upstream->listener, SOMAXCONN,
-                               on_upstream_accept),
-                    0);
+  ck_assert_int_eq (
+      uv_listen ((uv_stream_t *)listener, SOMAXCONN, on_upstream_accept), 0);
 }
 
 const uint64_t *
@@ -468,7 +474,7 @@
 fake_upstream_go_silent (fake_upstream_t *upstream)
 {
   upstream->is_silent = true;
-  uv_close ((uv_handle_t *)&upstream->listener, NULL);
+  uv_close ((uv_handle_t *)&upstream->listeners[upstream->listener], NULL);
   LIST_EACH (at, &upstream->conns)
     uv_timer_stop (&CONTAINER_OF (at, conn_t, link)->timer);
 }
