--- a/packages/gateway/crash_records.c
+++ b/packages/gateway/crash_records.c
@@ -1,7 +1,5 @@
 #include "gateway/crash_recordsint.h"
 
-#include "base/eventlog.h"
-
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -189,12 +187,11 @@
 
 /* Crashes and runs without a crash.  */
 
-/* Return the field that tells requests of equal content in the log, as
-   relay_content_field.  */
-static log_field_t
-content_field (poison_key_t content, char text[HEX_DIGITS + 1])
+log_field_t
+crash_records_content_field (poison_key_t content,
+                             char text[CONTENT_TEXT_SIZE])
 {
-  snprintf (text, HEX_DIGITS + 1, "%016" PRIx64, content.high);
+  snprintf (text, CONTENT_TEXT_SIZE, "%016" PRIx64, content.high);
   return log_field_text (FIELD_CONTENT, str_from (text));
 }
 
@@ -202,9 +199,9 @@
 log_suspected (const crash_records_t *records, poison_key_t content,
                const char *source)
 {
-  char text[HEX_DIGITS + 1];
+  char text[CONTENT_TEXT_SIZE];
 
-  log_event (EVENT_SUSPECTED, content_field (content, text),
+  log_event (EVENT_SUSPECTED, crash_records_content_field (content, text),
              log_field_number (FIELD_COUNT,
                                poison_crash_count (records->poison, content)),
              log_field_text (FIELD_SOURCE, str_from (source)));
@@ -213,9 +210,10 @@
 static void
 log_cleared (poison_key_t content, uint32_t crash_count, const char *source)
 {
-  char text[HEX_DIGITS + 1];
+  char text[CONTENT_TEXT_SIZE];
 
-  log_event (EVENT_SUSPECT_CLEARED, content_field (content, text),
+  log_event (EVENT_SUSPECT_CLEARED,
+             crash_records_content_field (content, text),
              log_field_number (FIELD_COUNT, crash_count),
              log_field_text (FIELD_SOURCE, str_from (source)));
 }
@@ -369,7 +367,7 @@
 {
   poison_class_t poison_class
       = poison_classify (records->poison, content, content);
-  char text[HEX_DIGITS + 1];
+  char text[CONTENT_TEXT_SIZE];
 
   if (poison_class != POISON_REFUSED
       || poison_test_wait_ms (records->poison, content) > 0
@@ -378,7 +376,7 @@
     return poison_class;
   poison_test_started (records->poison, content);
   log_event (
-      EVENT_SUSPECT_TESTED, content_field (content, text),
+      EVENT_SUSPECT_TESTED, crash_records_content_field (content, text),
       log_field_number (FIELD_COUNT, crash_records_count (records, content)));
   return POISON_SUSPECT;
 }
--- a/packages/gateway/crash_recordsint.h
+++ b/packages/gateway/crash_recordsint.h
@@ -18,8 +18,19 @@
 #ifndef GATEWAY_CRASH_RECORDSINT_H
 #define GATEWAY_CRASH_RECORDSINT_H
 
+#include "base/eventlog.h"
 #include "gateway/gatewayint.h"
 
+enum
+{
+  CONTENT_TEXT_SIZE = 17
+};
+
+/* Return the field that tells requests of equal content in the log.  TEXT
+   holds its value.  */
+log_field_t crash_records_content_field (poison_key_t content,
+                                         char text[CONTENT_TEXT_SIZE]);
+
 /* Create the records, at first empty.  STATE and ROWS must outlive the
    result.  */
 crash_records_t *crash_records_create (gateway_state_t *state, rows_t *rows);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -88,7 +88,7 @@
   log_event (
       EVENT_SUSPECT_REFUSED,
       log_field_text (FIELD_ID, str_from (relay->attempt_id)),
-      relay_content_field (relay, content),
+      crash_records_content_field (relay->attrs.content_key, content),
       log_field_number (FIELD_COUNT, crash_records_count (state->crash_records,
                                                           content_key)));
   if (wait_ms > RETRY_AFTER_CRASHED_MS)
@@ -161,7 +161,7 @@
     }
   log_event (
       EVENT_SENT, log_field_text (FIELD_ID, str_from (relay->attempt_id)),
-      relay_content_field (relay, content),
+      crash_records_content_field (relay->attrs.content_key, content),
       log_field_text (FIELD_ROUTE, relay->attrs.route->name),
       log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
       log_field_text (FIELD_VERSION, upstream_version (relay->upstream)),
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -1,8 +1,6 @@
 #include "gateway/crash_recordsint.h"
 #include "gateway/relayint.h"
 
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 static void
@@ -140,14 +138,6 @@
   relay->upstream = NULL;
 }
 
-log_field_t
-relay_content_field (const relay_t *relay, char text[CONTENT_TEXT_SIZE])
-{
-  snprintf (text, CONTENT_TEXT_SIZE, "%016" PRIx64,
-            relay->attrs.content_key.high);
-  return log_field_text (FIELD_CONTENT, str_from (text));
-}
-
 str_t
 relay_model_name (const relay_t *relay, str_t fallback)
 {
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -130,7 +130,7 @@
 
   log_event (EVENT_SEND_FAILED,
              log_field_text (FIELD_ID, str_from (relay->attempt_id)),
-             relay_content_field (relay, content),
+             crash_records_content_field (relay->attrs.content_key, content),
              log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
              log_field_text (FIELD_REASON, str_from (reason)),
              log_field_number (FIELD_RAN, may_have_run),
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -142,14 +142,6 @@
    RETRY_MS is 0, the mean is RETRY_AFTER_FULL_MS.  */
 void relay_fail (relay_t *relay, vh_code_t code, const char *reason,
                  uint64_t retry_ms);
-enum
-{
-  CONTENT_TEXT_SIZE = 17
-};
-/* Return the field that tells requests of equal content in the log.  TEXT
-   holds its value.  */
-log_field_t relay_content_field (const relay_t *relay,
-                                 char text[CONTENT_TEXT_SIZE]);
 /* Return the name of the current model, or FALLBACK if the route lists no
    models.  */
 str_t relay_model_name (const relay_t *relay, str_t fallback);
