gateway: a record of a crash that cannot be read has an event of its own

Read-through: it was logged as a registration that is left out. Comments that needed the line before them stand by themselves now, and a batch of bills that is dropped while it waits to be written again is no longer counted among those that wait.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -89,6 +89,8 @@
      "The length of a pause cannot be read and is ignored")                   \
   X (EVENT_CRASH, "pool", "crashed", NOTICE, 50,                              \
      "An instance crashed while requests ran there")                          \
+  X (EVENT_CRASH_BAD, "pool", "crash-unreadable", WARNING, 5,                 \
+     "A record of a crash cannot be read")                                    \
   X (EVENT_CRASH_WRITE, "pool", "crash-write-failed", WARNING, 5,             \
      "Crashes could not be written to the store")                             \
   X (EVENT_ZONE_OUT, "zone", "out", NOTICE, 20, "A zone is taken out")        \
--- a/packages/gateway/billing.c
+++ b/packages/gateway/billing.c
@@ -179,6 +179,8 @@
 
   if (billing->is_write_pending)
     batch = CONTAINER_OF (batch->link.next, batch_t, link);
+  if (billing->rewrite_count > billing->is_write_pending)
+    billing->rewrite_count--;
   billing->dropped_bill_count += batch->bill_count;
   log_event (EVENT_BILLS_DROPPED,
              log_field_number (FIELD_COUNT, batch->bill_count));
--- a/packages/gateway/crash_records.c
+++ b/packages/gateway/crash_records.c
@@ -20,14 +20,14 @@
   /* Time at the end of a turn in which no test run starts, so that the next
      gateway knows its result.  */
   TURN_REST_MS = 5000,
+  TEST_RUNS_MAX = 3, /* Test runs of a refused request.  */
   /* Time for which a row is kept that tells of a run without a crash.  */
   RAN_ROW_MS = 120000,
-  /* The same for the crashes that it cleared.  Shorter, so that they are
-     deleted first.  */
+  /* Time for which the row of a crash is kept that such a run cleared. Shorter
+     than RAN_ROW_MS, so that it is deleted first.  */
   CLEARED_ROW_MS = 60000,
   EXPIRY_INTERVAL_MS = 1000,
-  WRITES_MAX = 50, /* Rows written in one call.  */
-  TEST_RUNS_MAX = 3,
+  WRITES_MAX = 50,       /* Rows written in one call.  */
   UNWRITTEN_MAX = 4096,  /* Rows that wait to be written.  */
   WRITE_RETRY_MS = 1000, /* Delay after a failed write.  */
   HEX_DIGITS = 16
@@ -40,16 +40,16 @@
 {
   poison_key_t content;
   uint64_t instance_hash; /* Hash of the instance id.  */
-  uint64_t crash_id;      /* Id of the crash of the process that the instance
-                             was.  */
+  uint64_t crash_id;      /* Id of a crash of the instance's process, the same
+                             at every gateway.  */
   uint64_t lost_ms;
   enum
   {
-    LOST_NONE, /* The entry is free.  */
-    LOST_ABANDONED,
-    LOST_PROBING, /* The connection ended, and the instance is probed.  */
-    LOST_CUT      /* The connection ended, and the instance still listens or
-                     its machine does not respond.  */
+    LOST_NONE,      /* The entry is free.  */
+    LOST_ABANDONED, /* This gateway gave the request up.  */
+    LOST_PROBING,   /* The connection ended, and the instance is probed.  */
+    LOST_CUT        /* The connection ended, and the instance still listens or
+                       its machine does not respond.  */
   } kind;
 } lost_send_t;
 
@@ -67,10 +67,11 @@
   poison_t *poison;
   lost_send_t lost_sends[LOST_SENDS_MAX]; /* Ring buffer.  */
   size_t next_lost_send;
-  map_t *stored;    /* Map of key to crash_row_t: rows of the shared table.  */
-  map_t *unwritten; /* Map of key to crash_row_t.  */
-  map_t *in_flight; /* The same: rows of the write that has no reply yet; NULL
-                       if there is none.  */
+  /* Maps of key to crash_row_t.  */
+  map_t *stored;    /* Rows of the shared table.  */
+  map_t *unwritten; /* Rows that are to be written or deleted.  */
+  map_t *in_flight; /* Rows of the write that has no reply yet; NULL if there
+                       is none.  */
   uint64_t write_after_ms; /* Earliest monotonic time of the next write.  */
   uint64_t expired_ms;     /* Monotonic time of the last expiry.  */
 };
@@ -421,7 +422,7 @@
   if (!parse_row_key (row->key, &record.key, &record.crash_id)
       || !str_to_u64 (row->value, &crash_row.store_ms))
     {
-      log_event (EVENT_LISTING_BAD, log_field_text (FIELD_UPSTREAM, row->key),
+      log_event (EVENT_CRASH_BAD, log_field_text (FIELD_KEY, row->key),
                  log_field_number (FIELD_CODE, VH_E_BAD_FIELD));
       return;
     }
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -91,8 +91,8 @@
      CONFIRMATION_AGED_MS or more.  */
   bool is_confirmation_aged;
   rollouts_t *rollouts;
-  /* The rows that are read now are from the copy from which the store came
-     back.  */
+  /* The rows of the table that are read now are from the copy from which the
+     store came back.  */
   bool is_operator_copy;
   bool is_instances_copy;
   bool is_shared_copy;
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -49,7 +49,8 @@
   POISON_EXPIRY_MS = 3600000,
   /* Number of different crashes with which a request is refused.  */
   POISON_CRASHES_TO_REFUSE = 2,
-  /* The same for a request that ran without a crash recently.  */
+  /* Number of different crashes with which a request is refused that ran
+     without a crash in the last POISON_SUCCESS_MEMORY_MS.  */
   POISON_CRASHES_TO_REFUSE_PROVEN = 4,
   POISON_SUCCESS_MEMORY_MS = 60000,
   /* Keys whose last run without a crash is remembered.  */
