--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -209,6 +209,8 @@
   X (FIELD_FROM, "from", "Store time from which it holds")                    \
   X (FIELD_PHASE, "phase", "Phase of the roll-out")                           \
   X (FIELD_WHY, "why", "Evidence for the decision")                           \
+  X (FIELD_OLD, "old", "Answers of the old version at the decision")          \
+  X (FIELD_NEW, "new", "Answers of the new version at the decision")          \
   X (FIELD_IN_FLIGHT, "in_flight", "Requests under way")                      \
   X (FIELD_CUT, "cut", "Requests cut by the stop")                            \
   X (FIELD_LISTEN, "listen", "Address listened on")                           \
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -411,6 +411,26 @@
   buf_free (&value);
 }
 
+/* Log that TRIAL is decided for REASON.  */
+static void
+log_decision (str_t service, const trial_t *trial, str_t reason)
+{
+  buf_t old = BUF_NULL;
+  buf_t new = BUF_NULL;
+
+  trial_describe (trial, TRIAL_ARM_OLD, &old);
+  trial_describe (trial, TRIAL_ARM_NEW, &new);
+  log_event (EVENT_ROLLOUT_END, log_field_text (FIELD_SERVICE, service),
+             log_field_text (FIELD_VERSION, trial_version (trial)),
+             log_field_text (FIELD_PHASE, str_from (trial_phase_name (
+                                              trial_phase (trial)))),
+             log_field_text (FIELD_WHY, reason),
+             log_field_text (FIELD_OLD, buf_str (&old)),
+             log_field_text (FIELD_NEW, buf_str (&new)));
+  buf_free (&old);
+  buf_free (&new);
+}
+
 /* Evaluate the evidence on a running TRIAL and carry out the verdict.  */
 static void
 evaluate_trial (rollouts_t *rollouts, str_t service, trial_t *trial)
@@ -439,11 +459,7 @@
       trial_set_phase (trial, verdict == TRIAL_DECISION_FINISH
                                   ? TRIAL_PHASE_DONE
                                   : TRIAL_PHASE_ROLLED_BACK);
-      log_event (EVENT_ROLLOUT_END, log_field_text (FIELD_SERVICE, service),
-                 log_field_text (FIELD_VERSION, trial_version (trial)),
-                 log_field_text (FIELD_PHASE, str_from (trial_phase_name (
-                                                  trial_phase (trial)))),
-                 log_field_text (FIELD_WHY, buf_str (&reason)));
+      log_decision (service, trial, buf_str (&reason));
       break;
     }
   buf_free (&reason);
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -453,6 +453,31 @@
   return all;
 }
 
+/* Return the sum of COUNTS over the routes.  */
+static trial_sums_t
+sums_of_routes (const counts_t *counts, trial_arm_t arm)
+{
+  trial_sums_t sums = { 0 };
+
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    sums_add (&sums, &counts->sums[arm][cell]);
+  return sums;
+}
+
+void
+trial_describe (const trial_t *trial, trial_arm_t arm, buf_t *out)
+{
+  counts_t all = total_counts (trial, false);
+  trial_sums_t sums = sums_of_routes (&all, arm);
+
+  buf_printf (out, "%.0f failed of %.0f, %.0f lost; %.0f of %.0f in all",
+              sums.failed, sums.count, sums.lost_connections,
+              sums.total_failed, sums.total_count);
+  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+    buf_printf (out, "; late %s %.0f of %.0f", timings[timing].name,
+                sums.late_count[timing], sums.timing_count[timing]);
+}
+
 /* The message is one line: the order's number, then the sums.  */
 void
 trial_write (trial_t *trial, bool all, buf_t *out)
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -319,6 +319,11 @@
                            of the old version may drain.  */
 } trial_decision_t;
 
+/* Append the counts of all processes over the answers of ARM to OUT: answers,
+   failed ones and lost connections, first decayed and then since the start,
+   and late times of the measured ones.  */
+void trial_describe (const trial_t *trial, trial_arm_t arm, buf_t *out);
+
 /* Decide on the counts of all processes.  If the version is bad, append the
    reason to REASON.  IS_STORE_DOWN: the counts of other processes may be
    missing, and no step advances.  */
