--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -509,6 +509,188 @@
 }
 END_TEST
 
+/* A trouble that both versions have, from TROUBLE_FROM_PART of the time limit
+   until TROUBLE_AFTER_MS after it.  */
+typedef struct
+{
+  const char *name;
+  double failure_share; /* Share of the answers that fail.  */
+  double lost_share;    /* Share of the connections that are lost.  */
+  double unseen_share;  /* Share of the requests that have no outcome: their
+                           callers leave early, or there is no instance.  */
+  double wait_factor;   /* Factor on the time to the first event.  */
+} trouble_t;
+
+/* How a version is bad.  */
+typedef struct
+{
+  const char *name;
+  double failure_share;
+  double lost_share;
+  double slow_share; /* Share of the answers that are eight times as slow.  */
+  int bad_route;     /* The one of three routes on which it is bad; -1: all. */
+  double bad_from_part; /* Part of the time limit from which it is bad.  */
+} badness_t;
+
+typedef struct
+{
+  uint64_t time_limit_ms;
+  int requests_per_s;
+} masked_setting_t;
+
+#define TROUBLE_FROM_PART 0.4
+
+enum
+{
+  TROUBLE_AFTER_MS = 2000,
+  MASKED_AFTER_MS = 16000, /* Simulated time after the time limit.  */
+  MASKED_ROUTES = 3,
+  SLOW_FACTOR = 8,
+  /* Promise of the users: a bad version gets no request that is sent later
+     than LATE_AFTER_MS after its bad answer number BAD_ANSWERS.  */
+  BAD_ANSWERS = 50,
+  LATE_AFTER_MS = 5000
+};
+
+typedef struct
+{
+  trial_phase_t phase;
+  unsigned bad_answers;
+  unsigned late_requests;
+} masked_result_t;
+
+/* Simulate one send to ARM, MS after the order.  Return whether its answer is
+   bad.  */
+static bool
+simulate_send (trial_t *trial, rng_t *rng, trial_arm_t arm, uint64_t ms,
+               const badness_t *badness, const trouble_t *trouble)
+{
+  double limit_ms = (double)trial_time_limit_ms (trial);
+  static const trouble_t calm = { .wait_factor = 1 };
+  static const badness_t good = { 0 };
+  int route = (int)rng_below (rng, MASKED_ROUTES);
+  bool is_bad = arm == TRIAL_ARM_NEW
+                && (double)ms >= badness->bad_from_part * limit_ms
+                && (badness->bad_route < 0 || badness->bad_route == route);
+  trial_outcome_t outcome = TRIAL_OUTCOME_ANSWERED;
+
+  if ((double)ms < TROUBLE_FROM_PART * limit_ms
+      || (double)ms > limit_ms + TROUBLE_AFTER_MS)
+    trouble = &calm;
+  if (!is_bad)
+    badness = &good;
+  double wait_ms = (50 + rng_double (rng) * 100) * trouble->wait_factor;
+  bool is_slow = rng_double (rng) < badness->slow_share;
+  if (is_slow)
+    wait_ms *= SLOW_FACTOR;
+  if (rng_double (rng) < trouble->unseen_share)
+    return false;
+  if (rng_double (rng) < trouble->failure_share
+      || rng_double (rng) < badness->failure_share || rng_double (rng) < 0.005)
+    outcome = TRIAL_OUTCOME_FAILED;
+  else if (rng_double (rng) < trouble->lost_share
+           || rng_double (rng) < badness->lost_share)
+    outcome = TRIAL_OUTCOME_CONNECTION_LOST;
+  if (outcome == TRIAL_OUTCOME_ANSWERED)
+    trial_observe_timing (trial, arm, (uint64_t)route,
+                          TRIAL_TIMING_FIRST_EVENT, 4, wait_ms, START_MS + ms);
+  trial_observe (trial, arm, (uint64_t)route, outcome,
+                 outcome == TRIAL_OUTCOME_ANSWERED ? (uint64_t)wait_ms : 0,
+                 false);
+  return is_slow || outcome != TRIAL_OUTCOME_ANSWERED;
+}
+
+/* Simulate the roll-out of a version and the time after it.  */
+static masked_result_t
+run_masked_rollout (const badness_t *badness, const trouble_t *trouble,
+                    const masked_setting_t *setting, uint64_t seed)
+{
+  trial_t *trial = trial_create (STR ("llm"), STR ("v2"), 1,
+                                 setting->time_limit_ms, EXPOSURE);
+  rng_t rng = rng_make (seed);
+  masked_result_t result = { 0 };
+  uint64_t late_from_ms = UINT64_MAX;
+  buf_t reason = BUF_NULL;
+
+  trial_set_progress (trial, START_MS, 0, START_MS);
+  for (uint64_t ms = 0; ms < setting->time_limit_ms + MASKED_AFTER_MS;
+       ms += TICK_MS)
+    {
+      uint64_t now_ms = START_MS + ms;
+      for (int i = 0; i < setting->requests_per_s * TICK_MS / 1000; i++)
+        {
+          trial_arm_t arm = trial_is_assigned (trial, rng_u64 (&rng), now_ms)
+                                ? TRIAL_ARM_NEW
+                                : TRIAL_ARM_OLD;
+          result.late_requests += arm == TRIAL_ARM_NEW && ms > late_from_ms;
+          if (simulate_send (trial, &rng, arm, ms, badness, trouble)
+              && arm == TRIAL_ARM_NEW && ++result.bad_answers == BAD_ANSWERS)
+            late_from_ms = ms + LATE_AFTER_MS;
+        }
+      if (ms % 1000 == 0)
+        trial_decay (trial);
+      if (trial_phase (trial) != TRIAL_PHASE_RUNNING)
+        continue;
+      trial_decision_t decision = trial_decide (trial, now_ms, false, &reason);
+      if (decision == TRIAL_DECISION_ADVANCE && ms % 1000 == 0)
+        trial_set_progress (trial, START_MS, trial_step (trial) + 1,
+                            now_ms + TRIAL_STEP_NOTICE_MS);
+      else if (decision == TRIAL_DECISION_ROLL_BACK)
+        trial_set_phase (trial, TRIAL_PHASE_ROLLED_BACK);
+      else if (decision == TRIAL_DECISION_FINISH)
+        trial_set_phase (trial, TRIAL_PHASE_DONE);
+    }
+  result.phase = trial_phase (trial);
+  buf_free (&reason);
+  trial_destroy (trial);
+  return result;
+}
+
+static const badness_t ways_of_being_bad[] = {
+  { "errors", .failure_share = 0.5, .bad_route = -1 },
+  { "slow", .slow_share = 0.5, .bad_route = -1 },
+  { "breaks off", .lost_share = 0.5, .bad_route = -1 },
+  { "errors on one route", .failure_share = 0.5, .bad_route = 1 },
+  { "errors late", .failure_share = 0.5, .bad_route = -1,
+    .bad_from_part = 0.6 },
+};
+
+static const trouble_t common_troubles[] = {
+  { "none", .wait_factor = 1 },
+  { "a third fails", .failure_share = 0.35, .wait_factor = 1 },
+  { "most fail", .failure_share = 0.8, .wait_factor = 1 },
+  { "connections are lost", .lost_share = 0.6, .wait_factor = 1 },
+  { "slow", .wait_factor = 6 },
+  { "callers leave", .unseen_share = 0.9, .wait_factor = 1 },
+  { "hardly any instance", .unseen_share = 0.7, .lost_share = 0.7,
+    .wait_factor = 2 },
+};
+
+/* A trouble that both versions have hides the failures of the new one, or
+   leaves hardly any of its answers.  It would be declared good.  */
+START_TEST (bad_version_accepted_in_a_common_trouble)
+{
+  static const masked_setting_t settings[]
+      = { { 16000, 30 }, { 24000, 30 }, { 24000, 120 }, { 40000, 120 } };
+  const badness_t *badness = &ways_of_being_bad[_i];
+  size_t troubles = sizeof common_troubles / sizeof common_troubles[0];
+
+  for (size_t at = 0; at < sizeof settings / sizeof settings[0]; at++)
+    for (size_t i = 0; i < troubles; i++)
+      for (uint64_t seed = 1; seed <= 40; seed++)
+        {
+          masked_result_t result = run_masked_rollout (
+              badness, &common_troubles[i], &settings[at], seed);
+          ck_assert_msg (result.late_requests == 0,
+                         "%s while %s, setting %zu, seed %d: %u requests "
+                         "later than %d ms after bad answer %d, phase %s",
+                         badness->name, common_troubles[i].name, at, (int)seed,
+                         result.late_requests, LATE_AFTER_MS, BAD_ANSWERS,
+                         trial_phase_name (result.phase));
+        }
+}
+END_TEST
+
 /* The store is down when the steps are due, and processes cannot exchange
    their counts.  A step taken then would rely on incomplete counts; after the
    outage the steps follow one after the other.  */
@@ -615,6 +797,8 @@
   tcase_add_test (tcase, crash_rolls_back_a_good_version);
   tcase_add_test (tcase, lost_connections_do_not_roll_back_a_version);
   tcase_add_test (tcase, bad_version_accepted_among_common_failures);
+  tcase_add_loop_test (tcase, bad_version_accepted_in_a_common_trouble, 0,
+                       sizeof ways_of_being_bad / sizeof ways_of_being_bad[0]);
   tcase_add_test (tcase, steps_advance_during_a_store_outage);
   tcase_add_test (tcase, request_changes_version_between_sends);
   tcase_add_test (tcase, counts_of_other_processes_are_lost);
