tests: a bad version at gateway processes in a trouble of both versions, failing

Four gateways, nine instances of each version, 120 streams a second, 40 s; half of the new version's answers are bad, and both versions fail 0.8, reset 0.7 or break off 0.6 of them besides.

--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -1,6 +1,7 @@
 #include "fake_upstream.h"
 
 #include "base/mem.h"
+#include "base/rng.h"
 #include "loopback.h"
 
 #include <check.h>
@@ -31,6 +32,10 @@
   fake_action_t actions[ACTIONS_MAX];
   size_t action_count;
   size_t next_action;
+  rng_t rng;
+  fake_action_t share_action; /* Reaction to SHARE of the requests.  */
+  double share;
+  fake_action_t last_action;
   char *rate_limit; /* Value of the rate limit header; NULL: none.  */
   char *headers;    /* Further header lines; NULL: none.  */
   uint64_t *arrivals_ms;
@@ -376,6 +381,9 @@
       = upstream->crash_text != NULL
         && strstr (upstream->last_request.ptr, upstream->crash_text) != NULL;
   fake_action_t action = upstream->actions[upstream->next_action];
+  if (upstream->share > 0 && rng_double (&upstream->rng) < upstream->share)
+    action = upstream->share_action;
+  upstream->last_action = action;
   if (upstream->arrival_cb != NULL)
     upstream->arrival_cb (
         upstream->arrival_arg, upstream,
@@ -510,6 +518,21 @@
   upstream->next_action = 0;
 }
 
+void
+fake_upstream_set_share (fake_upstream_t *upstream, fake_action_t action,
+                         double share)
+{
+  upstream->rng = rng_make (upstream->port);
+  upstream->share_action = action;
+  upstream->share = share;
+}
+
+fake_action_t
+fake_upstream_last_action (const fake_upstream_t *upstream)
+{
+  return upstream->last_action;
+}
+
 void
 fake_upstream_set_names (fake_upstream_t *upstream,
                          const header_names_t *names)
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -49,6 +49,13 @@
 /* Set the actions for the next requests.  The last action is repeated.  */
 void fake_upstream_script (fake_upstream_t *upstream,
                            const fake_action_t *actions, size_t count);
+/* React with ACTION to SHARE of the requests, chosen at random, instead of the
+   scripted action.  */
+void fake_upstream_set_share (fake_upstream_t *upstream, fake_action_t action,
+                              double share);
+/* Return the reaction to the last request, valid from the arrival callback
+   on.  */
+fake_action_t fake_upstream_last_action (const fake_upstream_t *upstream);
 /* Set the names of the headers, header_names_default before.  NAMES must
    outlive UPSTREAM.  */
 void fake_upstream_set_names (fake_upstream_t *upstream,
--- a/tests/gateway_processes.c
+++ b/tests/gateway_processes.c
@@ -78,6 +78,16 @@
   size_t arrival_count;
 } crashing_content_t;
 
+/* The version that was ordered.  */
+typedef struct
+{
+  uint64_t ordered_ms; /* Loop time; 0: none is ordered.  */
+  uint64_t time_limit_ms;
+  uint64_t late_from_ms; /* Loop time from which requests are sent too late; 0:
+                            not known yet.  */
+  version_exposure_t exposure;
+} ordered_version_t;
+
 typedef struct
 {
   proc_t *proc;
@@ -111,12 +121,16 @@
   extra_arrival_t *extra;
   size_t extra_count;
   crashing_content_t crashing[CRASHING_CONTENTS_MAX];
+  ordered_version_t version;
 };
 
 static const char *const service_names[SERVICE_COUNT] = { "app", "engine" };
 static const char *const service_paths[SERVICE_COUNT] = { "/read/", "/chat/" };
 static const size_t runs_max[SERVICE_COUNT] = { 2, 3 };
 
+/* Part of the requests that a version may get within its time limit.  */
+static const double exposure_share = 0.15;
+
 static const char configuration[]
     = "{\"version\":1,\"routes\":["
       "{\"name\":\"read\",\"hostname\":\"desk.example\",\"prefix\":\"/read/\","
@@ -153,6 +167,67 @@
     content->third_crash_ms = now_ms + CRASH_DELAY_MS;
 }
 
+static bool
+is_new_instance (const gateway_processes_t *p, process_service_t service,
+                 size_t index)
+{
+  return index >= p->options.instances[service];
+}
+
+/* Return whether UPSTREAM runs the version that is ordered.  */
+static bool
+runs_new_version (const gateway_processes_t *p,
+                  const fake_upstream_t *upstream)
+{
+  size_t count = gateway_processes_instance_count (p, SERVICE_ENGINE);
+
+  for (size_t i = p->options.instances[SERVICE_ENGINE]; i < count; i++)
+    if (p->instances[SERVICE_ENGINE][i] == upstream)
+      return true;
+  return false;
+}
+
+static bool
+is_bad_action (fake_action_t action)
+{
+  return action != ACT_RESPOND && action != ACT_STREAM
+         && action != ACT_STREAM_PAUSE && action != ACT_REFUSE_NOT_RUN;
+}
+
+/* Record an arrival of REQUEST at UPSTREAM, an instance of
+   SERVICE_ENGINE.  */
+static void
+record_exposure (gateway_processes_t *p, const fake_upstream_t *upstream,
+                 const request_t *request)
+{
+  ordered_version_t *version = &p->version;
+  uint64_t now_ms = uv_now (&p->loop);
+  bool is_new = runs_new_version (p, upstream);
+  bool is_calm
+      = now_ms - p->gateways[request->gateway].disturbed_ms >= CALM_AFTER_MS;
+
+  if (now_ms < version->ordered_ms + version->time_limit_ms)
+    {
+      version->exposure.requests++;
+      version->exposure.new_requests += is_new && is_calm;
+    }
+  /* The count of bad answers begins again after a disturbance of the
+     store.  */
+  if (now_ms - p->store_disturbed_ms < CALM_AFTER_MS)
+    {
+      version->exposure.bad_answers = 0;
+      version->late_from_ms = 0;
+    }
+  if (!is_new)
+    return;
+  version->exposure.late_requests
+      += is_calm && version->late_from_ms != 0
+         && request->sent_ms > version->late_from_ms;
+  if (is_bad_action (fake_upstream_last_action (upstream))
+      && ++version->exposure.bad_answers == VERSION_BAD_ANSWERS)
+    version->late_from_ms = now_ms + VERSION_LATE_MS;
+}
+
 /* Record the deadline of the last request at UPSTREAM, an arrival of REQUEST.
    Return whether it was handed more time than is left.  */
 static bool
@@ -194,6 +269,8 @@
       += record_deadline (p, upstream, request);
   if (request->crashing_number != NOT_CRASHING)
     record_crashing_arrival (p, upstream, request);
+  if (request->service == SERVICE_ENGINE && p->version.ordered_ms != 0)
+    record_exposure (p, upstream, request);
   if (request->arrivals++ == 0)
     return;
   p->extra = mem_realloc (p->extra, (p->extra_count + 1) * sizeof *p->extra);
@@ -216,14 +293,17 @@
   char key[64];
   char value[256];
 
+  if (is_new_instance (p, service, index) && p->version.ordered_ms == 0)
+    return;
   format_instance_id (key, sizeof key, p, service, index);
   snprintf (value, sizeof value,
             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
-            "\"zone\":\"zone-a\",\"version\":\"v1\",\"slotCount\":128,"
+            "\"zone\":\"zone-a\",\"version\":\"%s\",\"slotCount\":128,"
             "\"state\":\"ready\",\"coldLeftMs\":0,\"sequence\":1,"
             "\"born\":%zu}",
             service_names[service],
             fake_upstream_port (p->instances[service][index]),
+            is_new_instance (p, service, index) ? "v2" : "v1",
             p->lifetimes[service][index] + 1);
   fake_rows_put (p->rows, ROWS_INSTANCES, key, value);
 }
@@ -232,7 +312,9 @@
 start_instances (gateway_processes_t *p)
 {
   for (int service = 0; service < SERVICE_COUNT; service++)
-    for (size_t i = 0; i < p->options.instances[service]; i++)
+    for (size_t i = 0;
+         i < gateway_processes_instance_count (p, (process_service_t)service);
+         i++)
       {
         char id[32];
         snprintf (id, sizeof id, "%s-%zu", service_names[service], i);
@@ -247,6 +329,14 @@
   gateway_processes_script (p, SERVICE_ENGINE, ACT_STREAM);
 }
 
+size_t
+gateway_processes_instance_count (const gateway_processes_t *p,
+                                  process_service_t service)
+{
+  return p->options.instances[service]
+         + (service == SERVICE_ENGINE ? p->options.new_instances : 0);
+}
+
 fake_upstream_t *
 gateway_processes_instance (gateway_processes_t *p, process_service_t service,
                             size_t index)
@@ -258,7 +348,7 @@
 gateway_processes_script (gateway_processes_t *p, process_service_t service,
                           fake_action_t action)
 {
-  for (size_t i = 0; i < p->options.instances[service]; i++)
+  for (size_t i = 0; i < gateway_processes_instance_count (p, service); i++)
     fake_upstream_script (p->instances[service][i], &action, 1);
 }
 
@@ -345,7 +435,9 @@
   p->era++;
   set_store_era (p);
   for (int service = 0; service < SERVICE_COUNT; service++)
-    for (size_t i = 0; i < p->options.instances[service]; i++)
+    for (size_t i = 0;
+         i < gateway_processes_instance_count (p, (process_service_t)service);
+         i++)
       register_instance (p, (process_service_t)service, i);
 }
 
@@ -370,11 +462,12 @@
               "[process]\nname = %s\nrole = gateway\n"
               "availability-zone = zone-a\nadmin = %s:%u\n%s"
               "[gateway]\nlisten = %s:%u\nready = %s:%u\nkill-after-s = 4\n"
+              "exposure-share = %g\n"
               "extra-ratio = %g\nextra-slack = %g\nextra-window-s = %g\n"
               "[platform]\naddress = %.*s\n",
               gateway->name, host, gateway->ports[PORT_ADMIN], rpc, host,
               gateway->ports[PORT_CALLERS], host, gateway->ports[PORT_READY],
-              p->options.budget.ratio, p->options.budget.slack,
+              exposure_share, p->options.budget.ratio, p->options.budget.slack,
               (double)p->options.budget.window_ms / MS_PER_S,
               STR_ARG (http_store_address (gateway->store)));
   gateway->proc = harness_start (
@@ -547,6 +640,45 @@
     LOOP_WAIT (&p->wait, p->requests[i].caller.closed);
 }
 
+/* Roll-outs.  */
+
+void
+gateway_processes_order_version (gateway_processes_t *p, unsigned within_s,
+                                 fake_action_t action, double share)
+{
+  size_t count = gateway_processes_instance_count (p, SERVICE_ENGINE);
+  char order[96];
+
+  uv_update_time (&p->loop);
+  p->version
+      = (ordered_version_t){ .ordered_ms = uv_now (&p->loop),
+                             .time_limit_ms = (uint64_t)within_s * MS_PER_S };
+  for (size_t i = p->options.instances[SERVICE_ENGINE]; i < count; i++)
+    {
+      fake_upstream_set_share (p->instances[SERVICE_ENGINE][i], action, share);
+      register_instance (p, SERVICE_ENGINE, i);
+    }
+  snprintf (order, sizeof order,
+            "{\"service\":\"engine\",\"to\":\"v2\",\"withinS\":%u}", within_s);
+  fake_rows_put (p->rows, ROWS_OPERATOR, "rollout/engine", order);
+}
+
+bool
+gateway_processes_is_version (gateway_processes_t *p, const char *state)
+{
+  const char *status = fake_rows_get (p->rows, ROWS_STATUS, "rollout/engine");
+  char expected[48];
+
+  snprintf (expected, sizeof expected, "\"state\":\"%s\"", state);
+  return status != NULL && strstr (status, expected) != NULL;
+}
+
+version_exposure_t
+gateway_processes_exposure (const gateway_processes_t *p)
+{
+  return p->version.exposure;
+}
+
 /* Checks.  */
 
 budget_window_t
@@ -719,7 +851,9 @@
       buf_free (&caller->response);
     }
   for (int service = 0; service < SERVICE_COUNT; service++)
-    for (size_t i = 0; i < p->options.instances[service]; i++)
+    for (size_t i = 0;
+         i < gateway_processes_instance_count (p, (process_service_t)service);
+         i++)
       fake_upstream_destroy (p->instances[service][i]);
   for (size_t i = 0; i < p->options.gateways; i++)
     http_store_close (p->gateways[i].store);
--- a/tests/gateway_processes.h
+++ b/tests/gateway_processes.h
@@ -17,7 +17,7 @@
 enum
 {
   GATEWAY_PROCESSES_MAX = 8,
-  PROCESS_INSTANCES_MAX = 16,
+  PROCESS_INSTANCES_MAX = 32,
   CRASHING_CONTENTS_MAX = 16
 };
 
@@ -33,6 +33,9 @@
 {
   size_t gateways;
   size_t instances[SERVICE_COUNT];
+  size_t new_instances; /* Instances of SERVICE_ENGINE that run the version of
+                           gateway_processes_order_version.  Their indices
+                           follow those of the others.  */
   double requests_per_s[SERVICE_COUNT];
   send_budget_options_t budget; /* Of extra sends, for each service.  */
   bool has_readers; /* The gateways read the store through each other.  */
@@ -73,6 +76,9 @@
 double gateway_processes_metric (gateway_processes_t *processes, size_t index,
                                  const char *metric);
 
+/* Return the number of instances of SERVICE, of all versions.  */
+size_t gateway_processes_instance_count (const gateway_processes_t *processes,
+                                         process_service_t service);
 /* Return instance INDEX of SERVICE.  */
 fake_upstream_t *gateway_processes_instance (gateway_processes_t *processes,
                                              process_service_t service,
@@ -106,6 +112,42 @@
                                  process_service_t service,
                                  double requests_per_s);
 
+/* Roll-out of a version of SERVICE_ENGINE.  */
+
+/* Start the new instances and order their version within WITHIN_S.  They react
+   to SHARE of the requests with ACTION.  */
+void gateway_processes_order_version (gateway_processes_t *processes,
+                                      unsigned within_s, fake_action_t action,
+                                      double share);
+/* Return whether the order is decided as STATE, a text of the status row.  */
+bool gateway_processes_is_version (gateway_processes_t *processes,
+                                   const char *state);
+
+typedef struct
+{
+  size_t requests;      /* Arrivals at the service within the time limit.  */
+  size_t new_requests;  /* Arrivals at the version within the time limit.  */
+  size_t bad_answers;   /* Arrivals at the version to which it reacted badly,
+                           since the store was last disturbed.  */
+  size_t late_requests; /* Arrivals at the version of requests that were sent
+                           later than VERSION_LATE_MS after bad answer
+                           VERSION_BAD_ANSWERS.  */
+} version_exposure_t;
+
+enum
+{
+  VERSION_BAD_ANSWERS = 50,
+  VERSION_LATE_MS = 5000,
+  /* Time since the last disturbance of a gateway, or of the store, after which
+     arrivals through it count.  */
+  CALM_AFTER_MS = 3000
+};
+
+/* Return the arrivals since the order, through gateways that were not
+   disturbed for CALM_AFTER_MS.  */
+version_exposure_t
+gateway_processes_exposure (const gateway_processes_t *processes);
+
 /* Return the window in which the arrivals at SERVICE beyond the first of each
    request use the largest part of what the budget allows.  A step is a ms
    since the first request.  */
--- /dev/null
+++ b/tests/test_bad_version.c
@@ -0,0 +1,128 @@
+/* Gateway processes before instances of two versions of an engine, the new one
+   bad, while something else troubles both versions.  */
+
+#include "gateway_processes.h"
+#include "suite.h"
+
+#include <stdio.h>
+
+enum
+{
+  WITHIN_S = 40,
+  GOOD_WITHIN_S = 16,
+  STEP_MS = 1000,
+  CALM_MS = 1000,
+  /* The version gets its first requests after half of the time limit.  */
+  TROUBLE_FROM_MS = 3000,
+  TROUBLE_MS = 35500,
+  AFTER_MS = 6000
+};
+
+static const gateway_processes_options_t options
+    = { .gateways = 4,
+        .instances = { [SERVICE_APP] = 1, [SERVICE_ENGINE] = 9 },
+        .new_instances = 9,
+        .requests_per_s = { [SERVICE_APP] = 1, [SERVICE_ENGINE] = 120 },
+        .budget = { .ratio = 0.9, .slack = 58, .window_ms = 10000 } };
+
+typedef struct
+{
+  const char *name;
+  fake_action_t action; /* Reaction of all instances in the trouble.  */
+  double share;         /* Part of the requests that get it.  */
+} trouble_t;
+
+static const trouble_t troubles[] = {
+  { "a third of the answers fail", ACT_ERROR, 0.33 },
+  { "most answers fail", ACT_ERROR, 0.8 },
+  { "connections are reset", ACT_RESET, 0.7 },
+  { "streams break off", ACT_STREAM_CUT_IN_EVENT, 0.6 },
+};
+
+/* Send requests for MS, in steps that are shorter than the fixture's limit. */
+static void
+run (gateway_processes_t *processes, unsigned ms)
+{
+  for (; ms > STEP_MS; ms -= STEP_MS)
+    gateway_processes_run (processes, STEP_MS);
+  gateway_processes_run (processes, ms);
+}
+
+/* Begin or end TROUBLE at all instances of the engine.  The new ones go on
+   being bad with BAD_SHARE.  */
+static void
+set_trouble (gateway_processes_t *processes, const trouble_t *trouble,
+             double bad_share)
+{
+  size_t count = gateway_processes_instance_count (processes, SERVICE_ENGINE);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      bool is_new = i >= options.instances[SERVICE_ENGINE];
+      double share = is_new ? bad_share : 0;
+      fake_upstream_set_share (
+          gateway_processes_instance (processes, SERVICE_ENGINE, i),
+          trouble != NULL ? trouble->action : ACT_ERROR,
+          trouble != NULL ? share + (1 - share) * trouble->share : share);
+    }
+}
+
+/* Failure: a version of which half of the answers are bad gets requests long
+   after its 50th bad answer, since the old version fails as well.  */
+START_TEST (bad_version_stays_in_a_trouble_of_both_versions)
+{
+  const trouble_t *trouble = &troubles[_i];
+  const double bad_share = 0.5;
+  gateway_processes_t *processes = gateway_processes_create (&options);
+
+  gateway_processes_run (processes, CALM_MS);
+  gateway_processes_order_version (processes, WITHIN_S, ACT_ERROR, bad_share);
+  run (processes, TROUBLE_FROM_MS);
+  set_trouble (processes, trouble, bad_share);
+  run (processes, TROUBLE_MS);
+  set_trouble (processes, NULL, bad_share);
+  run (processes, AFTER_MS);
+  version_exposure_t exposure = gateway_processes_exposure (processes);
+  printf ("%s: %zu of %zu requests, %zu bad answers, %zu late requests\n",
+          trouble->name, exposure.new_requests, exposure.requests,
+          exposure.bad_answers, exposure.late_requests);
+  ck_assert_uint_eq (exposure.late_requests, 0);
+  ck_assert (gateway_processes_is_version (processes, "rolled_back"));
+  gateway_processes_finish (processes);
+  gateway_processes_destroy (processes, false);
+}
+END_TEST
+
+/* Failure: a good version is rolled back on a calm day.  */
+START_TEST (good_version_is_rolled_back)
+{
+  gateway_processes_t *processes = gateway_processes_create (&options);
+
+  gateway_processes_run (processes, CALM_MS);
+  gateway_processes_order_version (processes, GOOD_WITHIN_S, ACT_ERROR, 0);
+  run (processes, GOOD_WITHIN_S * 1000);
+  ck_assert (gateway_processes_is_version (processes, "done"));
+  gateway_processes_finish (processes);
+  gateway_processes_destroy (processes, false);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("bad version");
+  TCase *good = tcase_create ("good version");
+
+  for (int i = 0; i < (int)(sizeof troubles / sizeof troubles[0]); i++)
+    {
+      TCase *tcase = tcase_create (troubles[i].name);
+      tcase_set_timeout (tcase, 90);
+      tcase_add_loop_test (
+          tcase, bad_version_stays_in_a_trouble_of_both_versions, i, i + 1);
+      suite_add_tcase (suite, tcase);
+    }
+  tcase_set_timeout (good, 90);
+  tcase_add_test (good, good_version_is_rolled_back);
+  suite_add_tcase (suite, good);
+  return suite_run (suite);
+}
