trial: a version is declared good only on evidence

What callers saw: a bad version got all requests. Few answers, and a difference that other failures hide, counted as good: a step with few answers is left after some time, and the excess of failures is tested against a fixed part of all answers, of which the old version's own failures leave little.

Each process now weighs each answer of the new version by the logarithm of a likelihood ratio (Wald 1945) against the old version's share of failures there and then. A busy service's version is declared good when the sum of all processes speaks for it, over all answers and over each busy group of routes; else it is rolled back at the time limit. The excess of failures is a part of the old version's good answers. The logarithms follow the old sums in the message, so older processes read it.

The model's older tests count requests too, so that they take the path of a busy service.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -428,6 +428,7 @@
   relay->sse.last_id = attrs->last_event_id;
   send_budget_count_request (
       gateway_service_retry_budget (state, attrs->service->name));
+  relay_count_trial_request (relay);
   relay_send (relay);
 }
 
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -95,6 +95,15 @@
         table_sync_store_now_ms (relay->state->operator_rows_sync));
 }
 
+void
+relay_count_trial_request (const relay_t *relay)
+{
+  trial_t *trial = running_trial (relay);
+
+  if (trial != NULL)
+    trial_count_request (trial, route_hash (relay));
+}
+
 /* Report the current send to the crash records if it ends without a complete
    response.  */
 static void
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -157,6 +157,8 @@
    send took DURATION_MS.  */
 void relay_record_timing (const relay_t *relay, trial_timing_t timing,
                           double duration_ms);
+/* Count the request in the running roll-out of the service.  */
+void relay_count_trial_request (const relay_t *relay);
 
 /* Selection of the upstream.  */
 
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -30,6 +30,7 @@
 typedef struct
 {
   trial_sums_t sums[TRIAL_ARM_COUNT][TRIAL_CELL_COUNT];
+  trial_likelihoods_t likelihoods[TRIAL_ROUTE_CELLS];
   bool was_sent_by_peer; /* Whether a peer sent the counts; otherwise they were
                             read from the store.  */
   unsigned age_s;
@@ -265,6 +266,105 @@
                                                 : TRIAL_ARM_OLD;
 }
 
+/* Return the share of the old version's COUNT answers that FAILED, with a
+   prior of twenty answers of which one failed.  When all requests go to the
+   new version the old one has no answers; its share must then neither be taken
+   for exact nor hide a bad version.  */
+static double
+old_failure_share (double failed, double count)
+{
+  return (failed + 1) / (count + 20);
+}
+
+static void
+sums_add (trial_sums_t *to, const trial_sums_t *from)
+{
+#define X(field, decimals, decay) to->field += from->field;
+  TRIAL_SUMS (X)
+#undef X
+  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+    {
+      to->timing_count[timing] += from->timing_count[timing];
+      to->late_count[timing] += from->late_count[timing];
+    }
+}
+
+/* Return the sum of COUNTS over the routes.  */
+static trial_sums_t
+sums_of_routes (const counts_t *counts, trial_arm_t arm)
+{
+  trial_sums_t sums = { 0 };
+
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    sums_add (&sums, &counts->sums[arm][cell]);
+  return sums;
+}
+
+/* Return the share of the old version's answers in SUMS that failed, with a
+   weight of TRIAL_ADVANCE_LOST_CONNECTION_WEIGHT for lost connections.  */
+static double
+old_advance_failure_share (const trial_sums_t *sums)
+{
+  double extra = sums->lost_connections
+                 * (TRIAL_ADVANCE_LOST_CONNECTION_WEIGHT
+                    - TRIAL_LOST_CONNECTION_WEIGHT);
+
+  return old_failure_share (sums->failed + extra, sums->count + extra);
+}
+
+/* Add to AGAINST or FOR the logarithm of the likelihood ratio of an event of
+   the new version, such as a failed answer, that the old version has in
+   OLD_SHARE of the cases.  */
+static void
+add_likelihood (double old_share, bool has_event, double *against,
+                double *for_)
+{
+  double good = old_share + (1 - old_share) * TRIAL_GOOD_SHARE;
+  double bad = old_share + (1 - old_share) * TRIAL_BAD_SHARE;
+
+  if (has_event)
+    *against += log (bad / good);
+  else
+    *for_ += log ((1 - good) / (1 - bad));
+}
+
+/* Weigh OUTCOME of the new version in CELL against the old version's
+   answers.  */
+static void
+weigh_outcome (trial_t *trial, size_t cell, trial_outcome_t outcome)
+{
+  trial_likelihoods_t *likelihoods = &trial->own_counts.likelihoods[cell];
+  trial_sums_t old = trial->own_counts.sums[TRIAL_ARM_OLD][cell];
+
+  if (old.count < TRIAL_ANSWERS_MIN)
+    old = sums_of_routes (&trial->own_counts, TRIAL_ARM_OLD);
+  add_likelihood (old_advance_failure_share (&old),
+                  outcome != TRIAL_OUTCOME_ANSWERED,
+                  outcome == TRIAL_OUTCOME_CONNECTION_LOST
+                      ? &likelihoods->losses_against
+                      : &likelihoods->failures_against,
+                  &likelihoods->failures_for);
+}
+
+/* Weigh a time of the new version in CELL against the old version's times of
+   the same kind.  */
+static void
+weigh_time (trial_t *trial, size_t cell, trial_timing_t timing, bool is_late)
+{
+  trial_likelihoods_t *likelihoods = &trial->own_counts.likelihoods[cell];
+  trial_sums_t old = sums_of_routes (&trial->own_counts, TRIAL_ARM_OLD);
+
+  add_likelihood (
+      old_failure_share (old.late_count[timing], old.timing_count[timing]),
+      is_late, &likelihoods->times_against, &likelihoods->times_for);
+}
+
+void
+trial_count_request (trial_t *trial, uint64_t route)
+{
+  trial->own_counts.likelihoods[route % TRIAL_ROUTE_CELLS].requests++;
+}
+
 static void
 sums_add_outcome (trial_sums_t *sums, trial_outcome_t outcome)
 {
@@ -295,6 +395,8 @@
   if (is_loaded)
     sums_add_outcome (loaded, outcome);
   sums_add_outcome (sums, outcome);
+  if (arm == TRIAL_ARM_NEW)
+    weigh_outcome (trial, route % TRIAL_ROUTE_CELLS, outcome);
   if (wait_ms > 0)
     {
       double log_wait = log ((double)wait_ms);
@@ -356,9 +458,11 @@
         && now_ms < trial->step_start_ms + TRIAL_WARM_UP_MS + (uint64_t)ms;
   if (usual_ms > 0 && !is_warming_up)
     {
+      bool is_late = ms > usual_ms * timings[timing].late_factor;
       sums->timing_count[timing] += 1;
-      if (ms > usual_ms * timings[timing].late_factor)
-        sums->late_count[timing] += 1;
+      sums->late_count[timing] += is_late;
+      if (arm == TRIAL_ARM_NEW)
+        weigh_time (trial, cell, timing, is_late);
       trial->has_unwritten_counts = true;
     }
   if (arm != TRIAL_ARM_OLD)
@@ -381,21 +485,26 @@
 }
 
 static void
-sums_add (trial_sums_t *to, const trial_sums_t *from)
+likelihoods_decay (trial_likelihoods_t *likelihoods)
+{
+#define X(field, decimals, decay) likelihoods->field *= (decay);
+  TRIAL_LIKELIHOODS (X)
+#undef X
+}
+
+static void
+likelihoods_add (trial_likelihoods_t *to, const trial_likelihoods_t *from)
 {
 #define X(field, decimals, decay) to->field += from->field;
-  TRIAL_SUMS (X)
+  TRIAL_LIKELIHOODS (X)
 #undef X
-  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
-    {
-      to->timing_count[timing] += from->timing_count[timing];
-      to->late_count[timing] += from->late_count[timing];
-    }
 }
 
 static void
 counts_decay (counts_t *counts)
 {
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    likelihoods_decay (&counts->likelihoods[cell]);
   for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
     for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
       sums_decay (&counts->sums[arm][cell]);
@@ -449,21 +558,12 @@
       for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
         for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
           sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
+      for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+        likelihoods_add (&all.likelihoods[cell], &peer->likelihoods[cell]);
     }
   return all;
 }
 
-/* Return the sum of COUNTS over the routes.  */
-static trial_sums_t
-sums_of_routes (const counts_t *counts, trial_arm_t arm)
-{
-  trial_sums_t sums = { 0 };
-
-  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
-    sums_add (&sums, &counts->sums[arm][cell]);
-  return sums;
-}
-
 void
 trial_describe (const trial_t *trial, trial_arm_t arm, buf_t *out)
 {
@@ -478,7 +578,8 @@
                 sums.late_count[timing], sums.timing_count[timing]);
 }
 
-/* The message is one line: the order's number, then the sums.  */
+/* The message is one line: the order's number, then the sums, then the
+   logarithms of likelihood ratios, which older processes do not read.  */
 void
 trial_write (trial_t *trial, bool all, buf_t *out)
 {
@@ -497,6 +598,14 @@
           buf_printf (out, " %.2f %.2f", sums->timing_count[timing],
                       sums->late_count[timing]);
       }
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    {
+      const trial_likelihoods_t *likelihoods = &counts.likelihoods[cell];
+#define X(field, decimals, decay)                                             \
+  buf_printf (out, " %.*f", decimals, likelihoods->field);
+      TRIAL_LIKELIHOODS (X)
+#undef X
+    }
   trial->has_unwritten_counts = false;
 }
 
@@ -511,6 +620,25 @@
   return str_to_double (word, value) && isfinite (*value) && *value >= 0;
 }
 
+/* Read the logarithms of likelihood ratios from *REST, which is empty in the
+   message of an older process.  */
+static vh_code_t
+read_likelihoods (str_t *rest, trial_likelihoods_t *cells)
+{
+  if (rest->ptr == NULL)
+    return VH_OK;
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    {
+      trial_likelihoods_t *likelihoods = &cells[cell];
+#define X(field, decimals, decay)                                             \
+  if (!read_number (rest, &likelihoods->field))                               \
+    return VH_E_PROTOCOL;
+      TRIAL_LIKELIHOODS (X)
+#undef X
+    }
+  return VH_OK;
+}
+
 vh_code_t
 trial_merge (trial_t *trial, str_t process, bool was_sent_by_peer, str_t text)
 {
@@ -535,6 +663,8 @@
               || !read_number (&text, &sums->late_count[timing]))
             return VH_E_PROTOCOL;
       }
+  if (read_likelihoods (&text, received.likelihoods) != VH_OK)
+    return VH_E_PROTOCOL;
   counts_t *peer = map_get (trial->peers, process);
   if (peer == NULL)
     {
@@ -547,28 +677,19 @@
   return VH_OK;
 }
 
-/* Return the share of the old version's COUNT answers that FAILED, with a
-   prior of twenty answers of which one failed.  When all requests go to the
-   new version the old one has no answers; its share must then neither be taken
-   for exact nor hide a bad version.  */
-static double
-old_failure_share (double failed, double count)
-{
-  return (failed + 1) / (count + 20);
-}
-
 /* Return whether the new version's share of failed answers exceeds the old
-   one's by both EXCESS_MIN and STDERRS standard errors.  */
+   one's by EXCESS_MIN of the old version's good answers, since only those can
+   show failures of the new one, and by STDERRS standard errors.  */
 static bool
 has_share_excess (double old_failed, double old_count, double new_failed,
                   double new_count, double excess_min, double stderrs)
 {
-  double excess
-      = new_failed / new_count - old_failure_share (old_failed, old_count);
+  double old_share = old_failure_share (old_failed, old_count);
+  double excess = new_failed / new_count - old_share;
   double pooled = (new_failed + old_failed + 1) / (new_count + old_count + 2);
   double std_error
       = sqrt (pooled * (1 - pooled) * (1 / new_count + 1 / (old_count + 1)));
-  return excess > excess_min && excess > stderrs * std_error;
+  return excess > excess_min * (1 - old_share) && excess > stderrs * std_error;
 }
 
 /* Return the share of SUMS that failed, with a weight of
@@ -599,9 +720,67 @@
             new->late_count[timing], new->timing_count[timing],
             TRIAL_HOLD_LATE_EXCESS, stderrs))
       return false;
-  return advance_failure_share (new)
-             - old_failure_share (old->failed, old->count)
-         <= TRIAL_ADVANCE_EXCESS;
+  double old_share = old_failure_share (old->failed, old->count);
+  return advance_failure_share (new) - old_share
+         <= TRIAL_ADVANCE_EXCESS * (1 - old_share);
+}
+
+/* Return the sum of the logarithms of likelihood ratios in COUNTS.  */
+static trial_likelihoods_t
+likelihoods_of_routes (const counts_t *counts)
+{
+  trial_likelihoods_t sums = { 0 };
+
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    likelihoods_add (&sums, &counts->likelihoods[cell]);
+  return sums;
+}
+
+/* Return the logarithm of the likelihood ratio, good against bad, of the
+   outcomes in LIKELIHOODS, with LOSS_WEIGHT for lost connections.  */
+static double
+outcome_log_ratio (const trial_likelihoods_t *likelihoods, double loss_weight)
+{
+  return likelihoods->failures_for - likelihoods->failures_against
+         - loss_weight * likelihoods->losses_against;
+}
+
+/* Return whether the answers in COUNTS show that the version is good.  */
+static bool
+is_shown_good (const counts_t *counts)
+{
+  trial_likelihoods_t all = likelihoods_of_routes (counts);
+  trial_sums_t old = sums_of_routes (counts, TRIAL_ARM_OLD);
+  bool has_times = false;
+
+  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+    has_times |= old.timing_count[timing] > 0;
+  if (outcome_log_ratio (&all, TRIAL_ADVANCE_LOST_CONNECTION_WEIGHT)
+          < TRIAL_GOOD_LOG_RATIO
+      || (has_times
+          && all.times_for - all.times_against < TRIAL_GOOD_LOG_RATIO))
+    return false;
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    {
+      const trial_likelihoods_t *likelihoods = &counts->likelihoods[cell];
+      if (likelihoods->requests >= TRIAL_BUSY_REQUESTS
+          && outcome_log_ratio (likelihoods, TRIAL_LOST_CONNECTION_WEIGHT)
+                 < TRIAL_GOOD_CELL_LOG_RATIO)
+        return false;
+    }
+  return true;
+}
+
+/* Return whether COUNTS do not suffice to declare the version good, which the
+   requests of a service that is not busy cannot tell.  */
+static bool
+lacks_evidence_of_good (const counts_t *counts)
+{
+  trial_sums_t old = sums_of_routes (counts, TRIAL_ARM_OLD);
+
+  return likelihoods_of_routes (counts).requests >= TRIAL_BUSY_REQUESTS
+         && (old_advance_failure_share (&old) > TRIAL_OLD_FAILURES_MAX
+             || !is_shown_good (counts));
 }
 
 /* Return whether the counts of one cell since the start do not suffice to
@@ -688,7 +867,8 @@
               buf_t *reason)
 {
   counts_t all = total_counts (trial, false);
-  trial_sums_t sums[TRIAL_ARM_COUNT] = { 0 };
+  const trial_sums_t old = sums_of_routes (&all, TRIAL_ARM_OLD);
+  const trial_sums_t new = sums_of_routes (&all, TRIAL_ARM_NEW);
   bool has_inconclusive_cell = false;
 
   if (trial->phase != TRIAL_PHASE_RUNNING || trial->start_ms == 0)
@@ -700,11 +880,8 @@
         return TRIAL_DECISION_ROLL_BACK;
       has_inconclusive_cell |= is_cell_inconclusive (
           &all.sums[TRIAL_ARM_OLD][cell], &all.sums[TRIAL_ARM_NEW][cell]);
-      for (size_t arm = 0; arm < TRIAL_ARM_COUNT && cell < TRIAL_ROUTE_CELLS;
-           arm++)
-        sums_add (&sums[arm], &all.sums[arm][cell]);
     }
-  if (is_version_bad (&sums[TRIAL_ARM_OLD], &sums[TRIAL_ARM_NEW], reason))
+  if (is_version_bad (&old, &new, reason))
     return TRIAL_DECISION_ROLL_BACK;
   double time_limit_ms = (double)trial->time_limit_ms;
   double step_min_ms = step_length_parts[trial->step] * time_limit_ms;
@@ -720,17 +897,19 @@
   if (is_store_down || in_step_ms < step_min_ms)
     return TRIAL_DECISION_WAIT;
   bool is_due = (double)now_ms >= finish_time_ms (trial);
-  /* Before the finish is due an inconclusive cell does not hold the version
-     back, because further answers may still make the cell conclusive.  */
+  bool is_last_step = trial->step + 1 == TRIAL_STEP_COUNT;
+  bool is_busy = likelihoods_of_routes (&all).requests >= TRIAL_BUSY_REQUESTS;
+  /* Before the finish is due missing evidence does not hold the version back,
+     because further answers may still bring it.  */
   bool is_held_back
       = (is_due && has_inconclusive_cell)
-        || !is_ready_to_advance (&sums[TRIAL_ARM_OLD], &sums[TRIAL_ARM_NEW],
-                                 in_step_ms, step_min_ms,
+        || (is_due && is_last_step && lacks_evidence_of_good (&all))
+        || !is_ready_to_advance (&old, &new, in_step_ms, step_min_ms,
                                  is_due ? TRIAL_FINAL_HOLD_STDERRS
                                         : TRIAL_HOLD_STDERRS);
   if (trial->step > TRIAL_STEP_NO_TRAFFIC && is_held_back)
     {
-      if (sums[TRIAL_ARM_NEW].count < TRIAL_ADVANCE_ANSWERS_MIN
+      if ((new.count < TRIAL_ADVANCE_ANSWERS_MIN && !is_busy)
           || (double)now_ms + TRIAL_ROLLBACK_LEAD_MS
                  < (double)trial->start_ms + time_limit_ms)
         return TRIAL_DECISION_WAIT;
@@ -739,7 +918,7 @@
                   "time limit");
       return TRIAL_DECISION_ROLL_BACK;
     }
-  if (trial->step + 1 < TRIAL_STEP_COUNT)
+  if (!is_last_step)
     return TRIAL_DECISION_ADVANCE;
   return is_due ? TRIAL_DECISION_FINISH : TRIAL_DECISION_WAIT;
 }
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -35,15 +35,22 @@
    - A version may fail only on loaded instances, and its answers from the
      other instances would hide that, so answers of loaded instances also count
      in a cell of their own.
+   - Few answers, and a difference that other failures hide, are no evidence of
+     a good version.  The version is declared good only if its answers make it
+     unlikely that it is bad: each answer changes the logarithm of a likelihood
+     ratio (Wald 1945), which compares the old version's share of failures at
+     that time and process with that of a version that itself fails
+     TRIAL_BAD_SHARE of its requests.  While the old version fails as well, an
+     answer changes the ratio by less.
    - A version that still may not advance shortly before the time limit is
      rolled back: its failures or late times exceed the old version's by too
      little to call the version bad, but by more than a version that gets all
-     requests may have, or a busy cell has hardly any of its answers.
+     requests may have, or it has too few answers.
    - A version is bad when in one cell the share of its answers that failed
-     exceeds the old version's by TRIAL_FAILURE_EXCESS and by
-     TRIAL_FAILURE_STDERRS standard errors, over TRIAL_ANSWERS_MIN answers; or
-     when its time to the first event is TRIAL_FIRST_EVENT_RATIO times the old
-     version's.
+     exceeds the old version's by TRIAL_FAILURE_EXCESS of the old version's
+   good ones and by TRIAL_FAILURE_STDERRS standard errors, over
+   TRIAL_ANSWERS_MIN answers; or when its time to the first event is
+   TRIAL_FIRST_EVENT_RATIO times the old version's.
    - A version that fails no request and is only slow shows in the time to the
      first event and in the gaps between events, compared at instances with the
      same load: a time that is a fixed multiple of the usual one at that load
@@ -108,6 +115,24 @@
    the new version needs at least TRIAL_BUSY_CELL_NEW_MIN answers before it is
    declared good.  */
 #define TRIAL_BUSY_CELL_ANSWERS 100.0
+/* Number of requests since the start from which a service, or a group of its
+   routes, is busy, so that a new version must be shown to be good.  */
+#define TRIAL_BUSY_REQUESTS 100.0
+/* Part of the requests that a bad version itself fails, or makes late, and the
+   part that a good one may.  */
+#define TRIAL_BAD_SHARE 0.4
+#define TRIAL_GOOD_SHARE 0.05
+/* Logarithms of the likelihood ratio, good against bad, from which the version
+   is shown to be good over all its answers, and over those of a busy group of
+   routes.  */
+#define TRIAL_GOOD_LOG_RATIO 3.0
+#define TRIAL_GOOD_CELL_LOG_RATIO 1.8
+/* Factor by which the logarithms decay in a second, so that a version that
+   turns bad is no longer shown to be good.  */
+#define TRIAL_LIKELIHOOD_DECAY_PER_S 0.95
+/* Share of the old version's answers that fail from which the new version is
+   not declared good, as it may have turned bad unnoticed.  */
+#define TRIAL_OLD_FAILURES_MAX 0.5
 #define TRIAL_BUSY_CELL_NEW_MIN 2.0
 #define TRIAL_ADVANCE_ANSWERS_MIN 4.0
 #define TRIAL_STEP_TIMEOUT_FACTOR 3
@@ -215,6 +240,29 @@
   double late_count[TRIAL_TIMING_COUNT]; /* Number of late ones among them.  */
 } trial_sums_t;
 
+/* X (field, decimals in a message, decay factor per second): sums over the
+   requests of one group of routes, in the order in which a message holds them.
+
+   - requests: for the service, of either version.
+   - failures_against, failures_for: logarithms of likelihood ratios by which
+     answers and failures of the new version speak against and for it.
+   - losses_against: the same of its lost connections, without weight.
+   - times_against, times_for: the same of late and other times.  */
+#define TRIAL_LIKELIHOODS(X)                                                  \
+  X (requests, 0, 1)                                                          \
+  X (failures_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                       \
+  X (failures_for, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                           \
+  X (losses_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                         \
+  X (times_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                          \
+  X (times_for, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)
+
+typedef struct
+{
+#define X(field, decimals, decay) double field;
+  TRIAL_LIKELIHOODS (X)
+#undef X
+} trial_likelihoods_t;
+
 /* ORDER is the number of the operators' order, which distinguishes two orders
    for the same version.  EXPOSURE is the part of the service's requests that
    the version may get within TIME_LIMIT_MS.  */
@@ -280,6 +328,8 @@
   TRIAL_OUTCOME_CONNECTION_LOST
 } trial_outcome_t;
 
+/* Count a request on a route with hash ROUTE, before its first send.  */
+void trial_count_request (trial_t *trial, uint64_t route);
 /* Count the outcome of a send on a route with hash ROUTE.  WAIT_MS is the time
    to its first event, 0 if there was none.  IS_LOADED: at least half of the
    instance's slots were in use.  */
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -69,6 +69,7 @@
       for (int i = 0; i < requests_per_tick; i++)
         {
           uint64_t route = rng_below (&rng, TRIAL_ROUTE_CELLS);
+          trial_count_request (trial, route);
           bool is_new = trial_is_assigned (trial, rng_u64 (&rng), now_ms);
           bool is_bad = is_new && ms >= version->bad_from_ms
                         && (version->bad_route < 0
@@ -226,6 +227,41 @@
 }
 END_TEST
 
+/* A version is bad on one busy route, where it got three answers, none of them
+   bad.  One bad version in five would be declared good on such a route.  */
+START_TEST (version_accepted_on_few_answers_on_a_busy_route)
+{
+  static const struct
+  {
+    int answers;
+    trial_decision_t decision;
+  } cases[]
+      = { { 3, TRIAL_DECISION_ROLL_BACK }, { 8, TRIAL_DECISION_FINISH } };
+  const uint64_t end_ms = START_MS + TIME_LIMIT_MS - TRIAL_ROLLBACK_LEAD_MS;
+
+  for (size_t at = 0; at < sizeof cases / sizeof cases[0]; at++)
+    {
+      trial_t *trial
+          = trial_create (STR ("llm"), STR ("v2"), 1, TIME_LIMIT_MS, EXPOSURE);
+      buf_t reason = BUF_NULL;
+      trial_set_progress (trial, START_MS, TRIAL_STEP_INCREASED, START_MS);
+      for (uint64_t i = 0; i < 400; i++)
+        {
+          trial_count_request (trial, i % 2);
+          trial_observe (trial, TRIAL_ARM_OLD, i % 2, TRIAL_OUTCOME_ANSWERED,
+                         50, false);
+        }
+      for (int i = 0; i < 40 + cases[at].answers; i++)
+        trial_observe (trial, TRIAL_ARM_NEW, i < 40 ? 0 : 1,
+                       TRIAL_OUTCOME_ANSWERED, 50, false);
+      ck_assert_int_eq (trial_decide (trial, end_ms, false, &reason),
+                        cases[at].decision);
+      buf_free (&reason);
+      trial_destroy (trial);
+    }
+}
+END_TEST
+
 /* A version fails only under a load that its instances do not have within the
    time limit, so it is measured as good.  Without a bound on its share it
    would get too many requests before the time limit.  */
@@ -304,6 +340,7 @@
       /* One first event in ten waits behind a long prompt.  */
       double first_ms = 60 + (rng_below (rng, 10) == 0 ? 500 : 0);
       uint64_t route = rng_below (rng, TRIAL_ROUTE_CELLS);
+      trial_count_request (trial, route);
       trial_observe (trial, arm, route, TRIAL_OUTCOME_ANSWERED,
                      (uint64_t)first_ms, false);
       trial_observe_timing (trial, arm, route, TRIAL_TIMING_FIRST_EVENT, load,
@@ -574,6 +611,7 @@
                 && (badness->bad_route < 0 || badness->bad_route == route);
   trial_outcome_t outcome = TRIAL_OUTCOME_ANSWERED;
 
+  trial_count_request (trial, (uint64_t)route);
   if ((double)ms < TROUBLE_FROM_PART * limit_ms
       || (double)ms > limit_ms + TROUBLE_AFTER_MS)
     trouble = &calm;
@@ -790,6 +828,7 @@
   tcase_add_test (tcase, hidden_fault_exceeds_exposure_bound);
   tcase_add_test (tcase, failures_of_one_route_hidden_by_other_routes);
   tcase_add_test (tcase, version_accepted_without_answers_on_a_busy_route);
+  tcase_add_test (tcase, version_accepted_on_few_answers_on_a_busy_route);
   tcase_add_test (tcase, slow_version_is_not_rolled_back);
   tcase_add_test (tcase, failures_under_load_hidden_by_idle_instances);
   tcase_add_test (tcase, inconclusive_version_undecided_at_the_time_limit);
