trial: a bound on a version's bad answers that no comparison moves

What callers saw: beside a trouble that the old version has as well, a bad version kept its share until the time limit, 108 to 333 requests beyond 5 s after its 50th bad answer. Its tests compare with the old version, and the promise does not.

The gateways count the bad answers of the new version together: failed, broken off or late, each send once. Each process raises a count of its own, and all keep the counts that they heard of, so those of ended processes stay, also in the evidence rows, which a gateway now reads again after a restart and applies when the order arrives after them. From 40 on the version has 1.5 s to be shown good, again and again; else it is rolled back.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -194,6 +194,7 @@
   relay->is_success = false;
   relay->is_connection_lost = false;
   relay->has_connect_failed = false;
+  relay->has_bad_answer = false;
   relay->send_count++;
   counter_add (state->counters.sends, 1);
   if (upstream_rate_limit (relay->upstream)->is_announced)
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -60,6 +60,17 @@
   return str_hash (relay->attrs.route->name, 0);
 }
 
+/* Count the answer to the current send as bad, once, if the version that is
+   being rolled out gave it.  */
+static void
+count_bad_answer (relay_t *relay, trial_t *trial)
+{
+  if (relay->has_bad_answer || relay_trial_arm (relay) != TRIAL_ARM_NEW)
+    return;
+  relay->has_bad_answer = true;
+  trial_count_bad_answer (trial);
+}
+
 /* Record the OUTCOME of the current send in the running roll-out of the
    service.  A failed connection is no evidence against the version: the
    instance may be down for any reason, and each gateway process would count it
@@ -80,19 +91,21 @@
                  : relay->is_connection_lost ? TRIAL_OUTCOME_CONNECTION_LOST
                                              : TRIAL_OUTCOME_FAILED,
                  first_response_ms, relay->is_upstream_loaded);
+  if (outcome != SEND_OK)
+    count_bad_answer (relay, trial);
 }
 
 void
-relay_record_timing (const relay_t *relay, trial_timing_t timing,
-                     double duration_ms)
+relay_record_timing (relay_t *relay, trial_timing_t timing, double duration_ms)
 {
   trial_t *trial = running_trial (relay);
 
-  if (trial != NULL)
-    trial_observe_timing (
-        trial, relay_trial_arm (relay), route_hash (relay), timing,
-        relay->upstream_request_count, duration_ms,
-        table_sync_store_now_ms (relay->state->operator_rows_sync));
+  if (trial != NULL
+      && trial_observe_timing (
+          trial, relay_trial_arm (relay), route_hash (relay), timing,
+          relay->upstream_request_count, duration_ms,
+          table_sync_store_now_ms (relay->state->operator_rows_sync)))
+    count_bad_answer (relay, trial);
 }
 
 void
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -87,6 +87,7 @@
   bool is_connection_lost; /* The connection was closed before the end of the
                            response, or the upstream is unreachable.  */
   bool has_connect_failed; /* No connection was established.  */
+  bool has_bad_answer;     /* The answer was counted as bad in a roll-out.  */
 
   /* State of all sends.  */
   const upstream_t *tried[POOL_TRIED_MAX];
@@ -155,7 +156,7 @@
 trial_arm_t relay_trial_arm (const relay_t *relay);
 /* Record in the running roll-out of the service that TIMING of the current
    send took DURATION_MS.  */
-void relay_record_timing (const relay_t *relay, trial_timing_t timing,
+void relay_record_timing (relay_t *relay, trial_timing_t timing,
                           double duration_ms);
 /* Count the request in the running roll-out of the service.  */
 void relay_count_trial_request (const relay_t *relay);
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -34,6 +34,9 @@
      the store lost; 0 if it lost none.  */
   uint64_t rewrite_until_ms;
   map_t *state_rows; /* Map of service name to state_row_t.  */
+  /* Map of key to text, as NUL-terminated strings, of the rows with evidence
+     that were last read from the store.  */
+  map_t *evidence_rows;
 };
 
 /* Withdraw the versions of SERVICE that TEXT lists, separated by spaces.
@@ -189,6 +192,53 @@
                 < rows_version_era (row->version);
 }
 
+static void
+apply_evidence (rollouts_t *rollouts, str_t key, bool is_direct, str_t text)
+{
+  str_t rest;
+  str_t gateway;
+
+  if (!str_eq (row_key_first_segment (key, &rest), STR ("evidence")))
+    return;
+  str_t service = str_cut (rest, '/', &gateway);
+  trial_t *trial = map_get (rollouts->state->trials, service);
+  if (trial == NULL)
+    return;
+  /* A row of this gateway has the bad answers that an earlier process of it
+     knew.  */
+  vh_code_t code = str_eq (gateway, rollouts->state->options.name)
+                       ? trial_merge_bad_answers (trial, text)
+                       : trial_merge (trial, gateway, is_direct, text);
+  if (code != VH_OK)
+    log_event (EVENT_ROLLOUT_BAD, log_field_text (FIELD_KEY, key),
+               log_field_number (FIELD_CODE, code));
+}
+
+/* Return an id that no other process uses for TRIAL, nor this gateway's
+   earlier ones, which saw the order earlier.  */
+static uint64_t
+process_id (const rollouts_t *rollouts, const trial_t *trial)
+{
+  return str_hash (rollouts->state->options.name, trial_order_seen_ms (trial));
+}
+
+/* Apply the rows with evidence on SERVICE that were read before the order.  */
+static void
+apply_evidence_rows (rollouts_t *rollouts, str_t service)
+{
+  size_t cursor = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (rollouts->evidence_rows, &cursor, &key, &value))
+    {
+      str_t rest;
+      row_key_first_segment (key, &rest);
+      if (str_eq (str_cut (rest, '/', &rest), service))
+        apply_evidence (rollouts, key, false, str_from (value));
+    }
+}
+
 void
 rollouts_apply_request (rollouts_t *rollouts, const rows_row_t *row,
                         bool is_copy)
@@ -232,12 +282,14 @@
                             spec.within_ms, state->options.rollout_share_max);
       trial_set_order_seen_ms (
           trial, table_sync_store_now_ms (state->operator_rows_sync));
+      trial_set_process_id (trial, process_id (rollouts, trial));
       map_put (state->trials, spec.service, trial);
       log_event (EVENT_ROLLOUT, log_field_text (FIELD_SERVICE, spec.service),
                  log_field_text (FIELD_VERSION, spec.version),
                  log_field_number (FIELD_WITHIN_MS, spec.within_ms),
                  log_field_number (FIELD_ORDER, row->version));
       apply_state_row (rollouts, spec.service);
+      apply_evidence_rows (rollouts, spec.service);
     }
   state->dialect->free_holder (holder);
 }
@@ -246,17 +298,9 @@
 rollouts_apply_evidence (rollouts_t *rollouts, str_t key, bool is_direct,
                          str_t text)
 {
-  str_t rest;
-  str_t gateway;
-
-  if (!str_eq (row_key_first_segment (key, &rest), STR ("evidence")))
-    return;
-  str_t service = str_cut (rest, '/', &gateway);
-  trial_t *trial = map_get (rollouts->state->trials, service);
-  if (trial != NULL && !str_eq (gateway, rollouts->state->options.name)
-      && trial_merge (trial, gateway, is_direct, text) != VH_OK)
-    log_event (EVENT_ROLLOUT_BAD, log_field_text (FIELD_KEY, key),
-               log_field_number (FIELD_CODE, VH_E_PROTOCOL));
+  if (!is_direct)
+    free (map_put (rollouts->evidence_rows, key, str_dup (text)));
+  apply_evidence (rollouts, key, is_direct, text);
 }
 
 static void
@@ -534,6 +578,7 @@
   rollouts->rows = rows;
   rollouts->peer_rows = peer_rows;
   rollouts->state_rows = map_create ();
+  rollouts->evidence_rows = map_create ();
   if (peer_rows != NULL)
     peer_rows_set_piggyback (peer_rows, &piggyback, rollouts);
   return rollouts;
@@ -553,5 +598,9 @@
       free (value);
     }
   map_destroy (rollouts->state_rows);
+  cursor = 0;
+  while (map_next (rollouts->evidence_rows, &cursor, &key, &value))
+    free (value);
+  map_destroy (rollouts->evidence_rows);
   free (rollouts);
 }
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -3,10 +3,18 @@
 #include "base/map.h"
 #include "base/mem.h"
 
+#include <inttypes.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+enum
+{
+  PROCESS_ID_SIZE = 17, /* 16 hexadecimal digits and NUL.  */
+  /* Number of processes whose bad answers are known here.  */
+  BAD_ANSWER_PROCESSES_MAX = 4096
+};
+
 /* Minimum length of each step, as a part of the time limit.  */
 static const double step_length_parts[] = {
 #define X(symbol, part) part,
@@ -64,6 +72,14 @@
   map_t *peers;              /* Maps the name of a process to its counts_t.  */
   bool has_unwritten_counts; /* Whether a count changed since the last
                                 message.  */
+  uint64_t process_id;
+  /* Maps the id of a process, in hexadecimal digits, to the number of bad
+     answers that it counted, as uint64_t.  */
+  map_t *bad_answers;
+  uint64_t bad_answers_sum;
+  /* Time of the store's clock at which there were last few bad answers, or the
+     version was shown to be good.  */
+  uint64_t acceptable_ms;
 };
 
 trial_t *
@@ -78,21 +94,29 @@
   trial->time_limit_ms = time_limit_ms;
   trial->exposure = exposure;
   trial->peers = map_create ();
+  trial->bad_answers = map_create ();
   return trial;
 }
 
-void
-trial_destroy (trial_t *trial)
+static void
+free_map (map_t *map)
 {
   size_t cursor = 0;
   str_t key;
   void *value;
 
+  while (map_next (map, &cursor, &key, &value))
+    free (value);
+  map_destroy (map);
+}
+
+void
+trial_destroy (trial_t *trial)
+{
   if (trial == NULL)
     return;
-  while (map_next (trial->peers, &cursor, &key, &value))
-    free (value);
-  map_destroy (trial->peers);
+  free_map (trial->peers);
+  free_map (trial->bad_answers);
   free (trial->service);
   free (trial->version);
   free (trial);
@@ -359,6 +383,47 @@
       is_late, &likelihoods->times_against, &likelihoods->times_for);
 }
 
+/* Raise the number of bad answers that process ID counted to COUNT.  A number
+   never falls, so that messages may arrive in any order.  */
+static void
+raise_bad_answers (trial_t *trial, str_t id, uint64_t count)
+{
+  uint64_t *known = map_get (trial->bad_answers, id);
+
+  if (known == NULL)
+    {
+      known = mem_zalloc (sizeof *known);
+      map_put (trial->bad_answers, id, known);
+    }
+  if (count <= *known)
+    return;
+  trial->bad_answers_sum += count - *known;
+  *known = count;
+}
+
+void
+trial_set_process_id (trial_t *trial, uint64_t process_id)
+{
+  trial->process_id = process_id;
+}
+
+void
+trial_count_bad_answer (trial_t *trial)
+{
+  char id[PROCESS_ID_SIZE];
+
+  snprintf (id, sizeof id, "%" PRIx64, trial->process_id);
+  const uint64_t *known = map_get (trial->bad_answers, str_from (id));
+  raise_bad_answers (trial, str_from (id), known != NULL ? *known + 1 : 1);
+  trial->has_unwritten_counts = true;
+}
+
+uint64_t
+trial_bad_answers (const trial_t *trial)
+{
+  return trial->bad_answers_sum;
+}
+
 void
 trial_count_request (trial_t *trial, uint64_t route)
 {
@@ -434,7 +499,7 @@
   return 0;
 }
 
-void
+bool
 trial_observe_timing (trial_t *trial, trial_arm_t arm, uint64_t route,
                       trial_timing_t timing, uint32_t load, double ms,
                       uint64_t now_ms)
@@ -451,24 +516,26 @@
   double usual_ms = usual_time_ms (loads, class);
 
   if (ms <= 0)
-    return;
+    return false;
+  bool is_late = usual_ms > 0 && ms > usual_ms * timings[timing].late_factor;
   bool is_warming_up
       = arm == TRIAL_ARM_NEW && timing == TRIAL_TIMING_FIRST_EVENT
         && trial->step == TRIAL_STEP_INITIAL
         && now_ms < trial->step_start_ms + TRIAL_WARM_UP_MS + (uint64_t)ms;
   if (usual_ms > 0 && !is_warming_up)
     {
-      bool is_late = ms > usual_ms * timings[timing].late_factor;
       sums->timing_count[timing] += 1;
       sums->late_count[timing] += is_late;
       if (arm == TRIAL_ARM_NEW)
         weigh_time (trial, cell, timing, is_late);
       trial->has_unwritten_counts = true;
     }
-  if (arm != TRIAL_ARM_OLD)
-    return;
-  loads[class].time_count += 1;
-  loads[class].log_ms_sum += log (ms);
+  if (arm == TRIAL_ARM_OLD)
+    {
+      loads[class].time_count += 1;
+      loads[class].log_ms_sum += log (ms);
+    }
+  return is_late;
 }
 
 static void
@@ -578,8 +645,26 @@
                 sums.late_count[timing], sums.timing_count[timing]);
 }
 
-/* The message is one line: the order's number, then the sums, then the
-   logarithms of likelihood ratios, which older processes do not read.  */
+/* The message is one line: the order's number, then the sums, then what older
+   processes do not read: the logarithms of likelihood ratios, and
+   PROCESS=COUNT for the bad answers of each process.  */
+/* Append the bad answers of this process to OUT; with ALL, of all
+   processes.  */
+static void
+write_bad_answers (const trial_t *trial, bool all, buf_t *out)
+{
+  char own_id[PROCESS_ID_SIZE];
+  size_t cursor = 0;
+  str_t id;
+  void *value;
+
+  snprintf (own_id, sizeof own_id, "%" PRIx64, trial->process_id);
+  while (map_next (trial->bad_answers, &cursor, &id, &value))
+    if (all || str_eq (id, str_from (own_id)))
+      buf_printf (out, " %.*s=%" PRIu64, STR_ARG (id),
+                  *(const uint64_t *)value);
+}
+
 void
 trial_write (trial_t *trial, bool all, buf_t *out)
 {
@@ -606,6 +691,7 @@
       TRIAL_LIKELIHOODS (X)
 #undef X
     }
+  write_bad_answers (trial, all, out);
   trial->has_unwritten_counts = false;
 }
 
@@ -639,6 +725,42 @@
   return VH_OK;
 }
 
+/* Take the bad answers of processes from TEXT, the rest of a message.  */
+static vh_code_t
+read_bad_answers (trial_t *trial, str_t text)
+{
+  while (text.ptr != NULL && text.len > 0)
+    {
+      str_t count_text;
+      uint64_t count;
+      str_t id = str_cut (str_cut (text, ' ', &text), '=', &count_text);
+      if (id.len == 0 || id.len >= PROCESS_ID_SIZE || count_text.ptr == NULL
+          || !str_to_u64 (count_text, &count)
+          || map_size (trial->bad_answers) >= BAD_ANSWER_PROCESSES_MAX)
+        return VH_E_PROTOCOL;
+      raise_bad_answers (trial, id, count);
+    }
+  return VH_OK;
+}
+
+vh_code_t
+trial_merge_bad_answers (trial_t *trial, str_t text)
+{
+  const size_t sums_count
+      = (size_t)TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
+            * (sizeof (trial_sums_t) / sizeof (double))
+        + TRIAL_ROUTE_CELLS * (sizeof (trial_likelihoods_t) / sizeof (double));
+  uint64_t order;
+
+  if (!str_to_u64 (str_cut (text, ' ', &text), &order))
+    return VH_E_PROTOCOL;
+  if (order != trial->order)
+    return VH_OK;
+  for (size_t i = 0; i < sums_count && text.ptr != NULL; i++)
+    str_cut (text, ' ', &text);
+  return read_bad_answers (trial, text);
+}
+
 vh_code_t
 trial_merge (trial_t *trial, str_t process, bool was_sent_by_peer, str_t text)
 {
@@ -663,7 +785,8 @@
               || !read_number (&text, &sums->late_count[timing]))
             return VH_E_PROTOCOL;
       }
-  if (read_likelihoods (&text, received.likelihoods) != VH_OK)
+  if (read_likelihoods (&text, received.likelihoods) != VH_OK
+      || read_bad_answers (trial, text) != VH_OK)
     return VH_E_PROTOCOL;
   counts_t *peer = map_get (trial->peers, process);
   if (peer == NULL)
@@ -862,8 +985,21 @@
   return false;
 }
 
+/* Return whether the version has given so many bad answers, and for so long
+   not been shown to be good, that it must go, whether or not the old version
+   is better.  */
+static bool
+has_too_many_bad_answers (trial_t *trial, const counts_t *counts,
+                          uint64_t now_ms)
+{
+  if (trial->bad_answers_sum < TRIAL_BAD_ANSWERS_MAX || is_shown_good (counts)
+      || now_ms < trial->acceptable_ms)
+    trial->acceptable_ms = now_ms;
+  return now_ms - trial->acceptable_ms >= TRIAL_BAD_ANSWERS_WAIT_MS;
+}
+
 trial_decision_t
-trial_decide (const trial_t *trial, uint64_t now_ms, bool is_store_down,
+trial_decide (trial_t *trial, uint64_t now_ms, bool is_store_down,
               buf_t *reason)
 {
   counts_t all = total_counts (trial, false);
@@ -883,6 +1019,15 @@
     }
   if (is_version_bad (&old, &new, reason))
     return TRIAL_DECISION_ROLL_BACK;
+  if (has_too_many_bad_answers (trial, &all, now_ms))
+    {
+      buf_printf (reason,
+                  "%" PRIu64
+                  " bad answers, and not shown to be as good as the "
+                  "old version",
+                  trial->bad_answers_sum);
+      return TRIAL_DECISION_ROLL_BACK;
+    }
   double time_limit_ms = (double)trial->time_limit_ms;
   double step_min_ms = step_length_parts[trial->step] * time_limit_ms;
   /* The initial step applies from half the time limit on and is written
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -46,6 +46,12 @@
      rolled back: its failures or late times exceed the old version's by too
      little to call the version bad, but by more than a version that gets all
      requests may have, or it has too few answers.
+   - The comparisons above bound the failures only in proportion to those of
+   the old version.  The operators' bound on the bad answers of a bad version
+   is absolute, so once the version has given TRIAL_BAD_ANSWERS_MAX of them,
+   for whatever reason, it stays only while its answers show that it is good.
+     Each process counts its own bad answers; the counts of all processes, also
+     of those that ended, are kept by every process that heard of them.
    - A version is bad when in one cell the share of its answers that failed
      exceeds the old version's by TRIAL_FAILURE_EXCESS of the old version's
    good ones and by TRIAL_FAILURE_STDERRS standard errors, over
@@ -137,6 +143,12 @@
 #define TRIAL_ADVANCE_ANSWERS_MIN 4.0
 #define TRIAL_STEP_TIMEOUT_FACTOR 3
 
+/* Number of bad answers from which the version must be shown to be good, and
+   the time that it has for that.  The operators count to 50, and a process may
+   hear of the others' answers up to 2 s late.  */
+#define TRIAL_BAD_ANSWERS_MAX 40
+#define TRIAL_BAD_ANSWERS_WAIT_MS 1500
+
 /* X (symbol, minimum length of the step as a part of the time limit).  */
 #define TRIAL_STEPS(X)                                                        \
   X (TRIAL_STEP_NO_TRAFFIC, 0.50)                                             \
@@ -330,6 +342,13 @@
 
 /* Count a request on a route with hash ROUTE, before its first send.  */
 void trial_count_request (trial_t *trial, uint64_t route);
+/* Set the id under which this process counts bad answers.  Each process needs
+   its own, also after a restart.  */
+void trial_set_process_id (trial_t *trial, uint64_t process_id);
+/* Count a bad answer of the new version: it failed, broke off or was late.  */
+void trial_count_bad_answer (trial_t *trial);
+/* Return the number of bad answers of which this process knows.  */
+uint64_t trial_bad_answers (const trial_t *trial);
 /* Count the outcome of a send on a route with hash ROUTE.  WAIT_MS is the time
    to its first event, 0 if there was none.  IS_LOADED: at least half of the
    instance's slots were in use.  */
@@ -337,8 +356,9 @@
                     trial_outcome_t outcome, uint64_t wait_ms, bool is_loaded);
 /* Count a measured time of MS ms for TIMING, which ended at NOW_MS of the
    store's clock, of a send on a route with hash ROUTE.  LOAD is the number of
-   requests of all processes at the instance.  */
-void trial_observe_timing (trial_t *trial, trial_arm_t arm, uint64_t route,
+   requests of all processes at the instance.  Return whether the time is
+   late.  */
+bool trial_observe_timing (trial_t *trial, trial_arm_t arm, uint64_t route,
                            trial_timing_t timing, uint32_t load, double ms,
                            uint64_t now_ms);
 /* Multiply each sum by its decay factor (TRIAL_SUMS and
@@ -356,6 +376,9 @@
    changed; a message for another order is ignored.  */
 vh_code_t trial_merge (trial_t *trial, str_t process, bool was_sent_by_peer,
                        str_t text);
+/* Take the bad answers of all processes from the message TEXT, and nothing
+   else.  */
+vh_code_t trial_merge_bad_answers (trial_t *trial, str_t text);
 /* Return whether a count changed since the last trial_write.  */
 bool trial_has_unwritten_counts (const trial_t *trial);
 
@@ -377,7 +400,7 @@
 /* Decide on the counts of all processes.  If the version is bad, append the
    reason to REASON.  IS_STORE_DOWN: the counts of other processes may be
    missing, and no step advances.  */
-trial_decision_t trial_decide (const trial_t *trial, uint64_t now_ms,
+trial_decision_t trial_decide (trial_t *trial, uint64_t now_ms,
                                bool is_store_down, buf_t *reason);
 
 #endif
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -661,9 +661,12 @@
                                 ? TRIAL_ARM_NEW
                                 : TRIAL_ARM_OLD;
           result.late_requests += arm == TRIAL_ARM_NEW && ms > late_from_ms;
-          if (simulate_send (trial, &rng, arm, ms, badness, trouble)
-              && arm == TRIAL_ARM_NEW && ++result.bad_answers == BAD_ANSWERS)
+          if (!simulate_send (trial, &rng, arm, ms, badness, trouble)
+              || arm != TRIAL_ARM_NEW)
+            continue;
+          if (++result.bad_answers == BAD_ANSWERS)
             late_from_ms = ms + LATE_AFTER_MS;
+          trial_count_bad_answer (trial);
         }
       if (ms % 1000 == 0)
         trial_decay (trial);
@@ -817,6 +820,87 @@
 }
 END_TEST
 
+/* A process that counted bad answers ends, or its messages arrive late or
+   twice.  The operators' bound counts its answers as well.  */
+START_TEST (bad_answers_of_an_ended_process_are_lost)
+{
+  trial_t *sender
+      = trial_create (STR ("llm"), STR ("v2"), 7, TIME_LIMIT_MS, EXPOSURE);
+  trial_t *receiver
+      = trial_create (STR ("llm"), STR ("v2"), 7, TIME_LIMIT_MS, EXPOSURE);
+  buf_t old_text = BUF_NULL;
+  buf_t text = BUF_NULL;
+  buf_t relayed = BUF_NULL;
+
+  trial_set_process_id (sender, 0xa1);
+  trial_set_process_id (receiver, 0xb2);
+  for (int i = 0; i < 20; i++)
+    trial_count_bad_answer (sender);
+  trial_write (sender, false, &old_text);
+  for (int i = 0; i < 10; i++)
+    trial_count_bad_answer (sender);
+  trial_write (sender, false, &text);
+  trial_count_bad_answer (receiver);
+  for (int i = 0; i < 2; i++)
+    ck_assert_int_eq (
+        trial_merge (receiver, STR ("one"), true, buf_str (&text)), VH_OK);
+  ck_assert_int_eq (
+      trial_merge (receiver, STR ("one"), true, buf_str (&old_text)), VH_OK);
+  ck_assert_uint_eq (trial_bad_answers (receiver), 31);
+  /* The process starts again with a new id, and counts from 0.  */
+  trial_destroy (sender);
+  sender = trial_create (STR ("llm"), STR ("v2"), 7, TIME_LIMIT_MS, EXPOSURE);
+  trial_set_process_id (sender, 0xa2);
+  for (int i = 0; i < 5; i++)
+    trial_count_bad_answer (sender);
+  text.len = 0;
+  trial_write (sender, false, &text);
+  ck_assert_int_eq (trial_merge (receiver, STR ("one"), true, buf_str (&text)),
+                    VH_OK);
+  ck_assert_uint_eq (trial_bad_answers (receiver), 36);
+  /* It reads from the store what the receiver knows.  */
+  trial_write (receiver, true, &relayed);
+  ck_assert_int_eq (trial_merge_bad_answers (sender, buf_str (&relayed)),
+                    VH_OK);
+  ck_assert_uint_eq (trial_bad_answers (sender), 36);
+  ck_assert_int_eq (
+      trial_merge (sender, STR ("two"), false, buf_str (&relayed)), VH_OK);
+  ck_assert_uint_eq (trial_bad_answers (sender), 36);
+  buf_append_str (&relayed, STR (" 1=x"));
+  ck_assert_int_eq (
+      trial_merge (sender, STR ("two"), false, buf_str (&relayed)),
+      VH_E_PROTOCOL);
+  buf_free (&old_text);
+  buf_free (&text);
+  buf_free (&relayed);
+  trial_destroy (sender);
+  trial_destroy (receiver);
+}
+END_TEST
+
+/* During an update an older process sends the sums alone.  Its answers would
+   be missing.  */
+START_TEST (message_of_an_older_process_is_refused)
+{
+  const size_t sums_count = (size_t)TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
+                            * (sizeof (trial_sums_t) / sizeof (double));
+  trial_t *trial
+      = trial_create (STR ("llm"), STR ("v2"), 7, TIME_LIMIT_MS, EXPOSURE);
+  buf_t text = BUF_NULL;
+
+  buf_append_str (&text, STR ("7"));
+  for (size_t i = 0; i < sums_count; i++)
+    buf_append_str (&text, STR (" 1"));
+  ck_assert_int_eq (trial_merge (trial, STR ("one"), true, buf_str (&text)),
+                    VH_OK);
+  buf_append_str (&text, STR (" 1"));
+  ck_assert_int_eq (trial_merge (trial, STR ("one"), true, buf_str (&text)),
+                    VH_E_PROTOCOL);
+  buf_free (&text);
+  trial_destroy (trial);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -841,6 +925,8 @@
   tcase_add_test (tcase, steps_advance_during_a_store_outage);
   tcase_add_test (tcase, request_changes_version_between_sends);
   tcase_add_test (tcase, counts_of_other_processes_are_lost);
+  tcase_add_test (tcase, bad_answers_of_an_ended_process_are_lost);
+  tcase_add_test (tcase, message_of_an_older_process_is_refused);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
