trial: waits for a first event that callers end are late as well

A time to the first event was measured only where it came. Where callers leave a slow answer before it comes, only the times remained that were not late, and they showed the version to be good. A wait that ends without a first event now counts as late if it was already too long, and says nothing otherwise.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -191,6 +191,7 @@
   relay->send_event_count = 0;
   relay->upstream_request_count = upstream_running_count (relay->upstream);
   relay->is_upstream_loaded = false;
+  relay->has_head = false;
   relay->is_success = false;
   relay->is_connection_lost = false;
   relay->has_connect_failed = false;
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -108,6 +108,23 @@
     count_bad_answer (relay, trial);
 }
 
+/* Record in the running roll-out how long the current send has waited, if it
+   ends before its response began.  */
+static void
+record_unanswered (relay_t *relay)
+{
+  const gateway_state_t *state = relay->state;
+  trial_t *trial = running_trial (relay);
+
+  if (trial != NULL && !relay->has_head && !relay->has_connect_failed
+      && trial_observe_unanswered (
+          trial, relay_trial_arm (relay), route_hash (relay),
+          relay->upstream_request_count,
+          (double)(clock_ms (state->clock) - relay->dispatched_ms),
+          table_sync_store_now_ms (state->operator_rows_sync)))
+    count_bad_answer (relay, trial);
+}
+
 void
 relay_count_trial_request (const relay_t *relay)
 {
@@ -154,6 +171,8 @@
   if (relay->upstream == NULL)
     return;
   relay_count_in_flight (relay, -1);
+  if (outcome == SEND_FAILED || outcome == SEND_CANCELLED)
+    record_unanswered (relay);
   record_trial_outcome (relay, outcome);
   pool_request_finished (relay->state->pool, relay->upstream,
                          relay->unread_prompt_tokens, outcome);
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -318,6 +318,7 @@
   relay_t *relay = arg;
   const header_names_t *names = relay->state->names;
 
+  relay->has_head = true;
   relay->last_activity_ms = clock_ms (relay->state->clock);
   pool_data_received (relay->state->pool, relay->upstream);
   if (!is_valid_response (relay, head))
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -83,6 +83,7 @@
                               use at the time of its response.  */
   uint32_t unread_prompt_tokens; /* Prompt tokens that the upstream has not
                                     processed yet.  */
+  bool has_head;                 /* A response head was received.  */
   bool is_success;               /* The response status is 2xx.  */
   bool is_connection_lost; /* The connection was closed before the end of the
                            response, or the upstream is unreachable.  */
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -499,37 +499,65 @@
   return 0;
 }
 
+/* Return the usual times with which times for TIMING in CELL are compared.
+   Gaps between events of all routes are compared together, because all
+   requests of a batch receive tokens at the same rate.  Times to the first
+   event are compared by route.  */
+static load_times_t *
+usual_times (trial_t *trial, trial_timing_t timing, size_t cell)
+{
+  return trial
+      ->usual_times[timing][timing == TRIAL_TIMING_EVENT_GAP ? 0 : cell];
+}
+
+/* Return whether MS ms for TIMING are late, compared with USUAL_MS, 0 if it is
+   not known.  */
+static bool
+is_late_time (trial_timing_t timing, double ms, double usual_ms)
+{
+  return usual_ms > 0 && ms > usual_ms * timings[timing].late_factor;
+}
+
+/* Return whether a first event of ARM after MS ms may be late because the
+   version's instances have no prompts in their caches yet.  */
+static bool
+is_warming_up (const trial_t *trial, trial_arm_t arm, trial_timing_t timing,
+               double ms, uint64_t now_ms)
+{
+  return arm == TRIAL_ARM_NEW && timing == TRIAL_TIMING_FIRST_EVENT
+         && trial->step == TRIAL_STEP_INITIAL
+         && now_ms < trial->step_start_ms + TRIAL_WARM_UP_MS + (uint64_t)ms;
+}
+
+/* Count a time for TIMING of ARM in CELL.  */
+static void
+count_time (trial_t *trial, trial_arm_t arm, size_t cell,
+            trial_timing_t timing, bool is_late)
+{
+  trial_sums_t *sums = &trial->own_counts.sums[arm][cell];
+
+  sums->timing_count[timing] += 1;
+  sums->late_count[timing] += is_late;
+  if (arm == TRIAL_ARM_NEW)
+    weigh_time (trial, cell, timing, is_late);
+  trial->has_unwritten_counts = true;
+}
+
 bool
 trial_observe_timing (trial_t *trial, trial_arm_t arm, uint64_t route,
                       trial_timing_t timing, uint32_t load, double ms,
                       uint64_t now_ms)
 {
   size_t cell = route % TRIAL_ROUTE_CELLS;
-  /* Gaps between events of all routes are compared together, because all
-     requests of a batch receive tokens at the same rate.  Times to the first
-     event are compared by route.  */
-  load_times_t *loads
-      = trial
-            ->usual_times[timing][timing == TRIAL_TIMING_EVENT_GAP ? 0 : cell];
   size_t class = load_class (load);
-  trial_sums_t *sums = &trial->own_counts.sums[arm][cell];
+  load_times_t *loads = usual_times (trial, timing, cell);
   double usual_ms = usual_time_ms (loads, class);
+  bool is_late = is_late_time (timing, ms, usual_ms);
 
   if (ms <= 0)
     return false;
-  bool is_late = usual_ms > 0 && ms > usual_ms * timings[timing].late_factor;
-  bool is_warming_up
-      = arm == TRIAL_ARM_NEW && timing == TRIAL_TIMING_FIRST_EVENT
-        && trial->step == TRIAL_STEP_INITIAL
-        && now_ms < trial->step_start_ms + TRIAL_WARM_UP_MS + (uint64_t)ms;
-  if (usual_ms > 0 && !is_warming_up)
-    {
-      sums->timing_count[timing] += 1;
-      sums->late_count[timing] += is_late;
-      if (arm == TRIAL_ARM_NEW)
-        weigh_time (trial, cell, timing, is_late);
-      trial->has_unwritten_counts = true;
-    }
+  if (usual_ms > 0 && !is_warming_up (trial, arm, timing, ms, now_ms))
+    count_time (trial, arm, cell, timing, is_late);
   if (arm == TRIAL_ARM_OLD)
     {
       loads[class].time_count += 1;
@@ -538,6 +566,21 @@
   return is_late;
 }
 
+bool
+trial_observe_unanswered (trial_t *trial, trial_arm_t arm, uint64_t route,
+                          uint32_t load, double ms, uint64_t now_ms)
+{
+  const trial_timing_t timing = TRIAL_TIMING_FIRST_EVENT;
+  size_t cell = route % TRIAL_ROUTE_CELLS;
+  const load_times_t *loads = usual_times (trial, timing, cell);
+
+  if (!is_late_time (timing, ms, usual_time_ms (loads, load_class (load))))
+    return false;
+  if (!is_warming_up (trial, arm, timing, ms, now_ms))
+    count_time (trial, arm, cell, timing, true);
+  return true;
+}
+
 static void
 sums_decay (trial_sums_t *sums)
 {
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -361,6 +361,12 @@
 bool trial_observe_timing (trial_t *trial, trial_arm_t arm, uint64_t route,
                            trial_timing_t timing, uint32_t load, double ms,
                            uint64_t now_ms);
+/* Count a wait of MS ms for the first event that ended without one, as the
+   caller left, the connection broke or the time was over.  It shows only that
+   the time would have been longer, so it counts if it is late, and not
+   otherwise.  Return whether it is late.  */
+bool trial_observe_unanswered (trial_t *trial, trial_arm_t arm, uint64_t route,
+                               uint32_t load, double ms, uint64_t now_ms);
 /* Multiply each sum by its decay factor (TRIAL_SUMS and
    TRIAL_TIMING_DECAY_PER_S); totals do not decay.  The caller must call this
    once a second.  */
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -732,6 +732,54 @@
 }
 END_TEST
 
+/* Half of the new version's answers take eight times as long, and their
+   callers leave before them, so that only times are measured that are not
+   late.  */
+START_TEST (slow_version_accepted_as_its_callers_leave)
+{
+  enum
+  {
+    PATIENCE_MS = 500
+  };
+
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      trial_t *trial
+          = trial_create (STR ("llm"), STR ("v2"), 1, TIME_LIMIT_MS, EXPOSURE);
+      trial_decision_t decision = TRIAL_DECISION_WAIT;
+      rng_t rng = rng_make (seed);
+      buf_t reason = BUF_NULL;
+      trial_set_progress (trial, START_MS, TRIAL_STEP_INCREASED, START_MS);
+      for (int i = 0; i < 2000; i++)
+        {
+          trial_arm_t arm = i % 5 == 0 ? TRIAL_ARM_NEW : TRIAL_ARM_OLD;
+          uint64_t route = rng_below (&rng, TRIAL_ROUTE_CELLS);
+          double wait_ms = 50 + 100 * rng_double (&rng);
+          if (arm == TRIAL_ARM_NEW && rng_double (&rng) < 0.5)
+            wait_ms *= SLOW_FACTOR;
+          trial_count_request (trial, route);
+          if (wait_ms > PATIENCE_MS)
+            {
+              trial_observe_unanswered (trial, arm, route, 4, PATIENCE_MS,
+                                        START_MS + TRIAL_WARM_UP_MS
+                                            + PATIENCE_MS);
+              continue;
+            }
+          trial_observe (trial, arm, route, TRIAL_OUTCOME_ANSWERED,
+                         (uint64_t)wait_ms, false);
+          trial_observe_timing (trial, arm, route, TRIAL_TIMING_FIRST_EVENT, 4,
+                                wait_ms,
+                                START_MS + TRIAL_WARM_UP_MS + PATIENCE_MS);
+        }
+      decision
+          = trial_decide (trial, START_MS + TIME_LIMIT_MS, false, &reason);
+      ck_assert_int_eq (decision, TRIAL_DECISION_ROLL_BACK);
+      buf_free (&reason);
+      trial_destroy (trial);
+    }
+}
+END_TEST
+
 /* The store is down when the steps are due, and processes cannot exchange
    their counts.  A step taken then would rely on incomplete counts; after the
    outage the steps follow one after the other.  */
@@ -925,6 +973,7 @@
   tcase_add_test (tcase, steps_advance_during_a_store_outage);
   tcase_add_test (tcase, request_changes_version_between_sends);
   tcase_add_test (tcase, counts_of_other_processes_are_lost);
+  tcase_add_test (tcase, slow_version_accepted_as_its_callers_leave);
   tcase_add_test (tcase, bad_answers_of_an_ended_process_are_lost);
   tcase_add_test (tcase, message_of_an_older_process_is_refused);
   suite_add_tcase (suite, tcase);
