--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -145,6 +145,8 @@
   X (FIELD_ID, "id", "Attempt id of the request")                             \
   X (FIELD_CONTENT, "content",                                                \
      "Digest of the request's service, team, method, path, query and body")   \
+  X (FIELD_PARTS, "parts",                                                    \
+     "Digests of service and id of the prompt parts, all but the last")       \
   X (FIELD_ROUTE, "route", "Route that the request matched")                  \
   X (FIELD_TEAM, "team", "Team whose key it bore")                            \
   X (FIELD_SERVICE, "service", "Service")                                     \
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -105,6 +105,7 @@
   pool_criteria_t criteria;
   buf_t request = BUF_NULL;
   char content[CONTENT_TEXT_SIZE];
+  char parts[PARTS_TEXT_SIZE];
 
   if (now_ms + RESPONSE_TRANSIT_MS >= relay->attrs.deadline_at_ms)
     {
@@ -162,6 +163,7 @@
   log_event (
       EVENT_SENT, log_field_text (FIELD_ID, str_from (relay->attempt_id)),
       crash_records_content_field (relay->attrs.content_key, content),
+      relay_parts_field (relay, parts),
       log_field_text (FIELD_ROUTE, relay->attrs.route->name),
       log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
       log_field_text (FIELD_VERSION, upstream_version (relay->upstream)),
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -1,6 +1,8 @@
 #include "gateway/crash_recordsint.h"
 #include "gateway/relayint.h"
 
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 static void
@@ -23,6 +25,19 @@
   peer_timer_close (&relay->timer, on_timer_closed);
 }
 
+log_field_t
+relay_parts_field (const relay_t *relay, char text[PARTS_TEXT_SIZE])
+{
+  size_t len = 0;
+
+  text[0] = '\0';
+  for (size_t i = 0; i < relay->attrs.part_count; i++)
+    len += (size_t)snprintf (text + len, PARTS_TEXT_SIZE - len, "%s%08" PRIx64,
+                             i > 0 ? "," : "",
+                             relay->attrs.part_keys[i].high >> 32);
+  return log_field_text (FIELD_PARTS, str_from (text));
+}
+
 trial_t *
 relay_trial (const relay_t *relay)
 {
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -155,10 +155,12 @@
 {
   uint64_t now_ms = clock_ms (relay->state->clock);
   char content[CONTENT_TEXT_SIZE];
+  char parts[PARTS_TEXT_SIZE];
 
   log_event (EVENT_SEND_FAILED,
              log_field_text (FIELD_ID, str_from (relay->attempt_id)),
              crash_records_content_field (relay->attrs.content_key, content),
+             relay_parts_field (relay, parts),
              log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
              log_field_text (FIELD_REASON, str_from (reason)),
              log_field_number (FIELD_RAN, may_have_run),
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -120,6 +120,18 @@
                                  NULL if no send failed.  */
 } relay_t;
 
+enum
+{
+  PART_DIGITS = 8,
+  /* Digits and a comma or NUL for each part.  */
+  PARTS_TEXT_SIZE = REQUEST_PARTS_MAX * (PART_DIGITS + 1) + 1
+};
+
+/* Return a log field with the digests of the shared parts of the prompt, whose
+   text is in TEXT.  */
+log_field_t relay_parts_field (const relay_t *relay,
+                               char text[PARTS_TEXT_SIZE]);
+
 /* End of a request.  */
 
 /* Remove and free RELAY, whose response is complete or aborted.  */
--- a/packages/gateway/request_attrs.c
+++ b/packages/gateway/request_attrs.c
@@ -145,6 +145,28 @@
   return key;
 }
 
+/* Set the keys of the prompt PARTS, a list of ID:TOKENS, all but the last.  */
+static void
+set_part_keys (request_attrs_t *attrs, str_t parts)
+{
+  str_t rest = parts;
+  buf_t text = BUF_NULL;
+
+  for (;;)
+    {
+      str_t tokens;
+      str_t id = str_trim (str_cut (str_cut (rest, ',', &rest), ':', &tokens));
+      if (rest.ptr == NULL || attrs->part_count == REQUEST_PARTS_MAX)
+        break;
+      text.len = 0;
+      buf_printf (&text, "%.*s %.*s", STR_ARG (attrs->service->name),
+                  STR_ARG (id));
+      attrs->part_keys[attrs->part_count++]
+          = poison_part_key (buf_str (&text));
+    }
+  buf_free (&text);
+}
+
 vh_code_t
 request_attrs_resolve (request_attrs_t *attrs, const gateway_state_t *state,
                        const httpd_req_t *req, str_t attempt_id)
@@ -162,6 +184,9 @@
   if (attrs->service == NULL)
     return VH_E_NO_UPSTREAM;
   attrs->content_key = content_key (attrs, req);
+  str_t parts = httpd_header (req, state->names->prompt_parts);
+  if (parts.ptr != NULL)
+    set_part_keys (attrs, parts);
   return VH_OK;
 }
 
--- a/packages/gateway/request_attrsint.h
+++ b/packages/gateway/request_attrsint.h
@@ -8,6 +8,12 @@
 #include "gateway/gatewayint.h"
 #include "policy/poison.h"
 
+enum
+{
+  /* Prompt parts of a request that are looked at, from the first.  */
+  REQUEST_PARTS_MAX = 8
+};
+
 typedef struct
 {
   catalog_t *catalog; /* Counted reference, held until the request ends.  */
@@ -24,7 +30,11 @@
   poison_key_t content_key; /* Key of what a caller repeats when it sends the
                                request again: service, team, method, path,
                                query and body.  */
-  uint32_t prompt_tokens;   /* Number of tokens of the prompt; 0: unknown.  */
+  /* Keys of the prompt parts that other requests may have as well: all but the
+     last one.  */
+  poison_key_t part_keys[REQUEST_PARTS_MAX];
+  size_t part_count;
+  uint32_t prompt_tokens; /* Number of tokens of the prompt; 0: unknown.  */
   uint32_t output_tokens_max; /* Maximum number of tokens of the response; 0:
                                  unknown.  */
   uint32_t priority;  /* Priority of the team if it has one, else of the route;
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -12,7 +12,8 @@
   SET_COUNT = POISON_KEYS_MAX / SLOTS_PER_SET,
   DIGEST_SEED = 1,
   REQUEST_SEED = 2,
-  TEAM_SEED = 4
+  TEAM_SEED = 4,
+  PART_SEED = 8
 };
 
 typedef struct
@@ -79,6 +80,13 @@
                          ~str_hash (request_id, ~seed) };
 }
 
+poison_key_t
+poison_part_key (str_t part)
+{
+  return (poison_key_t){ str_hash (part, PART_SEED),
+                         ~str_hash (part, ~(uint64_t)PART_SEED) };
+}
+
 static bool
 is_same_key (poison_key_t a, poison_key_t b)
 {
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -106,9 +106,11 @@
 void poison_destroy (poison_t *poison);
 
 /* Return the key of a digest of the request's content (model and body), and
-   the key of a request id.  The two kinds never have equal keys.  */
+   the key of a request id.  The kinds never have equal keys.  */
 poison_key_t poison_digest_key (str_t digest);
 poison_key_t poison_request_key (str_t team, str_t request_id);
+/* Return the key of a prompt part, of which PART is the service and the id. */
+poison_key_t poison_part_key (str_t part);
 
 /* Record that the request with these keys was in flight when an upstream
    crashed.  CRASH_ID is the id that the sidecar drew at random for the
