tests: prompts with one part in common end instance after instance, failing

Four gateways, nine instances, 40 streams a second, and every 0.15 to 0.5 s a request that is like no other but for one part, under which an instance ends.

--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -41,6 +41,8 @@
   vh_gateway PkgConfig::CHECK)
 vh_test (test_retry_budget DEPENDS vh_gateway_processes)
 add_dependencies (test_retry_budget vanillahookd)
+vh_test (test_crashing_part DEPENDS vh_gateway_processes)
+add_dependencies (test_crashing_part vanillahookd)
 vh_test (test_bad_version DEPENDS vh_gateway_processes)
 add_dependencies (test_bad_version vanillahookd)
 # Seeded faults: build/tests/gateway_chaos --seed N --seconds S.
--- a/tests/gateway_processes.c
+++ b/tests/gateway_processes.c
@@ -21,7 +21,15 @@
   CRASH_DELAY_MS = 40,
   /* Number of crashes after which a content may hardly be sent any more.  */
   CRASHES_KNOWN = 3,
-  NOT_CRASHING = CRASHING_CONTENTS_MAX
+  /* Number of crashes after which a prompt part may hardly be sent any more.
+   */
+  PART_CRASHES_KNOWN = 5,
+  /* Numbers of requests beside those of crashing contents.  */
+  CRASHING_PART = CRASHING_CONTENTS_MAX,
+  NOT_CRASHING,
+  /* Prompt parts that sound requests share.  */
+  FIRST_PARTS = 3,
+  SUBJECT_PARTS = 40
 };
 
 /* Ports of a gateway.  */
@@ -62,6 +70,7 @@
 typedef struct
 {
   uint64_t at_ms;
+  uint64_t sent_ms; /* Time at which the caller sent the request.  */
   size_t gateway;
   /* Time since the last signal to the gateway or start of it, and since the
      last disturbance of the store.  */
@@ -69,11 +78,13 @@
   uint64_t store_calm_ms;
 } crashing_arrival_t;
 
-/* Requests of equal content that crash the instances that run them.  */
+/* Requests of equal content, or with one prompt part, that crash the instances
+   that run them.  */
 typedef struct
 {
   size_t crashes;
-  uint64_t third_crash_ms;
+  uint64_t known_ms; /* Time of crash number CRASHES_KNOWN, or
+                        PART_CRASHES_KNOWN.  */
   crashing_arrival_t *arrivals;
   size_t arrival_count;
 } crashing_content_t;
@@ -120,7 +131,7 @@
   size_t request_count;
   extra_arrival_t *extra;
   size_t extra_count;
-  crashing_content_t crashing[CRASHING_CONTENTS_MAX];
+  crashing_content_t crashing[CRASHING_CONTENTS_MAX + 1];
   ordered_version_t version;
 };
 
@@ -146,6 +157,14 @@
 
 /* Instances.  */
 
+/* Return the number of crashes after which requests with NUMBER are known to
+   crash instances.  */
+static size_t
+crashes_known (size_t number)
+{
+  return number == CRASHING_PART ? PART_CRASHES_KNOWN : CRASHES_KNOWN;
+}
+
 static void
 record_crashing_arrival (gateway_processes_t *p, fake_upstream_t *upstream,
                          const request_t *request)
@@ -158,13 +177,14 @@
                      (content->arrival_count + 1) * sizeof *content->arrivals);
   content->arrivals[content->arrival_count++] = (crashing_arrival_t){
     .at_ms = now_ms,
+    .sent_ms = request->sent_ms,
     .gateway = request->gateway,
     .gateway_calm_ms = now_ms - p->gateways[request->gateway].disturbed_ms,
     .store_calm_ms = now_ms - p->store_disturbed_ms,
   };
   if (!fake_upstream_is_crashing (upstream)
-      && ++content->crashes == CRASHES_KNOWN)
-    content->third_crash_ms = now_ms + CRASH_DELAY_MS;
+      && ++content->crashes == crashes_known (request->crashing_number))
+    content->known_ms = now_ms + CRASH_DELAY_MS;
 }
 
 static bool
@@ -561,8 +581,25 @@
   return NULL;
 }
 
+/* Append the header with the prompt parts of the engine's request INDEX.  */
+static void
+append_parts (gateway_processes_t *p, size_t index, bool has_bad_part,
+              buf_t *out)
+{
+  unsigned first = (unsigned)rng_below (&p->rng, FIRST_PARTS);
+  unsigned subject = (unsigned)rng_below (&p->rng, SUBJECT_PARTS);
+
+  buf_printf (out, "Prompt-Prefix: f%u:800,", first);
+  if (has_bad_part)
+    buf_append_str (out, STR (CRASH_TEXT ":40,"));
+  else
+    buf_printf (out, "5%u:400,", subject);
+  buf_printf (out, "a%zu:100\r\n", index);
+}
+
 /* Send a request for SERVICE.  CRASHING_NUMBER is the number of its content if
-   it crashes instances, else NOT_CRASHING.  */
+   it crashes instances, CRASHING_PART if a part of it does, else
+   NOT_CRASHING.  */
 static void
 send_request (gateway_processes_t *p, process_service_t service,
               size_t crashing_number)
@@ -578,13 +615,16 @@
   request->sent_ms = uv_now (&p->loop);
   request->gateway = (size_t)(gateway - p->gateways);
   request->crashing_number = crashing_number;
-  bool is_crashing = crashing_number != NOT_CRASHING;
+  bool is_crashing = crashing_number < CRASHING_PART;
   buf_printf (&request->caller.request,
               "GET %s%s%zu HTTP/1.1\r\nHost: desk.example\r\n"
-              "Attempt-Id: %zu\r\nDeadline-Ms: %d\r\n"
-              "Connection: close\r\n\r\n",
+              "Attempt-Id: %zu\r\nDeadline-Ms: %d\r\n",
               service_paths[service], is_crashing ? CRASH_TEXT "-" : "",
               is_crashing ? crashing_number : index, index, DEADLINE_MS);
+  if (service == SERVICE_ENGINE)
+    append_parts (p, index, crashing_number == CRASHING_PART,
+                  &request->caller.request);
+  buf_append_str (&request->caller.request, STR ("Connection: close\r\n\r\n"));
   caller_connect (&p->loop, &request->caller, harness_host (p->harness),
                   gateway->ports[PORT_CALLERS]);
 }
@@ -597,6 +637,13 @@
   send_request (p, service, number);
 }
 
+void
+gateway_processes_send_bad_part (gateway_processes_t *p)
+{
+  uv_update_time (&p->loop);
+  send_request (p, SERVICE_ENGINE, CRASHING_PART);
+}
+
 static void
 on_load_tick (uv_timer_t *timer)
 {
@@ -723,24 +770,27 @@
   return p->late_deadlines[service];
 }
 
-/* Return the number of arrivals of CONTENT later than AFTER_MS after its third
-   crash.  IS_CALM_ONLY: only those from gateways that got no signal and were
-   not started, and with a store that was not disturbed, for AFTER_MS
-   before.  */
+/* Return the number of arrivals of requests with NUMBER later than AFTER_MS
+   after they are known to crash instances.  IS_CALM_ONLY: only those from
+   gateways that got no signal and were not started, and with a store that was
+   not disturbed, for AFTER_MS before.  */
 static size_t
-count_late (const crashing_content_t *content, uint64_t after_ms,
+count_late (const gateway_processes_t *p, size_t number, uint64_t after_ms,
             bool is_calm_only)
 {
+  const crashing_content_t *content = &p->crashing[number];
   size_t count = 0;
 
-  if (content->crashes < CRASHES_KNOWN)
+  if (content->crashes < crashes_known (number))
     return 0;
   for (size_t i = 0; i < content->arrival_count; i++)
     {
       const crashing_arrival_t *arrival = &content->arrivals[i];
       bool is_calm = arrival->gateway_calm_ms >= after_ms
                      && arrival->store_calm_ms >= after_ms;
-      count += arrival->at_ms > content->third_crash_ms + after_ms
+      uint64_t at_ms
+          = number == CRASHING_PART ? arrival->sent_ms : arrival->at_ms;
+      count += at_ms > content->known_ms + after_ms
                && (is_calm || !is_calm_only);
     }
   return count;
@@ -754,13 +804,36 @@
 
   for (size_t i = 0; i < CRASHING_CONTENTS_MAX; i++)
     {
-      size_t count = count_late (&p->crashing[i], after_ms, is_calm_only);
+      size_t count = count_late (p, i, after_ms, is_calm_only);
       if (count > most)
         most = count;
     }
   return most;
 }
 
+size_t
+gateway_processes_bad_part_sent (const gateway_processes_t *p)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < p->request_count; i++)
+    count += p->requests[i].crashing_number == CRASHING_PART;
+  return count;
+}
+
+size_t
+gateway_processes_part_crashes (const gateway_processes_t *p)
+{
+  return p->crashing[CRASHING_PART].crashes;
+}
+
+size_t
+gateway_processes_late_part (const gateway_processes_t *p, uint64_t after_ms,
+                             bool is_calm_only)
+{
+  return count_late (p, CRASHING_PART, after_ms, is_calm_only);
+}
+
 size_t
 gateway_processes_sent (const gateway_processes_t *p,
                         process_service_t service)
@@ -866,7 +939,7 @@
   for (size_t i = 0; i < p->options.gateways; i++)
     http_store_destroy (p->gateways[i].store);
   ck_assert_int_eq (uv_loop_close (&p->loop), 0);
-  for (size_t i = 0; i < CRASHING_CONTENTS_MAX; i++)
+  for (size_t i = 0; i <= CRASHING_PART; i++)
     free (p->crashing[i].arrivals);
   free (p->requests);
   free (p->extra);
--- a/tests/gateway_processes.h
+++ b/tests/gateway_processes.h
@@ -57,6 +57,9 @@
 void gateway_processes_send_crashing (gateway_processes_t *processes,
                                       process_service_t service,
                                       size_t number);
+/* Send now a request for SERVICE_ENGINE that has the prompt part that crashes
+   each instance that runs it, and else is like no other request.  */
+void gateway_processes_send_bad_part (gateway_processes_t *processes);
 /* Send requests and run the loop for MS.  */
 void gateway_processes_run (gateway_processes_t *processes, uint64_t ms);
 /* Wait for the responses to all requests.  */
@@ -170,6 +173,15 @@
    started, and with a store that was not disturbed, for AFTER_MS before.  */
 size_t gateway_processes_late_crashing (const gateway_processes_t *processes,
                                         uint64_t after_ms, bool is_calm_only);
+/* Return the number of requests of gateway_processes_send_bad_part.  */
+size_t gateway_processes_bad_part_sent (const gateway_processes_t *processes);
+/* Return the number of instances that the part of
+   gateway_processes_send_bad_part crashed.  */
+size_t gateway_processes_part_crashes (const gateway_processes_t *processes);
+/* Return the number of arrivals of requests with this part that were sent
+   later than AFTER_MS after its fifth crash.  IS_CALM_ONLY as above.  */
+size_t gateway_processes_late_part (const gateway_processes_t *processes,
+                                    uint64_t after_ms, bool is_calm_only);
 /* Return the numbers of requests for SERVICE that were sent, and that got a
    response with a status below 300.  */
 size_t gateway_processes_sent (const gateway_processes_t *processes,
