poison, crash_records: a prompt part that crashes instances is known by itself

What callers saw: requests with one part of their prompts in common ended instance after instance, and the sound requests beside them. The records had a key for the whole content, and such requests are no two alike, so each began with no crash on record. Class: a bound for each request where the promise is about what requests have in common.

The parts of a prompt, all but the last, are keys of their own in the same module. A guilty part crashes each instance that begins to answer it, so an answer that goes on clears its parts, also at the other gateways, and an answer that had begun is not suspected when its instance ends. A part that never ran well is refused with three crashes; one that did, with five groups of crashes since. A crash counts against nothing else once a part has more crashes. A suspected part has one request in flight at each gateway; what waits for an answer when its part is refused is ended.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -238,6 +238,9 @@
   X ("connect", "No connection to the instances tried could be made.")        \
   X ("poison", "The instances that ran it crashed; see "                      \
                "`request.suspected' with the same content.")                  \
+  X ("suspect", "Another request with the same part in its prompt was sent "  \
+                "for longer than a moment, and it is not known yet whether "  \
+                "the part crashes instances; see `request.suspected'.")       \
   X ("address", "The instance is listed under an address that is none.")      \
   X ("misdirected", "Another instance has the address now, and refused it.")  \
   X ("cut", "The upstream's connection ended before its answer was whole: "   \
--- a/packages/gateway/crash_records.c
+++ b/packages/gateway/crash_records.c
@@ -38,7 +38,8 @@
 /* A request that got no complete response.  */
 typedef struct
 {
-  poison_key_t content;
+  poison_key_t keys[1 + REQUEST_PARTS_MAX]; /* Its content, then its parts.  */
+  size_t key_count;
   uint64_t instance_hash; /* Hash of the instance id.  */
   uint64_t crash_id;      /* Id of a crash of the instance's process, the same
                              at every gateway.  */
@@ -196,13 +197,27 @@
   return log_field_text (FIELD_CONTENT, str_from (text));
 }
 
+/* Return the field that tells a content, or a part of prompts, in the log.  */
+static log_field_t
+key_field (poison_key_t key, char text[CONTENT_TEXT_SIZE])
+{
+  log_field_t field = crash_records_content_field (key, text);
+
+  if (poison_is_part (key))
+    {
+      field.name = FIELD_PARTS;
+      field.text.len = CONTENT_TEXT_SIZE / 2;
+    }
+  return field;
+}
+
 static void
 log_suspected (const crash_records_t *records, poison_key_t content,
                const char *source)
 {
   char text[CONTENT_TEXT_SIZE];
 
-  log_event (EVENT_SUSPECTED, crash_records_content_field (content, text),
+  log_event (EVENT_SUSPECTED, key_field (content, text),
              log_field_number (FIELD_COUNT,
                                poison_crash_count (records->poison, content)),
              log_field_text (FIELD_SOURCE, str_from (source)));
@@ -213,25 +228,25 @@
 {
   char text[CONTENT_TEXT_SIZE];
 
-  log_event (EVENT_SUSPECT_CLEARED,
-             crash_records_content_field (content, text),
+  log_event (EVENT_SUSPECT_CLEARED, key_field (content, text),
              log_field_number (FIELD_COUNT, crash_count),
              log_field_text (FIELD_SOURCE, str_from (source)));
 }
 
-/* Record the crash under LOST.  */
+/* Record the crash under LOST for KEY.  */
 static void
-record_crash (crash_records_t *records, const lost_send_t *lost)
+record_crash (crash_records_t *records, const lost_send_t *lost,
+              poison_key_t key)
 {
   const poison_record_t record
-      = { lost->content, lost->crash_id, now_ms (records) - lost->lost_ms };
+      = { key, lost->crash_id, now_ms (records) - lost->lost_ms };
   char name[HEX_DIGITS + 1];
 
   if (!poison_merge (records->poison, &record))
     return;
-  log_suspected (records, lost->content, "own");
+  log_suspected (records, key, "own");
   snprintf (name, sizeof name, "%016" PRIx64, lost->crash_id);
-  queue_row (records, lost->content, name, record.age_ms);
+  queue_row (records, key, name, record.age_ms);
 }
 
 static bool
@@ -266,7 +281,8 @@
         continue;
       if (!is_expired (records, lost))
         {
-          record_crash (records, lost);
+          for (size_t at = 0; at < lost->key_count; at++)
+            record_crash (records, lost, lost->keys[at]);
           count++;
         }
       lost->kind = LOST_NONE;
@@ -276,23 +292,28 @@
   counter_add (records->state->counters.crashes, 1);
   log_event (EVENT_CRASH, log_field_text (FIELD_UPSTREAM, id),
              log_field_number (FIELD_COUNT, count));
+  relay_end_refused (records->state);
 }
 
 void
 crash_records_send_lost (crash_records_t *records, const upstream_t *upstream,
-                         poison_key_t content, bool is_cut)
+                         const request_attrs_t *attrs, bool has_begun,
+                         bool is_cut)
 {
+  lost_send_t *lost = &records->lost_sends[records->next_lost_send];
   str_t id = upstream_id (upstream);
 
   if (upstream_is_leaving (upstream))
     return;
-  records->lost_sends[records->next_lost_send]
-      = (lost_send_t){ .content = content,
-                       .instance_hash = str_hash (id, 0),
-                       .crash_id
-                       = str_hash (id, upstream_incarnation (upstream)),
-                       .lost_ms = now_ms (records),
-                       .kind = is_cut ? LOST_PROBING : LOST_ABANDONED };
+  *lost = (lost_send_t){ .keys = { attrs->content_key },
+                         .key_count = 1,
+                         .instance_hash = str_hash (id, 0),
+                         .crash_id
+                         = str_hash (id, upstream_incarnation (upstream)),
+                         .lost_ms = now_ms (records),
+                         .kind = is_cut ? LOST_PROBING : LOST_ABANDONED };
+  for (size_t i = 0; i < attrs->part_count && !has_begun; i++)
+    lost->keys[lost->key_count++] = attrs->part_keys[i];
   records->next_lost_send = (records->next_lost_send + 1) % LOST_SENDS_MAX;
   if (is_cut)
     prober_start (records->state->prober, id, upstream_address (upstream),
@@ -306,8 +327,8 @@
   for (size_t i = 0; i < LOST_SENDS_MAX; i++)
     {
       const lost_send_t *lost = &records->lost_sends[i];
-      if (lost->kind == LOST_PROBING && lost->content.high == content.high
-          && lost->content.low == content.low)
+      if (lost->kind == LOST_PROBING && lost->keys[0].high == content.high
+          && lost->keys[0].low == content.low)
         return true;
     }
   return false;
@@ -343,10 +364,11 @@
     confirm_crash (records, info->id);
 }
 
-void
-crash_records_send_survived (crash_records_t *records, poison_key_t content)
+/* Record that KEY did not crash an instance.  */
+static void
+key_survived (crash_records_t *records, poison_key_t survivor)
 {
-  uint32_t cleared = poison_record_success (records->poison, content, 0);
+  uint32_t cleared = poison_record_success (records->poison, survivor, 0);
   size_t cursor = 0;
   bool is_shared = records->in_flight != NULL;
   str_t key;
@@ -354,31 +376,98 @@
 
   if (cleared == 0)
     return;
-  log_cleared (content, cleared, "own");
+  log_cleared (survivor, cleared, "own");
   while (!is_shared && map_next (records->stored, &cursor, &key, &value))
-    is_shared = is_of_content (key, content);
+    is_shared = is_of_content (key, survivor);
   if (is_shared)
-    queue_row (records, content, ran_name, 0);
+    queue_row (records, survivor, ran_name, 0);
+}
+
+void
+crash_records_send_survived (crash_records_t *records, poison_key_t content)
+{
+  key_survived (records, content);
+}
+
+void
+crash_records_parts_survived (crash_records_t *records,
+                              const request_attrs_t *attrs)
+{
+  for (size_t i = 0; i < attrs->part_count; i++)
+    key_survived (records, attrs->part_keys[i]);
 }
 
 /* Decisions.  */
 
+poison_key_t
+crash_records_refused_key (const crash_records_t *records,
+                           const request_attrs_t *attrs)
+{
+  for (size_t i = 0; i < attrs->part_count; i++)
+    if (poison_classify_key (records->poison, attrs->part_keys[i])
+        == POISON_REFUSED)
+      return attrs->part_keys[i];
+  return attrs->content_key;
+}
+
+bool
+crash_records_is_refused (const crash_records_t *records,
+                          const request_attrs_t *attrs)
+{
+  return poison_classify_key (records->poison,
+                              crash_records_refused_key (records, attrs))
+         == POISON_REFUSED;
+}
+
+bool
+crash_records_share_suspect (const crash_records_t *records,
+                             const request_attrs_t *attrs,
+                             const request_attrs_t *other)
+{
+  for (size_t i = 0; i < attrs->part_count; i++)
+    if (poison_classify_key (records->poison, attrs->part_keys[i])
+        != POISON_CLEAR)
+      for (size_t at = 0; at < other->part_count; at++)
+        if (attrs->part_keys[i].high == other->part_keys[at].high
+            && attrs->part_keys[i].low == other->part_keys[at].low)
+          return true;
+  return false;
+}
+
+/* Return the worst class of the keys of a request with ATTRS.  */
+static poison_class_t
+classify (const crash_records_t *records, const request_attrs_t *attrs)
+{
+  poison_class_t worst
+      = poison_classify_key (records->poison, attrs->content_key);
+
+  for (size_t i = 0; i < attrs->part_count; i++)
+    {
+      poison_class_t poison_class
+          = poison_classify_key (records->poison, attrs->part_keys[i]);
+      if (poison_class > worst)
+        worst = poison_class;
+    }
+  return worst;
+}
+
 poison_class_t
-crash_records_admit (crash_records_t *records, poison_key_t content)
+crash_records_admit (crash_records_t *records, const request_attrs_t *attrs)
 {
-  poison_class_t poison_class
-      = poison_classify (records->poison, content, content);
+  poison_class_t poison_class = classify (records, attrs);
   char text[CONTENT_TEXT_SIZE];
 
-  if (poison_class != POISON_REFUSED
-      || poison_test_wait_ms (records->poison, content) > 0
+  if (poison_class != POISON_REFUSED)
+    return poison_class;
+  poison_key_t key = crash_records_refused_key (records, attrs);
+  if (poison_test_wait_ms (records->poison, key) > 0
       || store_now_ms (records) % TURN_MS >= TURN_MS - TURN_REST_MS
-      || !gateway_has_turn (records->state, content.high, TURN_MS))
+      || !gateway_has_turn (records->state, key.high, TURN_MS))
     return poison_class;
-  poison_test_started (records->poison, content);
+  poison_test_started (records->poison, key);
   log_event (
-      EVENT_SUSPECT_TESTED, crash_records_content_field (content, text),
-      log_field_number (FIELD_COUNT, crash_records_count (records, content)));
+      EVENT_SUSPECT_TESTED, key_field (key, text),
+      log_field_number (FIELD_COUNT, crash_records_count (records, key)));
   return POISON_SUSPECT;
 }
 
@@ -431,7 +520,10 @@
   if (record.crash_id != 0)
     {
       if (poison_merge (records->poison, &record))
-        log_suspected (records, record.key, "peer");
+        {
+          log_suspected (records, record.key, "peer");
+          relay_end_refused (records->state);
+        }
       return;
     }
   uint32_t cleared
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -97,6 +97,9 @@
 /* Start processing REQ.  The response is sent on this or a later loop
    iteration.  */
 void relay_start (gateway_state_t *state, httpd_req_t *req);
+/* End the requests that wait for the begin of an answer and are refused by
+   now, before they crash the instances that have them.  */
+void relay_end_refused (gateway_state_t *state);
 /* Abort all requests at the end of a planned stop.  Return their number.  */
 size_t relay_abort_all (gateway_state_t *state);
 
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -52,7 +52,11 @@
   RETRY_AFTER_DRAINING_MS = 50,
   /* Retry-After of a request whose runs crashed and that gets no further test
      run.  */
-  RETRY_AFTER_CRASHED_MS = POISON_EXPIRY_MS
+  RETRY_AFTER_CRASHED_MS = POISON_EXPIRY_MS,
+  /* Longest time for which a request waits for another one with the same
+     suspected prompt part.  Most answers begin within it.  */
+  SUSPECT_WAIT_MS = 1000,
+  SUSPECT_POLL_MS = 25
 };
 
 /* Part of the route's latency objective after which a repeatable request to a
@@ -74,29 +78,73 @@
   return urgency < FORWARD_URGENCY_MAX ? urgency : FORWARD_URGENCY_MAX;
 }
 
-/* Fail the request because its runs crashed.  */
+/* Fail the request because runs with its content, or a part of its prompt,
+   crashed.  */
 static void
 refuse_suspect (relay_t *relay)
 {
   gateway_state_t *state = relay->state;
-  poison_key_t content_key = relay->attrs.content_key;
-  uint64_t wait_ms
-      = crash_records_test_wait_ms (state->crash_records, content_key);
+  poison_key_t key
+      = crash_records_refused_key (state->crash_records, &relay->attrs);
+  uint64_t wait_ms = crash_records_test_wait_ms (state->crash_records, key);
   char content[CONTENT_TEXT_SIZE];
+  char parts[PARTS_TEXT_SIZE];
 
   counter_add (state->counters.suspects_refused, 1);
-  log_event (
-      EVENT_SUSPECT_REFUSED,
-      log_field_text (FIELD_ID, str_from (relay->attempt_id)),
-      crash_records_content_field (relay->attrs.content_key, content),
-      log_field_number (FIELD_COUNT, crash_records_count (state->crash_records,
-                                                          content_key)));
+  log_event (EVENT_SUSPECT_REFUSED,
+             log_field_text (FIELD_ID, str_from (relay->attempt_id)),
+             crash_records_content_field (relay->attrs.content_key, content),
+             relay_parts_field (relay, parts),
+             log_field_number (FIELD_COUNT, crash_records_count (
+                                                state->crash_records, key)));
   if (wait_ms > RETRY_AFTER_CRASHED_MS)
     wait_ms = RETRY_AFTER_CRASHED_MS;
   relay->retry_after_min_ms = wait_ms;
   relay_fail (relay, VH_E_POISON, "poison", wait_ms);
 }
 
+/* Return whether another request that was sent, and whose answer has not
+   begun, has a prompt part in common that is suspected.  */
+static bool
+is_suspect_in_flight (const relay_t *relay)
+{
+  const gateway_state_t *state = relay->state;
+
+  LIST_EACH (at, &state->relays)
+    {
+      const relay_t *other = CONTAINER_OF (at, relay_t, link);
+      if (other != relay && other->call != NULL && !relay_has_begun (other)
+          && crash_records_share_suspect (state->crash_records, &relay->attrs,
+                                          &other->attrs))
+        return true;
+    }
+  return false;
+}
+
+/* Let the request wait while another one with the same suspected part is about
+   to show whether it crashes the instance.  Return whether it waits, or was
+   refused after a wait.  */
+static bool
+wait_for_suspect (relay_t *relay)
+{
+  uint64_t now_ms = clock_ms (relay->state->clock);
+
+  if (relay->poison_class != POISON_SUSPECT || relay->has_response_started
+      || !is_suspect_in_flight (relay))
+    return false;
+  relay->upstream = NULL;
+  if (relay->suspect_wait_end_ms == 0)
+    relay->suspect_wait_end_ms = now_ms + SUSPECT_WAIT_MS;
+  if (now_ms >= relay->suspect_wait_end_ms)
+    {
+      relay_fail (relay, VH_E_FULL, "suspect", RETRY_AFTER_FULL_MS);
+      return true;
+    }
+  relay->phase = PHASE_AWAITING_SUSPECT;
+  peer_timer_start (&relay->timer, SUSPECT_POLL_MS);
+  return true;
+}
+
 void
 relay_send (relay_t *relay)
 {
@@ -113,13 +161,18 @@
       return;
     }
   relay->poison_class
-      = crash_records_admit (state->crash_records, relay->attrs.content_key);
+      = crash_records_admit (state->crash_records, &relay->attrs);
   if (relay->poison_class == POISON_REFUSED)
     {
       relay->upstream = NULL;
       refuse_suspect (relay);
       return;
     }
+  relay->is_test_run
+      = relay->poison_class == POISON_SUSPECT
+        && crash_records_is_refused (state->crash_records, &relay->attrs);
+  if (wait_for_suspect (relay))
+    return;
   relay_selection_criteria (relay, &criteria);
   vh_code_t code = pool_select (state->pool, &criteria, &relay->upstream);
   if ((code == VH_E_NO_UPSTREAM || code == VH_E_PAUSED)
@@ -190,6 +243,8 @@
   relay->sent_ms = now_ms;
   relay->dispatched_ms = now_ms;
   relay->last_activity_ms = now_ms;
+  relay->first_event_ms = 0;
+  relay->has_survived = false;
   relay->send_event_count = 0;
   relay->upstream_request_count = upstream_running_count (relay->upstream);
   relay->is_upstream_loaded = false;
@@ -334,6 +389,11 @@
       relay_continue_after_probe (relay);
       return;
     }
+  if (relay->phase == PHASE_AWAITING_SUSPECT)
+    {
+      relay_send (relay);
+      return;
+    }
   if (now_ms >= silence_check_due_ms (relay))
     {
       if (should_probe (relay, now_ms))
@@ -483,6 +543,22 @@
   admit_when_ready (relay);
 }
 
+void
+relay_end_refused (gateway_state_t *state)
+{
+  LIST_EACH (at, &state->relays)
+    {
+      relay_t *relay = CONTAINER_OF (at, relay_t, link);
+      if (relay->call == NULL || relay->first_event_ms != 0
+          || relay->is_test_run
+          || !crash_records_is_refused (state->crash_records, &relay->attrs))
+        continue;
+      if (http_exchange_was_sent (relay->call))
+        relay->possible_run_count++;
+      refuse_suspect (relay);
+    }
+}
+
 size_t
 relay_abort_all (gateway_state_t *state)
 {
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -149,6 +149,14 @@
     trial_count_request (trial, route_hash (relay));
 }
 
+bool
+relay_has_begun (const relay_t *relay)
+{
+  return relay->first_event_ms != 0
+         && clock_ms (relay->state->clock)
+                >= relay->first_event_ms + CRASH_RUN_BEGUN_MS;
+}
+
 /* Report the current send to the crash records if it ends without a complete
    response.  */
 static void
@@ -161,7 +169,7 @@
   if ((outcome == SEND_FAILED || outcome == SEND_CANCELLED)
       && (is_cut || is_given_up))
     crash_records_send_lost (relay->state->crash_records, relay->upstream,
-                             relay->attrs.content_key, is_cut);
+                             &relay->attrs, relay_has_begun (relay), is_cut);
 }
 
 void
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -371,6 +371,19 @@
     start_streaming (relay);
 }
 
+/* Record when the answer began, and that its prompt does not crash the
+   instance once the answer has gone on for a while.  */
+static void
+record_begin (relay_t *relay)
+{
+  if (relay->first_event_ms == 0)
+    relay->first_event_ms = relay->last_activity_ms;
+  if (relay->has_survived || !relay_has_begun (relay))
+    return;
+  relay->has_survived = true;
+  crash_records_parts_survived (relay->state->crash_records, &relay->attrs);
+}
+
 static void
 forward_events (relay_t *relay, str_t bytes)
 {
@@ -385,6 +398,7 @@
           pool_prompt_processed (relay->upstream, relay->unread_prompt_tokens);
           relay->unread_prompt_tokens = 0;
         }
+      record_begin (relay);
       relay->event_count += count;
       if (relay->send_event_count <= MEAN_GAP_EVENT_COUNT
           && relay->send_event_count + count > MEAN_GAP_EVENT_COUNT)
@@ -459,6 +473,8 @@
     }
   crash_records_send_survived (relay->state->crash_records,
                                relay->attrs.content_key);
+  if (relay->is_success && !relay->has_survived)
+    crash_records_parts_survived (relay->state->crash_records, &relay->attrs);
   relay_finish_send (relay, relay->is_success || relay->response_status < 500
                                 ? SEND_OK
                                 : SEND_FAILED);
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -41,6 +41,9 @@
                               free slot.  */
   PHASE_AWAITING_PROBE,    /* The send failed, and it is not known yet if the
                               upstream crashed.  */
+  PHASE_AWAITING_SUSPECT,  /* Waits until another request with the same
+                              suspected prompt part has begun to be
+                              answered.  */
   PHASE_AWAITING_RESPONSE, /* Request sent; no response head received yet.  */
   PHASE_RECEIVING_RESPONSE /* Response head received.  */
 } relay_phase_t;
@@ -74,7 +77,11 @@
                                 the upstream, in ms.  Equal to SENT_MS before
                                 the first bytes and when a timeout is
                                 postponed.  */
-  uint64_t send_event_count; /* Events received by this send.  */
+  uint64_t first_event_ms;   /* Monotonic time of the first event of this send,
+                                in ms; 0 before.  */
+  bool has_survived; /* The answer went on long enough to show that the prompt
+                        does not crash its instance.  */
+  uint64_t send_event_count;       /* Events received by this send.  */
   uint32_t upstream_request_count; /* Requests running or waiting at the
                                       upstream, as reported in its response;
                                       before the response, requests that this
@@ -96,9 +103,12 @@
   size_t send_count;
   size_t possible_run_count;   /* Sends that an upstream may have run.  */
   poison_class_t poison_class; /* At the time of the last send.  */
-  uint64_t probe_wait_end_ms;  /* Monotonic time, in ms, at which the request
-                                  waits no longer in PHASE_AWAITING_PROBE.  */
-  bool has_response_started;   /* The response head was sent to the caller.  */
+  bool is_test_run; /* It is refused, and the last send was a test run.  */
+  uint64_t probe_wait_end_ms;   /* Monotonic time, in ms, at which the request
+                                   waits no longer in PHASE_AWAITING_PROBE.  */
+  uint64_t suspect_wait_end_ms; /* The same in PHASE_AWAITING_SUSPECT; 0 before
+                                   the first wait.  */
+  bool has_response_started; /* The response head was sent to the caller.  */
   sse_filter_t sse;
   uint64_t event_count; /* Events sent to the caller.  */
 
@@ -142,6 +152,9 @@
 /* Add CHANGE, 1 or -1, for the current send to the counts by which the pool
    keeps suspects apart from other requests.  */
 void relay_count_in_flight (const relay_t *relay, int change);
+/* Return whether the answer of the current send has begun long enough ago that
+   the instance does not crash under its prompt.  */
+bool relay_has_begun (const relay_t *relay);
 /* Record the end of the request: bill, metrics by route, team and outcome,
    and one log line.  */
 void relay_record_end (const relay_t *relay, log_event_t event, int status,
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -13,13 +13,15 @@
   DIGEST_SEED = 1,
   REQUEST_SEED = 2,
   TEAM_SEED = 4,
-  PART_SEED = 8
+  PART_SEED = 8,
+  PART_BIT = 1 /* Bit of poison_key_t.low, set in the keys of parts.  */
 };
 
 typedef struct
 {
   poison_key_t key;
-  uint64_t crash_ids[POISON_CRASHES_MAX];
+  uint64_t crash_ids[POISON_PART_CRASHES_MAX];
+  uint64_t crash_ms[POISON_PART_CRASHES_MAX]; /* Times of the crashes.  */
   uint64_t last_crash_ms; /* Time of the newest recorded crash.  */
   uint64_t last_test_ms;  /* Time of the last test run; 0 if there was
                              none.  */
@@ -64,11 +66,18 @@
   free (poison);
 }
 
+static poison_key_t
+make_key (uint64_t high, uint64_t low, bool is_part)
+{
+  low &= ~(uint64_t)PART_BIT;
+  return (poison_key_t){ high, is_part ? low | PART_BIT : low };
+}
+
 poison_key_t
 poison_digest_key (str_t digest)
 {
-  return (poison_key_t){ str_hash (digest, DIGEST_SEED),
-                         ~str_hash (digest, ~(uint64_t)DIGEST_SEED) };
+  return make_key (str_hash (digest, DIGEST_SEED),
+                   ~str_hash (digest, ~(uint64_t)DIGEST_SEED), false);
 }
 
 poison_key_t
@@ -76,15 +85,21 @@
 {
   uint64_t seed = str_hash (team, TEAM_SEED) ^ REQUEST_SEED;
 
-  return (poison_key_t){ str_hash (request_id, seed),
-                         ~str_hash (request_id, ~seed) };
+  return make_key (str_hash (request_id, seed), ~str_hash (request_id, ~seed),
+                   false);
 }
 
 poison_key_t
 poison_part_key (str_t part)
 {
-  return (poison_key_t){ str_hash (part, PART_SEED),
-                         ~str_hash (part, ~(uint64_t)PART_SEED) };
+  return make_key (str_hash (part, PART_SEED),
+                   ~str_hash (part, ~(uint64_t)PART_SEED), true);
+}
+
+bool
+poison_is_part (poison_key_t key)
+{
+  return (key.low & PART_BIT) != 0;
 }
 
 static bool
@@ -164,10 +179,70 @@
              : NULL;
 }
 
+/* Return whether a run of KEY without a crash is remembered, however old.  */
+static bool
+has_run_well (const poison_t *poison, poison_key_t key)
+{
+  return is_same_key (success_entry (poison, key)->key, key);
+}
+
+/* Return whether a part that never ran well has more crashes than SLOT, and
+   crash CRASH_ID among them.  */
+static bool
+is_explained (const poison_t *poison, const slot_t *slot, uint64_t crash_id)
+{
+  for (size_t i = 0; i < POISON_KEYS_MAX; i++)
+    {
+      const slot_t *other = &poison->slots[i];
+      if (other->crash_count <= slot->crash_count
+          || !poison_is_part (other->key) || !is_live (poison, other)
+          || has_run_well (poison, other->key))
+        continue;
+      for (uint32_t at = 0; at < other->crash_count; at++)
+        if (other->crash_ids[at] == crash_id)
+          return true;
+    }
+  return false;
+}
+
+/* Return whether one of the first COUNT crashes of SLOT that are in COUNTED is
+   close to crash INDEX.  */
+static bool
+is_in_cluster (const slot_t *slot, const bool *counted, uint32_t index)
+{
+  for (uint32_t i = 0; i < index; i++)
+    if (counted[i]
+        && slot->crash_ms[i] < slot->crash_ms[index] + POISON_CLUSTER_MS
+        && slot->crash_ms[index] < slot->crash_ms[i] + POISON_CLUSTER_MS)
+      return true;
+  return false;
+}
+
+/* Return the number of crashes of SLOT that count against its key.  */
+static uint32_t
+counted_crashes (const poison_t *poison, const slot_t *slot)
+{
+  bool counted[POISON_PART_CRASHES_MAX] = { false };
+  bool has_clusters
+      = poison_is_part (slot->key) && has_run_well (poison, slot->key);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < slot->crash_count; i++)
+    {
+      counted[i] = !is_explained (poison, slot, slot->crash_ids[i])
+                   && !(has_clusters && is_in_cluster (slot, counted, i));
+      count += counted[i];
+    }
+  return count;
+}
+
 /* Return the number of crashes with which KEY is refused.  */
 static uint32_t
 crashes_to_refuse (const poison_t *poison, poison_key_t key)
 {
+  if (poison_is_part (key))
+    return has_run_well (poison, key) ? POISON_PART_CLUSTERS_TO_REFUSE
+                                      : POISON_PART_CRASHES_TO_REFUSE;
   return find_success (poison, key) != NULL ? POISON_CRASHES_TO_REFUSE_PROVEN
                                             : POISON_CRASHES_TO_REFUSE;
 }
@@ -179,6 +254,8 @@
   uint32_t count
       = crashes_to_refuse (poison, key) + poison->options.test_runs_max;
 
+  if (poison_is_part (key))
+    return count;
   return count < POISON_CRASHES_MAX ? count : POISON_CRASHES_MAX;
 }
 
@@ -186,12 +263,16 @@
 poison_merge (poison_t *poison, const poison_record_t *record)
 {
   slot_t *slot = (slot_t *)find_slot (poison, record->key);
-  const success_t *success = find_success (poison, record->key);
+  const success_t *success = success_entry (poison, record->key);
   uint64_t now = clock_ms (poison->clock);
   uint64_t last_crash_ms = now > record->age_ms ? now - record->age_ms : 0;
+  uint32_t crashes_max = poison_is_part (record->key)
+                             ? POISON_PART_CRASHES_MAX
+                             : crashes_to_end_tests (poison, record->key);
 
   if (record->age_ms >= POISON_EXPIRY_MS
-      || (success != NULL && last_crash_ms < success->ended_ms))
+      || (has_run_well (poison, record->key)
+          && last_crash_ms < success->ended_ms))
     return false;
   if (slot == NULL)
     slot = allocate_slot (poison, record->key);
@@ -199,8 +280,9 @@
     if (slot->crash_ids[i] == record->crash_id)
       return false;
   /* Further crashes change nothing for a key that is refused for good.  */
-  if (slot->crash_count >= crashes_to_end_tests (poison, record->key))
+  if (slot->crash_count >= crashes_max)
     return false;
+  slot->crash_ms[slot->crash_count] = last_crash_ms;
   slot->crash_ids[slot->crash_count++] = record->crash_id;
   if (slot->last_crash_ms < last_crash_ms)
     slot->last_crash_ms = last_crash_ms;
@@ -232,6 +314,20 @@
   return crash_count > 0 ? POISON_SUSPECT : POISON_CLEAR;
 }
 
+poison_class_t
+poison_classify_key (const poison_t *poison, poison_key_t key)
+{
+  const slot_t *slot = find_slot (poison, key);
+  uint32_t count = slot != NULL ? counted_crashes (poison, slot) : 0;
+
+  if (count == 0)
+    return POISON_CLEAR;
+  if (count >= crashes_to_refuse (poison, key))
+    return POISON_REFUSED;
+  return poison_is_part (key) && has_run_well (poison, key) ? POISON_CLEAR
+                                                            : POISON_SUSPECT;
+}
+
 uint32_t
 poison_record_success (poison_t *poison, poison_key_t key, uint64_t age_ms)
 {
@@ -266,10 +362,11 @@
   uint64_t now = clock_ms (poison->clock);
   uint32_t to_refuse = crashes_to_refuse (poison, key);
 
-  if (slot == NULL || slot->crash_count < to_refuse)
+  uint32_t count = slot != NULL ? counted_crashes (poison, slot) : 0;
+  if (count < to_refuse)
     return 0;
-  uint32_t failed_tests = slot->crash_count - to_refuse;
-  if (slot->crash_count >= crashes_to_end_tests (poison, key))
+  uint32_t failed_tests = count - to_refuse;
+  if (count >= crashes_to_end_tests (poison, key))
     return UINT64_MAX;
   uint64_t since_ms = slot->last_test_ms > slot->last_crash_ms
                           ? slot->last_test_ms
@@ -309,10 +406,11 @@
 poison_next_record (const poison_t *poison, size_t *cursor,
                     poison_record_t *record)
 {
-  for (; *cursor < (size_t)POISON_KEYS_MAX * POISON_CRASHES_MAX; ++*cursor)
+  for (; *cursor < (size_t)POISON_KEYS_MAX * POISON_PART_CRASHES_MAX;
+       ++*cursor)
     {
-      const slot_t *slot = &poison->slots[*cursor / POISON_CRASHES_MAX];
-      size_t crash_index = *cursor % POISON_CRASHES_MAX;
+      const slot_t *slot = &poison->slots[*cursor / POISON_PART_CRASHES_MAX];
+      size_t crash_index = *cursor % POISON_PART_CRASHES_MAX;
 
       if (crash_index >= slot->crash_count || !is_live (poison, slot))
         continue;
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -24,10 +24,28 @@
    the first after POISON_TEST_DELAY_MS, each further one after twice the
    time.
 
+   A crash may also be due to one part of a prompt, whatever else the request
+   holds.  Requests with this part are no two alike, so the parts of a request
+   have keys of their own, all but the last, which is its own.  Many innocent
+   parts are in flight in a crash.  What tells them apart:
+
+   - A guilty part crashes each upstream that begins to answer it.  Any run
+     that has begun, and any that still waits behind others when its upstream
+     ends, speaks for its parts: the first clears them, and shows that they are
+     innocent; only those of runs that have not begun, or just began, get a
+     record of the crash.
+   - A part without such a run is refused with
+     POISON_PART_CRASHES_TO_REFUSE crashes.  A part that ran well is in flight
+     in every crash of a busy service, also when many upstreams end at once.
+     Of its crashes since its last good run, those within POISON_CLUSTER_MS
+     count as one, and it is refused with POISON_PART_CLUSTERS_TO_REFUSE.
+   - One crash has one cause.  It counts for no other key when a part that
+   never ran well has more crashes than that key.
+
    Records are pairs of a key and a crash id, so that a process may merge the
    records of another process in any order and any number of times.
 
-   - POISON_KEYS_MAX 4096 of 88 bytes: a crash is recorded for all requests
+   - POISON_KEYS_MAX 4096 of 232 bytes: a crash is recorded for all requests
      that an upstream runs, some dozens, under two keys each, so there is room
      for about thirty crashes at a time.  Keys are stored in small sets by
      hash.  When the set of a new key is full, one key of the set is dropped
@@ -57,7 +75,14 @@
   POISON_SUCCESSES_MAX = 4096,
   POISON_TEST_DELAY_MS = 60000,
   /* Different crashes with which a request gets no further test run.  */
-  POISON_CRASHES_MAX = 6
+  POISON_CRASHES_MAX = 6,
+  /* Number of crashes with which a part is refused that never ran well, and of
+     groups of crashes with which one is refused that did.  */
+  POISON_PART_CRASHES_TO_REFUSE = 3,
+  POISON_PART_CLUSTERS_TO_REFUSE = 5,
+  POISON_CLUSTER_MS = 300,
+  /* Crashes that are recorded for a part.  */
+  POISON_PART_CRASHES_MAX = 12
 };
 
 typedef struct
@@ -111,6 +136,7 @@
 poison_key_t poison_request_key (str_t team, str_t request_id);
 /* Return the key of a prompt part, of which PART is the service and the id. */
 poison_key_t poison_part_key (str_t part);
+bool poison_is_part (poison_key_t key);
 
 /* Record that the request with these keys was in flight when an upstream
    crashed.  CRASH_ID is the id that the sidecar drew at random for the
@@ -123,6 +149,9 @@
 poison_class_t poison_classify (const poison_t *poison, poison_key_t digest,
                                 poison_key_t request);
 
+/* Return the class of requests with KEY alone, of any kind.  */
+poison_class_t poison_classify_key (const poison_t *poison, poison_key_t key);
+
 /* Record that the request with KEY ended AGE_MS ago without a crash.  Return
    the number of crashes that were recorded for it and are cleared.  */
 uint32_t poison_record_success (poison_t *poison, poison_key_t key,
--- a/tests/test_poison.c
+++ b/tests/test_poison.c
@@ -428,6 +428,86 @@
 }
 END_TEST
 
+static poison_key_t
+part_key (const char *id)
+{
+  return poison_part_key (str_from (id));
+}
+
+static void
+merge_part (const char *id, uint64_t crash_id)
+{
+  poison_merge (poison, &(poison_record_t){ part_key (id), crash_id, 0 });
+}
+
+static poison_class_t
+judge_part (const char *id)
+{
+  return poison_classify_key (poison, part_key (id));
+}
+
+/* Requests that are no two alike crash their instances by a part that they
+   have in common.  Each would be refused only after crashes of its own; or
+   parts of requests beside them are refused as well.  */
+START_TEST (common_part_of_crashing_requests_is_not_refused)
+{
+  char own[16];
+
+  use_gateway_options ();
+  for (uint64_t crash = 1; crash <= POISON_PART_CRASHES_TO_REFUSE; crash++)
+    {
+      advance_ms (10);
+      ck_assert_int_ne (judge_part ("bad"), POISON_REFUSED);
+      merge_part ("bad", crash);
+      merge_part (crash < 3 ? "beside" : "once", crash);
+      snprintf (own, sizeof own, "content %d", (int)crash);
+      merge (own, crash, 0);
+    }
+  ck_assert_int_eq (judge_part ("bad"), POISON_REFUSED);
+  ck_assert_int_eq (judge_part ("beside"), POISON_CLEAR);
+  ck_assert_int_eq (judge_part ("once"), POISON_CLEAR);
+  ck_assert_int_eq (poison_classify_key (poison, digest_key ("content 1")),
+                    POISON_CLEAR);
+}
+END_TEST
+
+/* All instances end at once, and a part that most requests have is in flight
+   in every crash.  Its service would be refused.  */
+START_TEST (popular_part_is_refused_after_a_crash_of_all)
+{
+  use_gateway_options ();
+  advance_ms (1000);
+  poison_record_success (poison, part_key ("popular"), 0);
+  for (int outage = 1; outage < POISON_PART_CLUSTERS_TO_REFUSE; outage++)
+    {
+      advance_ms (POISON_SUCCESS_MEMORY_MS);
+      for (uint64_t instance = 0; instance < 9; instance++)
+        merge_part ("popular", (uint64_t)outage * 100 + instance);
+      ck_assert_int_eq (judge_part ("popular"), POISON_CLEAR);
+    }
+  advance_ms (10);
+  poison_record_success (poison, part_key ("popular"), 0);
+  ck_assert_int_eq (judge_part ("popular"), POISON_CLEAR);
+}
+END_TEST
+
+/* A part that ran well begins to crash its instances, with other weights for
+   instance, and is never refused.  */
+START_TEST (part_that_ran_well_is_never_refused)
+{
+  use_gateway_options ();
+  advance_ms (1000);
+  poison_record_success (poison, part_key ("turned"), 0);
+  for (uint64_t crash = 1; crash <= POISON_PART_CLUSTERS_TO_REFUSE; crash++)
+    {
+      ck_assert_int_ne (judge_part ("turned"), POISON_REFUSED);
+      advance_ms (POISON_CLUSTER_MS);
+      merge_part ("turned", crash);
+    }
+  ck_assert_int_eq (judge_part ("turned"), POISON_REFUSED);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -447,6 +527,9 @@
   tcase_add_test (tcase, common_request_is_refused_after_a_crash_of_many);
   tcase_add_test (tcase, refused_request_is_never_or_always_tested);
   tcase_add_test (tcase, proven_request_crashes_too_many);
+  tcase_add_test (tcase, common_part_of_crashing_requests_is_not_refused);
+  tcase_add_test (tcase, popular_part_is_refused_after_a_crash_of_all);
+  tcase_add_test (tcase, part_that_ran_well_is_never_refused);
   tcase_add_loop_test (tcase, crashes_of_other_causes_refuse_calm_requests, 0,
                        5);
   suite_add_tcase (suite, tcase);
