--- a/tests/chaos.c
+++ b/tests/chaos.c
@@ -618,7 +618,8 @@
 main (int argc, char **argv)
 {
   const chaos_args_t args = chaos_args_parse (
-      argc, argv, "Send load, inject faults and check the guarantees.", NULL);
+      argc, argv, "Send load, inject faults and check the guarantees.", NULL,
+      0);
 
   return run_chaos (args.seed, args.seconds);
 }
--- a/tests/gateway_chaos.c
+++ b/tests/gateway_chaos.c
@@ -27,9 +27,26 @@
   LATE_CRASHING_AFTER_MS = 3000,
   LATE_CRASHING_MAX = 3,
   LATE_DEADLINES_MAX = 20,
+  /* Bound on a bad version.  */
+  EXPOSURE_SLACK = 30,
+  NEW_INSTANCES = 8,
+  ORDER_MS_MIN = 3000,
+  ORDER_MS_SPAN = 6000,
+  WITHIN_S_MIN = 12,
+  WITHIN_S_SPAN = 14,
   MS_PER_S = 1000
 };
 
+/* Kinds of runs.  */
+enum
+{
+  VARIANT_READERS,
+  VARIANT_VERSIONS,
+  VARIANT_COUNT
+};
+
+static const double exposure_share = 0.15;
+
 static chaos_args_t args;
 
 static const gateway_processes_options_t chaos_options
@@ -57,7 +74,10 @@
   fault_slot_t slots[FAULT_SLOTS];
   size_t crashing_contents; /* Contents of crashing requests so far.  */
   bool has_left[GATEWAY_PROCESSES_MAX]; /* The gateway is not started again. */
-  bool has_copy; /* A copy of the store's rows was taken.  */
+  bool has_copy;     /* A copy of the store's rows was taken.  */
+  uint64_t order_ms; /* Time after the start at which a version is ordered.  */
+  bool is_ordered;
+  bool is_version_bad;
 } chaos_t;
 
 struct fault
@@ -149,8 +169,9 @@
 choose_instance (chaos_t *chaos, fault_slot_t *slot)
 {
   slot->service = (process_service_t)rng_below (&chaos->rng, SERVICE_COUNT);
-  slot->target = (size_t)rng_below (&chaos->rng,
-                                    chaos_options.instances[slot->service]);
+  slot->target = (size_t)rng_below (
+      &chaos->rng,
+      gateway_processes_instance_count (chaos->processes, slot->service));
 }
 
 static fake_upstream_t *
@@ -179,7 +200,9 @@
 restart_crashed_instances (chaos_t *chaos)
 {
   for (int service = 0; service < SERVICE_COUNT; service++)
-    for (size_t i = 0; i < chaos_options.instances[service]; i++)
+    for (size_t i = 0; i < gateway_processes_instance_count (
+                           chaos->processes, (process_service_t)service);
+         i++)
       if (fake_upstream_has_crashed (gateway_processes_instance (
               chaos->processes, (process_service_t)service, i))
           && rng_below (&chaos->rng, MS_PER_S / STEP_MS) == 0)
@@ -196,7 +219,9 @@
 {
   choose_instance (chaos, slot);
   size_t step = 1 + (size_t)rng_below (&chaos->rng, 2);
-  for (size_t i = 0; i < chaos_options.instances[slot->service]; i += step)
+  for (size_t i = 0;
+       i < gateway_processes_instance_count (chaos->processes, slot->service);
+       i += step)
     fake_upstream_script (instance_of (chaos, slot, i), &action, 1);
 }
 
@@ -249,6 +274,30 @@
                                      slot->target);
 }
 
+/* Order a version, in most runs a bad one, if it is time.  */
+static void
+order_version (chaos_t *chaos)
+{
+  static const fake_action_t bad_actions[]
+      = { ACT_ERROR, ACT_RESET, ACT_STREAM_CUT_IN_EVENT, ACT_TRUNCATE_BODY };
+  uint64_t now_ms = harness_now_ms () - chaos->start_ms;
+
+  if (!args.is_variant[VARIANT_VERSIONS] || chaos->is_ordered
+      || now_ms < chaos->order_ms)
+    return;
+  chaos->is_ordered = true;
+  chaos->is_version_bad = rng_below (&chaos->rng, 4) != 0;
+  fake_action_t action = bad_actions[rng_below (
+      &chaos->rng, sizeof bad_actions / sizeof bad_actions[0])];
+  unsigned within_s
+      = (unsigned)(WITHIN_S_MIN + rng_below (&chaos->rng, WITHIN_S_SPAN));
+  gateway_processes_order_version (chaos->processes, within_s, action,
+                                   chaos->is_version_bad ? 0.5 : 0);
+  printf ("%7.3f order of a %s version within %u s, action %d\n",
+          (double)now_ms / MS_PER_S, chaos->is_version_bad ? "bad" : "good",
+          within_s, (int)action);
+}
+
 /* Store.  */
 
 static void
@@ -386,6 +435,20 @@
                               chaos_options.requests_per_s[slot->service]);
 }
 
+static void
+prefer_gateway (chaos_t *chaos, fault_slot_t *slot)
+{
+  slot->target = (size_t)rng_below (&chaos->rng, chaos_options.gateways);
+  gateway_processes_prefer (chaos->processes, slot->target);
+}
+
+static void
+prefer_no_gateway (chaos_t *chaos, fault_slot_t *slot)
+{
+  (void)slot;
+  gateway_processes_prefer (chaos->processes, GATEWAY_PROCESSES_MAX);
+}
+
 static const fault_t faults[] = {
   { "kill gateway", kill_gateway, NULL, do_nothing },
   { "kill all gateways", kill_all_gateways, NULL, do_nothing },
@@ -408,15 +471,33 @@
   /* Only where gateways read the store through each other.  */
   { "gateway cut from the store", cut_store, disturb_store, reconnect_store },
   { "slow store", slow_store, disturb_store, speed_up_store },
-  { "gateways apart", separate_gateways, disturb_store, connect_gateways }
+  { "gateways apart", separate_gateways, disturb_store, connect_gateways },
+  /* Only beside a version that is ordered.  */
+  { "most connections to one gateway", prefer_gateway, NULL,
+    prefer_no_gateway }
 };
 
 enum
 {
-  READER_FAULTS = 3, /* Number of faults at the end of the table.  */
+  /* Numbers of faults at the end of the table.  */
+  READER_FAULTS = 3,
+  VERSION_FAULTS = 1,
   FAULTS = sizeof faults / sizeof faults[0]
 };
 
+/* Return a fault of this kind of run.  */
+static const fault_t *
+choose_fault (rng_t *rng)
+{
+  size_t count = FAULTS - READER_FAULTS - VERSION_FAULTS;
+
+  if (args.is_variant[VARIANT_VERSIONS])
+    count = FAULTS;
+  else if (args.is_variant[VARIANT_READERS])
+    count = FAULTS - VERSION_FAULTS;
+  return &faults[rng_below (rng, count)];
+}
+
 static void
 step_slot (chaos_t *chaos, fault_slot_t *slot)
 {
@@ -434,8 +515,7 @@
       slot->end_ms = now_ms + rng_below (&chaos->rng, PAUSE_MS_MAX);
       return;
     }
-  slot->fault = &faults[rng_below (
-      &chaos->rng, args.is_variant ? FAULTS : FAULTS - READER_FAULTS)];
+  slot->fault = choose_fault (&chaos->rng);
   slot->end_ms = now_ms + FAULT_MS_MIN
                  + rng_below (&chaos->rng, FAULT_MS_MAX - FAULT_MS_MIN);
   slot->fault->inject (chaos, slot);
@@ -450,6 +530,7 @@
     {
       for (size_t i = 0; i < FAULT_SLOTS; i++)
         step_slot (chaos, &chaos->slots[i]);
+      order_version (chaos);
       restart_ended_gateways (chaos);
       restart_crashed_instances (chaos);
       gateway_processes_run (chaos->processes, STEP_MS);
@@ -505,6 +586,33 @@
   return 1;
 }
 
+static unsigned
+check_version (const chaos_t *chaos)
+{
+  version_exposure_t exposure = gateway_processes_exposure (chaos->processes);
+  double allowed = exposure_share * (double)exposure.requests + EXPOSURE_SLACK;
+  bool is_over = (double)exposure.new_requests > allowed;
+  bool is_late = exposure.late_requests > 0;
+
+  if (!chaos->is_ordered)
+    return 0;
+  printf ("version: %s, %s, %zu of %.1f requests, %zu bad answers, late %zu\n",
+          chaos->is_version_bad ? "bad" : "good",
+          gateway_processes_is_version (chaos->processes, "done") ? "done"
+          : gateway_processes_is_version (chaos->processes, "rolled_back")
+              ? "rolled back"
+              : "running",
+          exposure.new_requests, allowed, exposure.bad_answers,
+          exposure.late_requests);
+  if (!chaos->is_version_bad)
+    return 0;
+  if (is_over)
+    printf ("VIOLATION share of a bad version\n");
+  if (is_late)
+    printf ("VIOLATION bad version\n");
+  return (unsigned)is_over + is_late;
+}
+
 START_TEST (bounds_on_repeated_sends_hold)
 {
   chaos_t chaos = { .rng = rng_make (args.seed) };
@@ -512,7 +620,13 @@
   unsigned violations = 0;
 
   printf ("seed %" PRIu64 ", %" PRIu64 " s\n", args.seed, args.seconds);
-  options.has_readers = args.is_variant;
+  options.has_readers
+      = args.is_variant[VARIANT_READERS] || args.is_variant[VARIANT_VERSIONS];
+  if (args.is_variant[VARIANT_VERSIONS])
+    {
+      options.new_instances = NEW_INSTANCES;
+      chaos.order_ms = ORDER_MS_MIN + rng_below (&chaos.rng, ORDER_MS_SPAN);
+    }
   chaos.processes = gateway_processes_create (&options);
   gateway_processes_script (chaos.processes, SERVICE_ENGINE, ACT_STREAM_PAUSE);
   chaos.start_ms = harness_now_ms ();
@@ -521,6 +635,7 @@
   for (int service = 0; service < SERVICE_COUNT; service++)
     violations += check_service (&chaos, (process_service_t)service);
   violations += check_crashing (&chaos);
+  violations += check_version (&chaos);
   printf ("calls of the store: %zu\n",
           fake_rows_call_count (gateway_processes_rows (chaos.processes)));
   printf ("violations %u\n", violations);
@@ -533,15 +648,19 @@
 int
 main (int argc, char **argv)
 {
-  static const chaos_variant_t readers
-      = { "readers", "the gateways read the store through each other" };
+  static const chaos_variant_t variants[VARIANT_COUNT] = {
+    [VARIANT_READERS]
+    = { "readers", "the gateways read the store through each other" },
+    [VARIANT_VERSIONS] = { "versions", "the same, with a version that is "
+                                       "ordered and a bad prompt part" },
+  };
   Suite *suite = suite_create ("gateway chaos");
   TCase *tcase = tcase_create ("gateway chaos");
 
   args = chaos_args_parse (argc, argv,
                            "Send load through gateways, inject faults and "
                            "check the bounds on repeated sends.",
-                           &readers);
+                           variants, VARIANT_COUNT);
   tcase_set_timeout (tcase, 0);
   tcase_add_test (tcase, bounds_on_repeated_sends_hold);
   suite_add_tcase (suite, tcase);
--- a/tests/gateway_processes.c
+++ b/tests/gateway_processes.c
@@ -27,6 +27,8 @@
   /* Numbers of requests beside those of crashing contents.  */
   CRASHING_PART = CRASHING_CONTENTS_MAX,
   NOT_CRASHING,
+  /* One in so many connections does not go to the preferred gateway.  */
+  PREFERRED_ONE_IN = 8,
   /* Prompt parts that sound requests share.  */
   FIRST_PARTS = 3,
   SUBJECT_PARTS = 40
@@ -133,6 +135,8 @@
   size_t extra_count;
   crashing_content_t crashing[CRASHING_CONTENTS_MAX + 1];
   ordered_version_t version;
+  size_t preferred; /* Index of the gateway that gets most connections;
+                       GATEWAY_PROCESSES_MAX: none.  */
 };
 
 static const char *const service_names[SERVICE_COUNT] = { "app", "engine" };
@@ -571,6 +575,10 @@
 {
   size_t first = (size_t)rng_below (&p->rng, p->options.gateways);
 
+  if (p->preferred < GATEWAY_PROCESSES_MAX
+      && rng_below (&p->rng, PREFERRED_ONE_IN) != 0)
+    first = p->preferred;
+
   for (size_t i = 0; i < p->options.gateways; i++)
     {
       gateway_process_t *gateway
@@ -661,6 +669,12 @@
     }
 }
 
+void
+gateway_processes_prefer (gateway_processes_t *p, size_t index)
+{
+  p->preferred = index;
+}
+
 void
 gateway_processes_set_rate (gateway_processes_t *p, process_service_t service,
                             double requests_per_s)
@@ -886,6 +900,7 @@
 
   p->options = *options;
   p->rng = rng_make (1);
+  p->preferred = GATEWAY_PROCESSES_MAX;
   p->requests = mem_zalloc (REQUESTS_MAX * sizeof *p->requests);
   uv_loop_init (&p->loop);
   loop_wait_init (&p->wait, &p->loop, WAIT_TIMEOUT_MS);
--- a/tests/gateway_processes.h
+++ b/tests/gateway_processes.h
@@ -151,6 +151,10 @@
 version_exposure_t
 gateway_processes_exposure (const gateway_processes_t *processes);
 
+/* Let most new connections go to gateway INDEX from now on, or to all alike
+   with GATEWAY_PROCESSES_MAX.  */
+void gateway_processes_prefer (gateway_processes_t *processes, size_t index);
+
 /* Return the window in which the arrivals at SERVICE beyond the first of each
    request use the largest part of what the budget allows.  A step is a ms
    since the first request.  */
