--- a/tests/gateway_chaos.c
+++ b/tests/gateway_chaos.c
@@ -27,7 +27,9 @@
   LATE_CRASHING_AFTER_MS = 3000,
   LATE_CRASHING_MAX = 3,
   LATE_DEADLINES_MAX = 20,
-  /* Bound on a bad version.  */
+  /* Bounds on a prompt part that crashes instances, and on a bad version.  */
+  LATE_PART_AFTER_MS = 3000,
+  LATE_PART_MAX = 3,
   EXPOSURE_SLACK = 30,
   NEW_INSTANCES = 8,
   ORDER_MS_MIN = 3000,
@@ -274,6 +276,16 @@
                                      slot->target);
 }
 
+/* Send requests, no two alike, that have a prompt part which crashes
+   instances.  */
+static void
+repeat_bad_part (chaos_t *chaos, fault_slot_t *slot)
+{
+  (void)slot;
+  if (rng_below (&chaos->rng, 4) == 0)
+    gateway_processes_send_bad_part (chaos->processes);
+}
+
 /* Order a version, in most runs a bad one, if it is time.  */
 static void
 order_version (chaos_t *chaos)
@@ -473,6 +485,8 @@
   { "slow store", slow_store, disturb_store, speed_up_store },
   { "gateways apart", separate_gateways, disturb_store, connect_gateways },
   /* Only beside a version that is ordered.  */
+  { "bad prompt part", do_nothing, repeat_bad_part, do_nothing },
+  { "bad prompt part", do_nothing, repeat_bad_part, do_nothing },
   { "most connections to one gateway", prefer_gateway, NULL,
     prefer_no_gateway }
 };
@@ -481,7 +495,7 @@
 {
   /* Numbers of faults at the end of the table.  */
   READER_FAULTS = 3,
-  VERSION_FAULTS = 1,
+  VERSION_FAULTS = 3,
   FAULTS = sizeof faults / sizeof faults[0]
 };
 
@@ -586,6 +600,24 @@
   return 1;
 }
 
+static unsigned
+check_part (const chaos_t *chaos)
+{
+  size_t late = gateway_processes_late_part (chaos->processes,
+                                             LATE_PART_AFTER_MS, true);
+
+  printf ("prompt part: %zu requests, %zu crashes, late sends %zu, with "
+          "disturbed gateways and store %zu\n",
+          gateway_processes_bad_part_sent (chaos->processes),
+          gateway_processes_part_crashes (chaos->processes), late,
+          gateway_processes_late_part (chaos->processes, LATE_PART_AFTER_MS,
+                                       false));
+  if (late <= LATE_PART_MAX)
+    return 0;
+  printf ("VIOLATION prompt part\n");
+  return 1;
+}
+
 static unsigned
 check_version (const chaos_t *chaos)
 {
@@ -635,6 +667,7 @@
   for (int service = 0; service < SERVICE_COUNT; service++)
     violations += check_service (&chaos, (process_service_t)service);
   violations += check_crashing (&chaos);
+  violations += check_part (&chaos);
   violations += check_version (&chaos);
   printf ("calls of the store: %zu\n",
           fake_rows_call_count (gateway_processes_rows (chaos.processes)));
