poison, crash_records: cost of the records of prompt parts; docs

Read-through: a classification scans the records once, requests in flight are looked through only when a key becomes refused, and a suspect's parts are classified once. Before, a storm of rows with many requests in flight could have scanned the 950 KB of records thousands of times in an iteration of the loop (by reading, not measured).

--- a/packages/gateway/crash_records.c
+++ b/packages/gateway/crash_records.c
@@ -142,7 +142,7 @@
   uint64_t crash_id;
 
   return parse_row_key (row_key, &other, &crash_id)
-         && other.high == content.high && other.low == content.low;
+         && poison_same_key (other, content);
 }
 
 static void
@@ -233,8 +233,8 @@
              log_field_text (FIELD_SOURCE, str_from (source)));
 }
 
-/* Record the crash under LOST for KEY.  */
-static void
+/* Record the crash under LOST for KEY.  Return whether KEY is refused now.  */
+static bool
 record_crash (crash_records_t *records, const lost_send_t *lost,
               poison_key_t key)
 {
@@ -243,10 +243,11 @@
   char name[HEX_DIGITS + 1];
 
   if (!poison_merge (records->poison, &record))
-    return;
+    return false;
   log_suspected (records, key, "own");
   snprintf (name, sizeof name, "%016" PRIx64, lost->crash_id);
   queue_row (records, key, name, record.age_ms);
+  return poison_classify_key (records->poison, key) == POISON_REFUSED;
 }
 
 static bool
@@ -266,6 +267,7 @@
   uint64_t instance_hash = str_hash (id, 0);
   size_t count = 0;
   bool has_cut = false;
+  bool has_refused = false;
 
   for (size_t i = 0; i < LOST_SENDS_MAX; i++)
     {
@@ -282,7 +284,7 @@
       if (!is_expired (records, lost))
         {
           for (size_t at = 0; at < lost->key_count; at++)
-            record_crash (records, lost, lost->keys[at]);
+            has_refused |= record_crash (records, lost, lost->keys[at]);
           count++;
         }
       lost->kind = LOST_NONE;
@@ -292,7 +294,8 @@
   counter_add (records->state->counters.crashes, 1);
   log_event (EVENT_CRASH, log_field_text (FIELD_UPSTREAM, id),
              log_field_number (FIELD_COUNT, count));
-  relay_end_refused (records->state);
+  if (has_refused)
+    relay_end_refused (records->state);
 }
 
 void
@@ -327,8 +330,8 @@
   for (size_t i = 0; i < LOST_SENDS_MAX; i++)
     {
       const lost_send_t *lost = &records->lost_sends[i];
-      if (lost->kind == LOST_PROBING && lost->keys[0].high == content.high
-          && lost->keys[0].low == content.low)
+      if (lost->kind == LOST_PROBING
+          && poison_same_key (lost->keys[0], content))
         return true;
     }
   return false;
@@ -419,19 +422,17 @@
          == POISON_REFUSED;
 }
 
-bool
-crash_records_share_suspect (const crash_records_t *records,
-                             const request_attrs_t *attrs,
-                             const request_attrs_t *other)
+size_t
+crash_records_suspect_parts (const crash_records_t *records,
+                             const request_attrs_t *attrs, poison_key_t *parts)
 {
+  size_t count = 0;
+
   for (size_t i = 0; i < attrs->part_count; i++)
     if (poison_classify_key (records->poison, attrs->part_keys[i])
         != POISON_CLEAR)
-      for (size_t at = 0; at < other->part_count; at++)
-        if (attrs->part_keys[i].high == other->part_keys[at].high
-            && attrs->part_keys[i].low == other->part_keys[at].low)
-          return true;
-  return false;
+      parts[count++] = attrs->part_keys[i];
+  return count;
 }
 
 /* Return the worst class of the keys of a request with ATTRS.  */
@@ -522,7 +523,9 @@
       if (poison_merge (records->poison, &record))
         {
           log_suspected (records, record.key, "peer");
-          relay_end_refused (records->state);
+          if (poison_classify_key (records->poison, record.key)
+              == POISON_REFUSED)
+            relay_end_refused (records->state);
         }
       return;
     }
--- a/packages/gateway/crash_recordsint.h
+++ b/packages/gateway/crash_recordsint.h
@@ -48,11 +48,11 @@
 /* Return whether a request with ATTRS would be refused, without a test run. */
 bool crash_records_is_refused (const crash_records_t *records,
                                const request_attrs_t *attrs);
-/* Return whether requests with ATTRS and OTHER have a part that is
-   suspected.  */
-bool crash_records_share_suspect (const crash_records_t *records,
-                                  const request_attrs_t *attrs,
-                                  const request_attrs_t *other);
+/* Write the keys of the parts of a request with ATTRS that are suspected to
+   PARTS, which has room for REQUEST_PARTS_MAX.  Return their number.  */
+size_t crash_records_suspect_parts (const crash_records_t *records,
+                                    const request_attrs_t *attrs,
+                                    poison_key_t *parts);
 /* Return the key for which the request with ATTRS is refused, its content if
    it is not.  */
 poison_key_t crash_records_refused_key (const crash_records_t *records,
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -109,13 +109,17 @@
 is_suspect_in_flight (const relay_t *relay)
 {
   const gateway_state_t *state = relay->state;
+  poison_key_t parts[REQUEST_PARTS_MAX];
+  size_t count = crash_records_suspect_parts (state->crash_records,
+                                              &relay->attrs, parts);
 
+  if (count == 0)
+    return false;
   LIST_EACH (at, &state->relays)
     {
       const relay_t *other = CONTAINER_OF (at, relay_t, link);
       if (other != relay && other->call != NULL && !relay_has_begun (other)
-          && crash_records_share_suspect (state->crash_records, &relay->attrs,
-                                          &other->attrs))
+          && request_attrs_have_part (&other->attrs, parts, count))
         return true;
     }
   return false;
--- a/packages/gateway/request_attrs.c
+++ b/packages/gateway/request_attrs.c
@@ -190,6 +190,17 @@
   return VH_OK;
 }
 
+bool
+request_attrs_have_part (const request_attrs_t *attrs,
+                         const poison_key_t *parts, size_t count)
+{
+  for (size_t i = 0; i < attrs->part_count; i++)
+    for (size_t at = 0; at < count; at++)
+      if (poison_same_key (attrs->part_keys[i], parts[at]))
+        return true;
+  return false;
+}
+
 void
 request_attrs_free (request_attrs_t *attrs)
 {
--- a/packages/gateway/request_attrsint.h
+++ b/packages/gateway/request_attrsint.h
@@ -51,6 +51,10 @@
 vh_code_t request_attrs_resolve (request_attrs_t *attrs,
                                  const gateway_state_t *state,
                                  const httpd_req_t *req, str_t attempt_id);
+/* Return whether one of the COUNT keys in PARTS is that of a part of the
+   prompt.  */
+bool request_attrs_have_part (const request_attrs_t *attrs,
+                              const poison_key_t *parts, size_t count);
 /* Release the reference to the configuration.  */
 void request_attrs_free (request_attrs_t *attrs);
 
--- a/packages/policy/poison.c
+++ b/packages/policy/poison.c
@@ -102,8 +102,8 @@
   return (key.low & PART_BIT) != 0;
 }
 
-static bool
-is_same_key (poison_key_t a, poison_key_t b)
+bool
+poison_same_key (poison_key_t a, poison_key_t b)
 {
   return a.high == b.high && a.low == b.low;
 }
@@ -128,7 +128,7 @@
   const slot_t *set = key_set (poison, key);
 
   for (int i = 0; i < SLOTS_PER_SET; i++)
-    if (is_same_key (set[i].key, key) && is_live (poison, &set[i]))
+    if (poison_same_key (set[i].key, key) && is_live (poison, &set[i]))
       return &set[i];
   return NULL;
 }
@@ -172,7 +172,7 @@
 {
   const success_t *success = success_entry (poison, key);
 
-  return is_same_key (success->key, key)
+  return poison_same_key (success->key, key)
                  && clock_ms (poison->clock)
                         < success->ended_ms + POISON_SUCCESS_MEMORY_MS
              ? success
@@ -183,13 +183,13 @@
 static bool
 has_run_well (const poison_t *poison, poison_key_t key)
 {
-  return is_same_key (success_entry (poison, key)->key, key);
+  return poison_same_key (success_entry (poison, key)->key, key);
 }
 
-/* Return whether a part that never ran well has more crashes than SLOT, and
-   crash CRASH_ID among them.  */
-static bool
-is_explained (const poison_t *poison, const slot_t *slot, uint64_t crash_id)
+/* Set EXPLAINED for each crash of SLOT that a part has as well which never ran
+   well and has more crashes.  */
+static void
+find_explained (const poison_t *poison, const slot_t *slot, bool *explained)
 {
   for (size_t i = 0; i < POISON_KEYS_MAX; i++)
     {
@@ -199,14 +199,13 @@
           || has_run_well (poison, other->key))
         continue;
       for (uint32_t at = 0; at < other->crash_count; at++)
-        if (other->crash_ids[at] == crash_id)
-          return true;
+        for (uint32_t own = 0; own < slot->crash_count; own++)
+          explained[own] |= slot->crash_ids[own] == other->crash_ids[at];
     }
-  return false;
 }
 
-/* Return whether one of the first COUNT crashes of SLOT that are in COUNTED is
-   close to crash INDEX.  */
+/* Return whether crash INDEX of SLOT is close to one before it that is in
+   COUNTED.  */
 static bool
 is_in_cluster (const slot_t *slot, const bool *counted, uint32_t index)
 {
@@ -222,14 +221,16 @@
 static uint32_t
 counted_crashes (const poison_t *poison, const slot_t *slot)
 {
+  bool explained[POISON_PART_CRASHES_MAX] = { false };
   bool counted[POISON_PART_CRASHES_MAX] = { false };
   bool has_clusters
       = poison_is_part (slot->key) && has_run_well (poison, slot->key);
   uint32_t count = 0;
 
+  find_explained (poison, slot, explained);
   for (uint32_t i = 0; i < slot->crash_count; i++)
     {
-      counted[i] = !is_explained (poison, slot, slot->crash_ids[i])
+      counted[i] = !explained[i]
                    && !(has_clusters && is_in_cluster (slot, counted, i));
       count += counted[i];
     }
@@ -337,7 +338,7 @@
   uint64_t ended_ms = now > age_ms ? now - age_ms : 0;
   uint32_t cleared = 0;
 
-  if (!is_same_key (success->key, key) || success->ended_ms < ended_ms)
+  if (!poison_same_key (success->key, key) || success->ended_ms < ended_ms)
     *success = (success_t){ key, ended_ms };
   if (slot != NULL && slot->last_crash_ms <= ended_ms)
     {
--- a/packages/policy/poison.h
+++ b/packages/policy/poison.h
@@ -137,6 +137,7 @@
 /* Return the key of a prompt part, of which PART is the service and the id. */
 poison_key_t poison_part_key (str_t part);
 bool poison_is_part (poison_key_t key);
+bool poison_same_key (poison_key_t a, poison_key_t b);
 
 /* Record that the request with these keys was in flight when an upstream
    crashed.  CRASH_ID is the id that the sidecar drew at random for the
