trial: times below the clock's resolution count; docs

test_gateway, working_version_is_rolled_out failed on the code before: first events within 1 ms were not counted as times, so a version of which most come that fast could not be shown good; they count as 1 ms now.

--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -10,6 +10,7 @@
 
 enum
 {
+  CLOCK_RESOLUTION_MS = 1,
   PROCESS_ID_SIZE = 17, /* 16 hexadecimal digits and NUL.  */
   /* Number of processes whose bad answers are known here.  */
   BAD_ANSWER_PROCESSES_MAX = 4096
@@ -339,12 +340,12 @@
   return old_failure_share (sums->failed + extra, sums->count + extra);
 }
 
-/* Add to AGAINST or FOR the logarithm of the likelihood ratio of an event of
-   the new version, such as a failed answer, that the old version has in
-   OLD_SHARE of the cases.  */
+/* Add to AGAINST the logarithm of the likelihood ratio of an event of the new
+   version, such as a failed answer, that the old version has in OLD_SHARE of
+   the cases; to IN_FAVOR that of a case without the event.  */
 static void
 add_likelihood (double old_share, bool has_event, double *against,
-                double *for_)
+                double *in_favor)
 {
   double good = old_share + (1 - old_share) * TRIAL_GOOD_SHARE;
   double bad = old_share + (1 - old_share) * TRIAL_BAD_SHARE;
@@ -352,7 +353,7 @@
   if (has_event)
     *against += log (bad / good);
   else
-    *for_ += log ((1 - good) / (1 - bad));
+    *in_favor += log ((1 - good) / (1 - bad));
 }
 
 /* Weigh OUTCOME of the new version in CELL against the old version's
@@ -397,6 +398,9 @@
 {
   uint64_t *known = map_get (trial->bad_answers, id);
 
+  if (known == NULL
+      && map_size (trial->bad_answers) >= BAD_ANSWER_PROCESSES_MAX)
+    return;
   if (known == NULL)
     {
       known = mem_zalloc (sizeof *known);
@@ -559,10 +563,12 @@
   size_t class = load_class (load);
   load_times_t *loads = usual_times (trial, timing, cell);
   double usual_ms = usual_time_ms (loads, class);
-  bool is_late = is_late_time (timing, ms, usual_ms);
 
+  if (timing == TRIAL_TIMING_FIRST_EVENT)
+    ms = fmax (ms, CLOCK_RESOLUTION_MS);
   if (ms <= 0)
     return false;
+  bool is_late = is_late_time (timing, ms, usual_ms);
   if (usual_ms > 0 && !is_warming_up (trial, arm, timing, ms, now_ms))
     count_time (trial, arm, cell, timing, is_late);
   if (arm == TRIAL_ARM_OLD)
@@ -793,8 +799,7 @@
       uint64_t count;
       str_t id = str_cut (str_cut (text, ' ', &text), '=', &count_text);
       if (id.len == 0 || id.len >= PROCESS_ID_SIZE || count_text.ptr == NULL
-          || !str_to_u64 (count_text, &count)
-          || map_size (trial->bad_answers) >= BAD_ANSWER_PROCESSES_MAX)
+          || !str_to_u64 (count_text, &count))
         return VH_E_PROTOCOL;
       raise_bad_answers (trial, id, count);
     }
