--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -51,7 +51,8 @@
 add_dependencies (test_bad_version vanillahookd)
 if (NOT SANITIZE)
 foreach (case "a third of the answers fail" "most answers fail"
-    "connections are reset" "streams break off" "good version")
+    "connections are reset" "streams break off" "good version"
+    "streams break off in one of six" "answers fail after the decision")
   string (REPLACE " " "_" name "bad_version_${case}")
   add_test (NAME ${name} COMMAND test_bad_version
     WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
--- a/tests/test_bad_version.c
+++ b/tests/test_bad_version.c
@@ -15,7 +15,11 @@
   /* The version gets its first requests after half of the time limit.  */
   TROUBLE_FROM_MS = 3000,
   TROUBLE_MS = 35500,
-  AFTER_MS = 6000
+  AFTER_MS = 6000,
+  SHORT_WITHIN_S = 8,
+  /* Time in which a version that is bad a little gives 50 bad answers, and the
+     operators' bound passes.  */
+  EXPOSED_MS = 12000
 };
 
 static const gateway_processes_options_t options
@@ -93,6 +97,57 @@
 }
 END_TEST
 
+/* Set the part of the requests to which the instances of the new version react
+   with ACTION.  */
+static void
+set_new_version_share (gateway_processes_t *processes, fake_action_t action,
+                       double share)
+{
+  size_t count = gateway_processes_instance_count (processes, SERVICE_ENGINE);
+
+  for (size_t i = options.instances[SERVICE_ENGINE]; i < count; i++)
+    fake_upstream_set_share (
+        gateway_processes_instance (processes, SERVICE_ENGINE, i), action,
+        share);
+}
+
+typedef struct
+{
+  const char *name;
+  fake_action_t action;
+  double share;       /* Part of the requests that get ACTION.  */
+  bool is_after_done; /* The version is good until it is declared good.  */
+} small_badness_t;
+
+static const small_badness_t small_badnesses[] = {
+  { "streams break off in one of six", ACT_STREAM_CUT_IN_EVENT, 0.17, false },
+  { "answers fail after the decision", ACT_ERROR, 0.3, true },
+};
+
+/* Failure: a version is bad a little, or only after it was declared good, and
+   keeps getting requests after its 50th bad answer.  */
+START_TEST (bad_version_stays_after_it_was_declared_good)
+{
+  const small_badness_t *badness = &small_badnesses[_i];
+  double share_before = badness->is_after_done ? 0 : badness->share;
+  gateway_processes_t *processes = gateway_processes_create (&options);
+
+  gateway_processes_run (processes, CALM_MS);
+  gateway_processes_order_version (processes, SHORT_WITHIN_S, badness->action,
+                                   share_before);
+  run (processes, SHORT_WITHIN_S * 1000);
+  set_new_version_share (processes, badness->action, badness->share);
+  run (processes, EXPOSED_MS);
+  version_exposure_t exposure = gateway_processes_exposure (processes);
+  printf ("%s: %zu bad answers, %zu late requests\n", badness->name,
+          exposure.bad_answers, exposure.late_requests);
+  ck_assert_uint_eq (exposure.late_requests, 0);
+  ck_assert (gateway_processes_is_version (processes, "rolled_back"));
+  gateway_processes_finish (processes);
+  gateway_processes_destroy (processes, false);
+}
+END_TEST
+
 /* Failure: a good version is rolled back on a calm day.  */
 START_TEST (good_version_is_rolled_back)
 {
@@ -121,6 +176,15 @@
           tcase, bad_version_stays_in_a_trouble_of_both_versions, i, i + 1);
       suite_add_tcase (suite, tcase);
     }
+  for (int i = 0;
+       i < (int)(sizeof small_badnesses / sizeof small_badnesses[0]); i++)
+    {
+      TCase *tcase = tcase_create (small_badnesses[i].name);
+      tcase_set_timeout (tcase, 90);
+      tcase_add_loop_test (tcase, bad_version_stays_after_it_was_declared_good,
+                           i, i + 1);
+      suite_add_tcase (suite, tcase);
+    }
   tcase_set_timeout (good, 90);
   tcase_add_test (good, good_version_is_rolled_back);
   suite_add_tcase (suite, good);
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -670,7 +670,7 @@
         }
       if (ms % 1000 == 0)
         trial_decay (trial);
-      if (trial_phase (trial) != TRIAL_PHASE_RUNNING)
+      if (trial_phase (trial) == TRIAL_PHASE_ROLLED_BACK)
         continue;
       trial_decision_t decision = trial_decide (trial, now_ms, false, &reason);
       if (decision == TRIAL_DECISION_ADVANCE && ms % 1000 == 0)
@@ -732,6 +732,46 @@
 }
 END_TEST
 
+static const badness_t small_ways_of_being_bad[] = {
+  { "a sixth fails", .failure_share = 0.15, .bad_route = -1 },
+  { "a quarter fails", .failure_share = 0.25, .bad_route = -1 },
+  { "a sixth is slow", .slow_share = 0.15, .bad_route = -1 },
+  { "a quarter is slow", .slow_share = 0.25, .bad_route = -1 },
+  { "a sixth breaks off", .lost_share = 0.15, .bad_route = -1 },
+  { "a quarter of one route fails", .failure_share = 0.25, .bad_route = 1 },
+  { "a third of one route is slow", .slow_share = 0.35, .bad_route = 1 },
+  { "fails after it was declared good", .failure_share = 0.25, .bad_route = -1,
+    .bad_from_part = 1.1 },
+  { "is slow after it was declared good", .slow_share = 0.5, .bad_route = -1,
+    .bad_from_part = 1.1 },
+  { "fails from shortly before the decision on", .failure_share = 0.25,
+    .bad_route = -1, .bad_from_part = 0.9 },
+};
+
+/* A version is bad so little, or so late, that its answers by the time limit
+   do not show it.  It would keep all requests after it was declared good.  */
+START_TEST (bad_version_stays_after_it_was_declared_good)
+{
+  static const masked_setting_t settings[]
+      = { { 8000, 30 }, { 16000, 30 }, { 24000, 30 }, { 16000, 120 } };
+  static const trouble_t calm = { .wait_factor = 1 };
+  const badness_t *badness = &small_ways_of_being_bad[_i];
+
+  for (size_t at = 0; at < sizeof settings / sizeof settings[0]; at++)
+    for (uint64_t seed = 1; seed <= 40; seed++)
+      {
+        masked_result_t result
+            = run_masked_rollout (badness, &calm, &settings[at], seed);
+        ck_assert_msg (result.late_requests == 0,
+                       "%s, setting %zu, seed %d: %u requests later than "
+                       "%d ms after bad answer %d, phase %s",
+                       badness->name, at, (int)seed, result.late_requests,
+                       LATE_AFTER_MS, BAD_ANSWERS,
+                       trial_phase_name (result.phase));
+      }
+}
+END_TEST
+
 /* Time after which callers leave: too long for an answer, or shorter than many
    good answers take.  */
 static const unsigned patiences_ms[] = { 500, 120 };
@@ -971,6 +1011,9 @@
   tcase_add_test (tcase, bad_version_accepted_among_common_failures);
   tcase_add_loop_test (tcase, bad_version_accepted_in_a_common_trouble, 0,
                        sizeof ways_of_being_bad / sizeof ways_of_being_bad[0]);
+  tcase_add_loop_test (tcase, bad_version_stays_after_it_was_declared_good, 0,
+                       sizeof small_ways_of_being_bad
+                           / sizeof small_ways_of_being_bad[0]);
   tcase_add_test (tcase, steps_advance_during_a_store_outage);
   tcase_add_test (tcase, request_changes_version_between_sends);
   tcase_add_test (tcase, counts_of_other_processes_are_lost);
