--- /dev/null
+++ b/packages/policy/trial_message.c
@@ -0,0 +1,182 @@
+#include "policy/trialint.h"
+
+#include "base/mem.h"
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+
+bool
+trial_has_unwritten_counts (const trial_t *trial)
+{
+  return trial->has_unwritten_counts;
+}
+
+void
+trial_describe (const trial_t *trial, trial_arm_t arm, buf_t *out)
+{
+  trial_counts_t all = trial_total_counts (trial, false);
+  trial_sums_t sums = trial_sums_of_routes (&all, arm);
+
+  buf_printf (out, "%.0f failed of %.0f, %.0f lost; %.0f of %.0f in all",
+              sums.failed, sums.count, sums.lost_connections,
+              sums.total_failed, sums.total_count);
+  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+    buf_printf (out, "; late %s %.0f of %.0f", trial_timings[timing].name,
+                sums.late_count[timing], sums.timing_count[timing]);
+}
+
+/* The message is one line: the order's number, then the sums, then what older
+   processes do not read: the logarithms of likelihood ratios, and
+   PROCESS=COUNT for the bad answers of each process.  */
+/* Append the bad answers of this process to OUT; with ALL, of all
+   processes.  */
+static void
+write_bad_answers (const trial_t *trial, bool all, buf_t *out)
+{
+  char own_id[TRIAL_PROCESS_ID_SIZE];
+  size_t cursor = 0;
+  str_t id;
+  void *value;
+
+  snprintf (own_id, sizeof own_id, "%" PRIx64, trial->process_id);
+  while (map_next (trial->bad_answers, &cursor, &id, &value))
+    if (all || str_eq (id, str_from (own_id)))
+      buf_printf (out, " %.*s=%" PRIu64, STR_ARG (id),
+                  *(const uint64_t *)value);
+}
+
+void
+trial_write (trial_t *trial, bool all, buf_t *out)
+{
+  const trial_counts_t counts
+      = all ? trial_total_counts (trial, true) : trial->own_counts;
+
+  buf_printf (out, "%llu", (unsigned long long)trial->order);
+  for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
+    for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
+      {
+        const trial_sums_t *sums = &counts.sums[arm][cell];
+#define X(field, decimals, decay)                                             \
+  buf_printf (out, " %.*f", decimals, sums->field);
+        TRIAL_SUMS (X)
+#undef X
+        for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+          buf_printf (out, " %.2f %.2f", sums->timing_count[timing],
+                      sums->late_count[timing]);
+      }
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    {
+      const trial_likelihoods_t *likelihoods = &counts.likelihoods[cell];
+#define X(field, decimals, decay)                                             \
+  buf_printf (out, " %.*f", decimals, likelihoods->field);
+      TRIAL_LIKELIHOODS (X)
+#undef X
+    }
+  write_bad_answers (trial, all, out);
+  trial->has_unwritten_counts = false;
+}
+
+/* Read the next number of *REST into *VALUE.  Return false unless it is finite
+   and not negative.  */
+static bool
+read_number (str_t *rest, double *value)
+{
+  if (rest->ptr == NULL)
+    return false;
+  str_t word = str_cut (*rest, ' ', rest);
+  return str_to_double (word, value) && isfinite (*value) && *value >= 0;
+}
+
+/* Read the logarithms of likelihood ratios from *REST, which is empty in the
+   message of an older process.  */
+static vh_code_t
+read_likelihoods (str_t *rest, trial_likelihoods_t *cells)
+{
+  if (rest->ptr == NULL)
+    return VH_OK;
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    {
+      trial_likelihoods_t *likelihoods = &cells[cell];
+#define X(field, decimals, decay)                                             \
+  if (!read_number (rest, &likelihoods->field))                               \
+    return VH_E_PROTOCOL;
+      TRIAL_LIKELIHOODS (X)
+#undef X
+    }
+  return VH_OK;
+}
+
+/* Take the bad answers of processes from TEXT, the rest of a message.  */
+static vh_code_t
+read_bad_answers (trial_t *trial, str_t text)
+{
+  while (text.ptr != NULL && text.len > 0)
+    {
+      str_t count_text;
+      uint64_t count;
+      str_t id = str_cut (str_cut (text, ' ', &text), '=', &count_text);
+      if (id.len == 0 || id.len >= TRIAL_PROCESS_ID_SIZE
+          || count_text.ptr == NULL || !str_to_u64 (count_text, &count))
+        return VH_E_PROTOCOL;
+      trial_raise_bad_answers (trial, id, count);
+    }
+  return VH_OK;
+}
+
+vh_code_t
+trial_merge_bad_answers (trial_t *trial, str_t text)
+{
+  const size_t sums_count
+      = (size_t)TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
+            * (sizeof (trial_sums_t) / sizeof (double))
+        + TRIAL_ROUTE_CELLS * (sizeof (trial_likelihoods_t) / sizeof (double));
+  uint64_t order;
+
+  if (!str_to_u64 (str_cut (text, ' ', &text), &order))
+    return VH_E_PROTOCOL;
+  if (order != trial->order)
+    return VH_OK;
+  for (size_t i = 0; i < sums_count && text.ptr != NULL; i++)
+    str_cut (text, ' ', &text);
+  return read_bad_answers (trial, text);
+}
+
+vh_code_t
+trial_merge (trial_t *trial, str_t process, bool was_sent_by_peer, str_t text)
+{
+  trial_counts_t received = { .was_sent_by_peer = was_sent_by_peer };
+  uint64_t order;
+
+  if (!str_to_u64 (str_cut (text, ' ', &text), &order))
+    return VH_E_PROTOCOL;
+  if (order != trial->order)
+    return VH_OK;
+  for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
+    for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
+      {
+        trial_sums_t *sums = &received.sums[arm][cell];
+#define X(field, decimals, decay)                                             \
+  if (!read_number (&text, &sums->field))                                     \
+    return VH_E_PROTOCOL;
+        TRIAL_SUMS (X)
+#undef X
+        for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+          if (!read_number (&text, &sums->timing_count[timing])
+              || !read_number (&text, &sums->late_count[timing]))
+            return VH_E_PROTOCOL;
+      }
+  if (read_likelihoods (&text, received.likelihoods) != VH_OK
+      || read_bad_answers (trial, text) != VH_OK)
+    return VH_E_PROTOCOL;
+  trial_counts_t *peer = map_get (trial->peers, process);
+  if (peer == NULL)
+    {
+      peer = mem_alloc (sizeof *peer);
+      map_put (trial->peers, process, peer);
+    }
+  *peer = received;
+  if (was_sent_by_peer)
+    trial->has_unwritten_counts = true;
+  return VH_OK;
+}
--- /dev/null
+++ b/packages/policy/trialint.h
@@ -0,0 +1,123 @@
+/* Declarations shared by the files of a trial.
+
+   trial.c           progress, shares and decisions
+   trial_evidence.c  counts of answers and times, and their weights
+   trial_verdict.c   what the counts say of the new version
+   trial_message.c   counts in messages between processes  */
+
+#ifndef POLICY_TRIALINT_H
+#define POLICY_TRIALINT_H
+
+#include "policy/trial.h"
+
+#include "base/map.h"
+
+enum
+{
+  TRIAL_PROCESS_ID_SIZE = 17 /* 16 hexadecimal digits and NUL.  */
+};
+
+typedef struct
+{
+  trial_sums_t sums[TRIAL_ARM_COUNT][TRIAL_CELL_COUNT];
+  trial_likelihoods_t likelihoods[TRIAL_ROUTE_CELLS];
+  bool was_sent_by_peer; /* Whether a peer sent the counts; otherwise they were
+                            read from the store.  */
+  unsigned age_s;
+} trial_counts_t;
+
+/* Sums over the old version's times in one load class.  */
+typedef struct
+{
+  double time_count;
+  double log_ms_sum; /* Sum of the natural logarithms of the times in ms.  */
+} trial_load_times_t;
+
+struct trial
+{
+  char *service;
+  char *version;
+  uint64_t order;
+  uint64_t time_limit_ms;
+  double exposure;
+  uint64_t order_seen_ms;
+  uint64_t start_ms;
+  uint32_t step;
+  uint64_t step_start_ms; /* Time from which STEP applies; until then the step
+                             before it does.  */
+  trial_phase_t phase;
+  bool is_final_phase_stored; /* Whether the row in the store holds a final
+                                 phase.  */
+  trial_counts_t own_counts;
+  trial_load_times_t usual_times[TRIAL_TIMING_COUNT][TRIAL_ROUTE_CELLS]
+                                [TRIAL_LOAD_CLASSES];
+  /* Waits for a first event of the old version that ended without one and were
+     not late, of this process.  */
+  double old_unanswered;
+  map_t *peers; /* Maps the name of a process to its trial_counts_t.  */
+  bool has_unwritten_counts; /* Whether a count changed since the last
+                                message.  */
+  uint64_t process_id;
+  /* Maps the id of a process, in hexadecimal digits, to the number of bad
+     answers that it counted, as uint64_t.  */
+  map_t *bad_answers;
+  uint64_t bad_answers_sum;
+  /* Time of the store's clock at which there were last few bad answers, or the
+     version was shown to be good.  */
+  uint64_t acceptable_ms;
+};
+
+/* Properties of the measured times; see TRIAL_TIMINGS.  */
+typedef struct
+{
+  double late_factor;
+  double samples_min;
+  double stderrs;
+  const char *name;
+} trial_timing_properties_t;
+
+extern const trial_timing_properties_t trial_timings[TRIAL_TIMING_COUNT];
+
+/* Return the share of the old version's COUNT answers that FAILED, with a
+   prior of twenty answers of which one failed.  When all requests go to the
+   new version the old one has no answers; its share must then neither be taken
+   for exact nor hide a bad version.  */
+double trial_old_failure_share (double failed, double count);
+/* Return the sum of COUNTS over the routes.  */
+trial_sums_t trial_sums_of_routes (const trial_counts_t *counts,
+                                   trial_arm_t arm);
+/* Return the share of the old version's answers in SUMS that failed, with a
+   weight of TRIAL_ADVANCE_LOST_CONNECTION_WEIGHT for lost connections.  */
+double trial_old_advance_failure_share (const trial_sums_t *sums);
+/* Return the sum of the logarithms of likelihood ratios in COUNTS.  */
+trial_likelihoods_t trial_likelihoods_of_routes (const trial_counts_t *counts);
+/* Return the sum of this process's counts and those of its peers; with
+   SENT_ONLY, only of peers that send to this process.  */
+trial_counts_t trial_total_counts (const trial_t *trial, bool sent_only);
+/* Raise the number of bad answers that process ID counted to COUNT.  A number
+   never falls, so that messages may arrive in any order.  */
+void trial_raise_bad_answers (trial_t *trial, str_t id, uint64_t count);
+/* Return whether the answers in COUNTS show that the version is good.  */
+bool trial_is_shown_good (const trial_counts_t *counts);
+/* Return whether COUNTS do not suffice to declare the version good, which the
+   requests of a service that is not busy cannot tell.  */
+bool trial_lacks_evidence_of_good (const trial_counts_t *counts);
+/* Return whether the counts of one cell since the start do not suffice to
+   declare the new version good: its share of failed answers exceeds the old
+   version's by TRIAL_FINAL_EXCESS and by TRIAL_FINAL_STDERRS standard errors,
+   or it has hardly any answers although the old version has many.  Sums over
+   all cells may show neither.  */
+bool trial_is_cell_inconclusive (const trial_sums_t *old,
+                                 const trial_sums_t *new);
+/* Return whether a step that has lasted IN_STEP_MS, with a minimum length of
+   STEP_MIN_MS, may advance.  An excess of late answers of at least STDERRS
+   standard errors prevents the advance.  */
+bool trial_is_ready_to_advance (const trial_sums_t *old,
+                                const trial_sums_t *new, double in_step_ms,
+                                double step_min_ms, double stderrs);
+/* Return whether the sums of one cell show that the new version is bad; if so,
+   append the reason to REASON.  */
+bool trial_is_version_bad (const trial_sums_t *old, const trial_sums_t *new,
+                           buf_t *reason);
+
+#endif
