trial: times of both versions are compared as distributions

Cause: a time was late or not, by a fixed multiple of the usual time of a route at the same load, and that time varied by the model and the prompt: one in ten of the old version's times was late as well. A version of which a sixth of the requests is eight times as slow makes all others wait too, two to three times as long, which a multiple of four does not show.

Change: the usual time is a regression on model, prompt length, load and route, and histograms of the ratios to it are compared by the likelihoods of two slow versions, half a version three times as slow and a sixth of it six times as slow. Messages between processes begin with a format; those of older processes are read for their sums and bad answers. The test of such messages checked that a sum too many is refused; it now checks the same behind the weights of the older format, and that a cut message is refused at every word.

--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -110,16 +110,28 @@
     count_bad_answer (relay, trial);
 }
 
+static trial_time_t
+measured_time (const relay_t *relay, trial_timing_t timing, double ms)
+{
+  return (trial_time_t){ .timing = timing,
+                         .route = route_hash (relay),
+                         .model = relay->model_index,
+                         .prompt_tokens = relay->attrs.prompt_tokens,
+                         .load = relay->upstream_request_count,
+                         .ms = ms,
+                         .now_ms = table_sync_store_now_ms (
+                             relay->state->operator_rows_sync) };
+}
+
 void
 relay_record_timing (relay_t *relay, trial_timing_t timing, double duration_ms)
 {
   trial_t *trial = running_trial (relay);
 
-  if (trial != NULL
-      && trial_observe_timing (
-          trial, relay_trial_arm (relay), route_hash (relay), timing,
-          relay->upstream_request_count, duration_ms,
-          table_sync_store_now_ms (relay->state->operator_rows_sync)))
+  if (trial == NULL)
+    return;
+  const trial_time_t time = measured_time (relay, timing, duration_ms);
+  if (trial_observe_timing (trial, relay_trial_arm (relay), &time))
     count_bad_answer (relay, trial);
 }
 
@@ -128,15 +140,14 @@
 static void
 record_unanswered (relay_t *relay)
 {
-  const gateway_state_t *state = relay->state;
   trial_t *trial = running_trial (relay);
 
-  if (trial != NULL && !relay->has_head && !relay->has_connect_failed
-      && trial_observe_unanswered (
-          trial, relay_trial_arm (relay), route_hash (relay),
-          relay->upstream_request_count,
-          (double)(clock_ms (state->clock) - relay->dispatched_ms),
-          table_sync_store_now_ms (state->operator_rows_sync)))
+  if (trial == NULL || relay->has_head || relay->has_connect_failed)
+    return;
+  const trial_time_t wait = measured_time (
+      relay, TRIAL_TIMING_FIRST_EVENT,
+      (double)(clock_ms (relay->state->clock) - relay->dispatched_ms));
+  if (trial_observe_unanswered (trial, relay_trial_arm (relay), &wait))
     count_bad_answer (relay, trial);
 }
 
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -58,17 +58,25 @@
    TRIAL_ANSWERS_MIN answers; or when its time to the first event is
    TRIAL_FIRST_EVENT_RATIO times the old version's.
    - A version that fails no request and is only slow shows in the time to the
-     first event and in the gaps between events, compared at instances with the
-     same load: a time that is a fixed multiple of the usual one at that load
-     is late, and late answers are tested as failures are.  If load were
-     ignored, a version eight times as slow would pass, since its instances are
-     nearly empty.  */
+     first event and in the gaps between events.  Each time is compared with
+     the old version's times for the same model, a prompt as long and an
+     instance with the same load, by a regression of their logarithms; if load
+     were ignored, a version eight times as slow would pass, since its
+     instances are nearly empty.  A time that is a fixed multiple of the usual
+     one is late, and late answers are tested as failures are.
+   - A fixed multiple shows little of a version that makes all times somewhat
+     longer, or a few of them much longer while those of the old version vary
+     as much.  Before the version is declared good, histograms of the times of
+     both versions are compared by the likelihood of each of several slow
+     versions (TRIAL_SLOW_VERSIONS), a mixture of the old version's times and
+     of the same times shifted.  */
 
 #ifndef POLICY_TRIAL_H
 #define POLICY_TRIAL_H
 
 #include "base/code.h"
 #include "base/str.h"
+#include "policy/regression.h"
 
 #define TRIAL_FAILURE_EXCESS 0.15
 #define TRIAL_FAILURE_STDERRS 3.0
@@ -86,6 +94,13 @@
   X (TRIAL_TIMING_FIRST_EVENT, 4.0, 16, 4.5, "first events")                  \
   X (TRIAL_TIMING_EVENT_GAP, 2.5, 8, 4.0, "gaps between events")
 #define TRIAL_LATE_EXCESS 0.3
+/* X (share, bins, log_ratio_max): versions that are slow.  SHARE of the times
+   of such a version is later than the old version's by BINS bins of the
+   histograms of times.  The new version is not slow if the logarithm of the
+   likelihood ratio, slow against equal, is at most LOG_RATIO_MAX.  */
+#define TRIAL_SLOW_VERSIONS(X)                                                \
+  X (0.5, 3, -2.0)                                                            \
+  X (0.15, 5, 3.0)
 /* A step does not advance while the new version's share of late times exceeds
    the old version's by TRIAL_HOLD_LATE_EXCESS and by TRIAL_HOLD_STDERRS
    standard errors.  */
@@ -184,9 +199,9 @@
   /* The last cell holds the answers of loaded instances, of any route.  */
   TRIAL_CELL_COUNT = TRIAL_ROUTE_CELLS + 1,
   TRIAL_ANSWERS_MIN = 9,
-  /* Number of load classes; a class holds the loads between two powers of
-     two.  */
-  TRIAL_LOAD_CLASSES = 8,
+  /* Number of models of a service whose times are compared apart.  */
+  TRIAL_MODELS = 4,
+  TRIAL_TIME_BINS = 16,
   /* Time from writing a step to its start: all processes read the row within a
      second, and a second of answers must be evaluated before the next
      step.  */
@@ -258,15 +273,12 @@
    - requests: for the service, of either version.
    - failures_against, failures_for: logarithms of likelihood ratios by which
      answers and failures of the new version speak against and for it.
-   - losses_against: the same of its lost connections, without weight.
-   - times_against, times_for: the same of late and other times.  */
+   - losses_against: the same of its lost connections, without weight.  */
 #define TRIAL_LIKELIHOODS(X)                                                  \
   X (requests, 0, 1)                                                          \
   X (failures_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                       \
   X (failures_for, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                           \
-  X (losses_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                         \
-  X (times_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                          \
-  X (times_for, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)
+  X (losses_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)
 
 typedef struct
 {
@@ -354,21 +366,28 @@
    instance's slots were in use.  */
 void trial_observe (trial_t *trial, trial_arm_t arm, uint64_t route,
                     trial_outcome_t outcome, uint64_t wait_ms, bool is_loaded);
-/* Count a measured time of MS ms for TIMING, which ended at NOW_MS of the
-   store's clock, of a send on a route with hash ROUTE.  LOAD is the number of
-   requests of all processes at the instance.  Return whether the time is
-   late.  */
-bool trial_observe_timing (trial_t *trial, trial_arm_t arm, uint64_t route,
-                           trial_timing_t timing, uint32_t load, double ms,
-                           uint64_t now_ms);
-/* Count a wait of MS ms for the first event that ended without one, as the
-   caller left, the connection broke or the time was over.  It shows only that
-   the time would have been longer, so a time is counted only if the wait is
-   late.  A shorter one is weighed against such waits for the old version,
+/* A time of a send that was measured.  */
+typedef struct
+{
+  trial_timing_t timing;
+  uint64_t route;         /* Hash of the route.  */
+  size_t model;           /* Index of the model in the route's list.  */
+  uint32_t prompt_tokens; /* Number of tokens of the prompt; 0: unknown.  */
+  uint32_t load; /* Number of requests of all processes at the instance.  */
+  double ms;
+  uint64_t now_ms; /* End of the time by the store's clock.  */
+} trial_time_t;
+
+/* Count TIME of a send to ARM.  Return whether it is late.  */
+bool trial_observe_timing (trial_t *trial, trial_arm_t arm,
+                           const trial_time_t *time);
+/* Count WAIT for a first event that ended without one, as the caller left, the
+   connection broke or the time was over.  It shows only that the time would
+   have been longer.  If the wait is not late, it counts apart from the times,
    since callers who leave early leave a slow version more often.  Return
    whether the wait is late.  */
-bool trial_observe_unanswered (trial_t *trial, trial_arm_t arm, uint64_t route,
-                               uint32_t load, double ms, uint64_t now_ms);
+bool trial_observe_unanswered (trial_t *trial, trial_arm_t arm,
+                               const trial_time_t *wait);
 /* Multiply each sum by its decay factor (TRIAL_SUMS and
    TRIAL_TIMING_DECAY_PER_S); totals do not decay.  The caller must call this
    once a second.  */
--- a/packages/policy/trial_evidence.c
+++ b/packages/policy/trial_evidence.c
@@ -8,18 +8,10 @@
 
 enum
 {
-  CLOCK_RESOLUTION_MS = 1,
   /* Number of processes whose bad answers are known here.  */
   BAD_ANSWER_PROCESSES_MAX = 4096
 };
 
-const trial_timing_properties_t trial_timings[TRIAL_TIMING_COUNT] = {
-#define X(symbol, late, samples, stderrs, name)                               \
-  [symbol] = { late, samples, stderrs, name },
-  TRIAL_TIMINGS (X)
-#undef X
-};
-
 double
 trial_old_failure_share (double failed, double count)
 {
@@ -93,24 +85,6 @@
                   &likelihoods->failures_for);
 }
 
-/* Weigh a time of the new version in CELL, or a wait that ended without an
-   event, against the old version's times of the same kind.  */
-static void
-weigh_time (trial_t *trial, size_t cell, trial_timing_t timing,
-            bool is_late_or_unanswered)
-{
-  trial_likelihoods_t *likelihoods = &trial->own_counts.likelihoods[cell];
-  trial_sums_t old = trial_sums_of_routes (&trial->own_counts, TRIAL_ARM_OLD);
-  double unanswered
-      = timing == TRIAL_TIMING_FIRST_EVENT ? trial->old_unanswered : 0;
-
-  add_likelihood (
-      trial_old_failure_share (old.late_count[timing] + unanswered,
-                               old.timing_count[timing] + unanswered),
-      is_late_or_unanswered, &likelihoods->times_against,
-      &likelihoods->times_for);
-}
-
 void
 trial_raise_bad_answers (trial_t *trial, str_t id, uint64_t count)
 {
@@ -196,124 +170,6 @@
   trial->has_unwritten_counts = true;
 }
 
-/* Return the class of LOAD: its number of binary digits, at most the last
-   class.  */
-static size_t
-load_class (uint32_t load)
-{
-  size_t class = 0;
-
-  while (load > 0 && class < TRIAL_LOAD_CLASSES - 1)
-    {
-      load >>= 1;
-      class ++;
-    }
-  return class;
-}
-
-/* Return the geometric mean of the old version's times at load CLASS.  If that
-   class has too few samples, return the mean of the next higher class that has
-   enough, which is no shorter; 0 if there is none.  */
-static double
-usual_time_ms (const trial_load_times_t *loads, size_t class)
-{
-  for (; class < TRIAL_LOAD_CLASSES; class ++)
-    if (loads[class].time_count >= TRIAL_ANSWERS_MIN)
-      return exp (loads[class].log_ms_sum / loads[class].time_count);
-  return 0;
-}
-
-/* Return the usual times with which times for TIMING in CELL are compared.
-   Gaps between events of all routes are compared together, because all
-   requests of a batch receive tokens at the same rate.  Times to the first
-   event are compared by route.  */
-static trial_load_times_t *
-usual_times (trial_t *trial, trial_timing_t timing, size_t cell)
-{
-  return trial
-      ->usual_times[timing][timing == TRIAL_TIMING_EVENT_GAP ? 0 : cell];
-}
-
-/* Return whether MS ms for TIMING are late, compared with USUAL_MS, 0 if it is
-   not known.  */
-static bool
-is_late_time (trial_timing_t timing, double ms, double usual_ms)
-{
-  return usual_ms > 0 && ms > usual_ms * trial_timings[timing].late_factor;
-}
-
-/* Return whether a first event of ARM after MS ms may be late because the
-   version's instances have no prompts in their caches yet.  */
-static bool
-is_warming_up (const trial_t *trial, trial_arm_t arm, trial_timing_t timing,
-               double ms, uint64_t now_ms)
-{
-  return arm == TRIAL_ARM_NEW && timing == TRIAL_TIMING_FIRST_EVENT
-         && trial->step == TRIAL_STEP_INITIAL
-         && now_ms < trial->step_start_ms + TRIAL_WARM_UP_MS + (uint64_t)ms;
-}
-
-/* Count a time for TIMING of ARM in CELL.  */
-static void
-count_time (trial_t *trial, trial_arm_t arm, size_t cell,
-            trial_timing_t timing, bool is_late)
-{
-  trial_sums_t *sums = &trial->own_counts.sums[arm][cell];
-
-  sums->timing_count[timing] += 1;
-  sums->late_count[timing] += is_late;
-  if (arm == TRIAL_ARM_NEW)
-    weigh_time (trial, cell, timing, is_late);
-  trial->has_unwritten_counts = true;
-}
-
-bool
-trial_observe_timing (trial_t *trial, trial_arm_t arm, uint64_t route,
-                      trial_timing_t timing, uint32_t load, double ms,
-                      uint64_t now_ms)
-{
-  size_t cell = route % TRIAL_ROUTE_CELLS;
-  size_t class = load_class (load);
-  trial_load_times_t *loads = usual_times (trial, timing, cell);
-  double usual_ms = usual_time_ms (loads, class);
-
-  if (timing == TRIAL_TIMING_FIRST_EVENT)
-    ms = fmax (ms, CLOCK_RESOLUTION_MS);
-  if (ms <= 0)
-    return false;
-  bool is_late = is_late_time (timing, ms, usual_ms);
-  if (usual_ms > 0 && !is_warming_up (trial, arm, timing, ms, now_ms))
-    count_time (trial, arm, cell, timing, is_late);
-  if (arm == TRIAL_ARM_OLD)
-    {
-      loads[class].time_count += 1;
-      loads[class].log_ms_sum += log (ms);
-    }
-  return is_late;
-}
-
-bool
-trial_observe_unanswered (trial_t *trial, trial_arm_t arm, uint64_t route,
-                          uint32_t load, double ms, uint64_t now_ms)
-{
-  const trial_timing_t timing = TRIAL_TIMING_FIRST_EVENT;
-  size_t cell = route % TRIAL_ROUTE_CELLS;
-  const trial_load_times_t *loads = usual_times (trial, timing, cell);
-
-  if (is_warming_up (trial, arm, timing, ms, now_ms))
-    return false;
-  if (is_late_time (timing, ms, usual_time_ms (loads, load_class (load))))
-    {
-      count_time (trial, arm, cell, timing, true);
-      return true;
-    }
-  if (arm == TRIAL_ARM_OLD)
-    trial->old_unanswered++;
-  else
-    weigh_time (trial, cell, timing, true);
-  return false;
-}
-
 static void
 sums_decay (trial_sums_t *sums)
 {
@@ -351,6 +207,9 @@
   for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
     for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
       sums_decay (&counts->sums[arm][cell]);
+  double *times = &counts->times[0][0][0];
+  for (size_t i = 0; i < sizeof counts->times / sizeof *times; i++)
+    times[i] *= TRIAL_TIMING_DECAY_PER_S;
 }
 
 void
@@ -361,15 +220,10 @@
   void *value;
 
   counts_decay (&trial->own_counts);
-  trial->old_unanswered *= TRIAL_TIMING_DECAY_PER_S;
-  trial_load_times_t *usual_times = &trial->usual_times[0][0][0];
-  for (size_t i = 0;
-       i < (size_t)TRIAL_TIMING_COUNT * TRIAL_ROUTE_CELLS * TRIAL_LOAD_CLASSES;
-       i++)
-    {
-      usual_times[i].time_count *= TRIAL_DECAY_PER_S;
-      usual_times[i].log_ms_sum *= TRIAL_DECAY_PER_S;
-    }
+  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+    for (size_t model = 0; model < TRIAL_MODELS; model++)
+      regression_decay (&trial->usual_times[timing][model],
+                        TRIAL_TIMING_DECAY_PER_S);
   while (map_next (trial->peers, &cursor, &key, &value))
     {
       counts_decay (value);
@@ -396,6 +250,8 @@
           sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
       for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
         likelihoods_add (&all.likelihoods[cell], &peer->likelihoods[cell]);
+      for (size_t i = 0; i < sizeof all.times / sizeof (double); i++)
+        (&all.times[0][0][0])[i] += (&peer->times[0][0][0])[i];
     }
   return all;
 }
--- a/packages/policy/trial_message.c
+++ b/packages/policy/trial_message.c
@@ -6,6 +6,22 @@
 #include <math.h>
 #include <stdio.h>
 
+enum
+{
+  TIMES_COUNT = TRIAL_ARM_COUNT * TRIAL_TIMING_COUNT * (TRIAL_TIME_BINS + 1),
+  /* Number of sums in a message.  */
+  SUMS_COUNT = TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
+               * (int)(sizeof (trial_sums_t) / sizeof (double)),
+  /* Number of weights between the sums and the bad answers, in a message and
+     in that of an older process.  */
+  WEIGHTS_COUNT
+  = TRIAL_ROUTE_CELLS * (int)(sizeof (trial_likelihoods_t) / sizeof (double))
+    + TIMES_COUNT,
+  OLDER_WEIGHTS_COUNT = 24
+};
+
+static const str_t message_format = { "2:", 2 };
+
 bool
 trial_has_unwritten_counts (const trial_t *trial)
 {
@@ -26,9 +42,10 @@
                 sums.late_count[timing], sums.timing_count[timing]);
 }
 
-/* The message is one line: the order's number, then the sums, then what older
-   processes do not read: the logarithms of likelihood ratios, and
-   PROCESS=COUNT for the bad answers of each process.  */
+/* The message is one line: MESSAGE_FORMAT and the order's number, then the
+   sums, the logarithms of likelihood ratios, the histograms, and PROCESS=COUNT
+   for the bad answers of each process.  The message of an older process has no
+   format and other weights, which are not read.  */
 /* Append the bad answers of this process to OUT; with ALL, of all
    processes.  */
 static void
@@ -52,6 +69,7 @@
   const trial_counts_t counts
       = all ? trial_total_counts (trial, true) : trial->own_counts;
 
+  buf_append_str (out, message_format);
   buf_printf (out, "%llu", (unsigned long long)trial->order);
   for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
     for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
@@ -73,6 +91,8 @@
       TRIAL_LIKELIHOODS (X)
 #undef X
     }
+  for (size_t i = 0; i < TIMES_COUNT; i++)
+    buf_printf (out, " %.4g", (&counts.times[0][0][0])[i]);
   write_bad_answers (trial, all, out);
   trial->has_unwritten_counts = false;
 }
@@ -88,25 +108,45 @@
   return str_to_double (word, value) && isfinite (*value) && *value >= 0;
 }
 
-/* Read the logarithms of likelihood ratios from *REST, which is empty in the
-   message of an older process.  */
+/* Read the logarithms of likelihood ratios and the histograms from *REST.  */
 static vh_code_t
-read_likelihoods (str_t *rest, trial_likelihoods_t *cells)
+read_weights (str_t *rest, trial_counts_t *counts)
 {
-  if (rest->ptr == NULL)
-    return VH_OK;
   for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
     {
-      trial_likelihoods_t *likelihoods = &cells[cell];
+      trial_likelihoods_t *likelihoods = &counts->likelihoods[cell];
 #define X(field, decimals, decay)                                             \
   if (!read_number (rest, &likelihoods->field))                               \
     return VH_E_PROTOCOL;
       TRIAL_LIKELIHOODS (X)
 #undef X
     }
+  for (size_t i = 0; i < TIMES_COUNT; i++)
+    if (!read_number (rest, &(&counts->times[0][0][0])[i]))
+      return VH_E_PROTOCOL;
   return VH_OK;
 }
 
+/* Read the start of a message from *TEXT.  Set *IS_OLDER to whether an older
+   process wrote it, and *ORDER to its order.  */
+static vh_code_t
+read_start (str_t *text, bool *is_older, uint64_t *order)
+{
+  *is_older = !str_starts_with (*text, message_format);
+  if (!*is_older)
+    *text = str_make (text->ptr + message_format.len,
+                      text->len - message_format.len);
+  return str_to_u64 (str_cut (*text, ' ', text), order) ? VH_OK
+                                                        : VH_E_PROTOCOL;
+}
+
+static void
+skip_words (str_t *text, size_t count)
+{
+  while (count-- > 0 && text->ptr != NULL)
+    str_cut (*text, ' ', text);
+}
+
 /* Take the bad answers of processes from TEXT, the rest of a message.  */
 static vh_code_t
 read_bad_answers (trial_t *trial, str_t text)
@@ -127,18 +167,15 @@
 vh_code_t
 trial_merge_bad_answers (trial_t *trial, str_t text)
 {
-  const size_t sums_count
-      = (size_t)TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
-            * (sizeof (trial_sums_t) / sizeof (double))
-        + TRIAL_ROUTE_CELLS * (sizeof (trial_likelihoods_t) / sizeof (double));
   uint64_t order;
+  bool is_older;
 
-  if (!str_to_u64 (str_cut (text, ' ', &text), &order))
+  if (read_start (&text, &is_older, &order) != VH_OK)
     return VH_E_PROTOCOL;
   if (order != trial->order)
     return VH_OK;
-  for (size_t i = 0; i < sums_count && text.ptr != NULL; i++)
-    str_cut (text, ' ', &text);
+  skip_words (&text,
+              SUMS_COUNT + (is_older ? OLDER_WEIGHTS_COUNT : WEIGHTS_COUNT));
   return read_bad_answers (trial, text);
 }
 
@@ -147,8 +184,9 @@
 {
   trial_counts_t received = { .was_sent_by_peer = was_sent_by_peer };
   uint64_t order;
+  bool is_older;
 
-  if (!str_to_u64 (str_cut (text, ' ', &text), &order))
+  if (read_start (&text, &is_older, &order) != VH_OK)
     return VH_E_PROTOCOL;
   if (order != trial->order)
     return VH_OK;
@@ -166,8 +204,11 @@
               || !read_number (&text, &sums->late_count[timing]))
             return VH_E_PROTOCOL;
       }
-  if (read_likelihoods (&text, received.likelihoods) != VH_OK
-      || read_bad_answers (trial, text) != VH_OK)
+  if (is_older)
+    skip_words (&text, OLDER_WEIGHTS_COUNT);
+  else if (read_weights (&text, &received) != VH_OK)
+    return VH_E_PROTOCOL;
+  if (read_bad_answers (trial, text) != VH_OK)
     return VH_E_PROTOCOL;
   trial_counts_t *peer = map_get (trial->peers, process);
   if (peer == NULL)
--- /dev/null
+++ b/packages/policy/trial_times.c
@@ -0,0 +1,211 @@
+#include "policy/trialint.h"
+
+#include <math.h>
+
+enum
+{
+  CLOCK_RESOLUTION_MS = 1,
+  /* Factors of the regression: 1, the prompt, the load, and one for each group
+     of routes.  */
+  FACTOR_PROMPT = 1,
+  FACTOR_LOAD,
+  FACTOR_ROUTE
+};
+
+_Static_assert(FACTOR_ROUTE + TRIAL_ROUTE_CELLS == REGRESSION_FACTORS,
+               "a factor for each group of routes");
+
+/* Width of a bin of a histogram, and lower bound of the second bin, as
+   logarithms of ratios to the usual time.  */
+static const double bin_width = 0.35;
+static const double second_bin = -2.45;
+/* Assumed number of samples in each bin before the first sample.  */
+static const double bin_prior = 0.5;
+
+/* Prompt tokens that take about as long as a request without a prompt.  */
+static const double prompt_offset_tokens = 64;
+/* Logarithms of a usual prompt and load.  */
+static const double usual_log_prompt = 7;
+static const double usual_log_load = 2;
+
+const trial_timing_properties_t trial_timings[TRIAL_TIMING_COUNT] = {
+#define X(symbol, late, samples, stderrs, name)                               \
+  [symbol] = { late, samples, stderrs, name },
+  TRIAL_TIMINGS (X)
+#undef X
+};
+
+static const struct
+{
+  double share;
+  size_t bins; /* Number of bins by which the slow part is later.  */
+  double log_ratio_max;
+} slow_versions[] = {
+#define X(share, bins, log_ratio_max) { share, bins, log_ratio_max },
+  TRIAL_SLOW_VERSIONS (X)
+#undef X
+};
+
+/* Return the logarithm of TIME by the usual time of the old version under the
+   same conditions.  The usual time must be known.  */
+static double
+log_ratio_to_usual (const regression_t *usual_times,
+                    const double factors[REGRESSION_FACTORS], double ms)
+{
+  return log (ms) - regression_predict (usual_times, factors);
+}
+
+static void
+set_factors (const trial_time_t *time, double factors[REGRESSION_FACTORS])
+{
+  double log_prompt = log (time->prompt_tokens + prompt_offset_tokens);
+
+  for (size_t i = 0; i < REGRESSION_FACTORS; i++)
+    factors[i] = 0;
+  factors[0] = 1;
+  factors[FACTOR_PROMPT] = log_prompt - usual_log_prompt;
+  factors[FACTOR_LOAD] = log (time->load + 1.0) - usual_log_load;
+  factors[FACTOR_ROUTE + time->route % TRIAL_ROUTE_CELLS] = 1;
+}
+
+static regression_t *
+usual_times (trial_t *trial, const trial_time_t *time)
+{
+  size_t model = time->model < TRIAL_MODELS ? time->model : TRIAL_MODELS - 1;
+
+  return &trial->usual_times[time->timing][model];
+}
+
+/* Return whether a first event of ARM may be late because the version's
+   instances have no prompts in their caches yet.  */
+static bool
+is_warming_up (const trial_t *trial, trial_arm_t arm, const trial_time_t *time)
+{
+  return arm == TRIAL_ARM_NEW && time->timing == TRIAL_TIMING_FIRST_EVENT
+         && trial->step == TRIAL_STEP_INITIAL
+         && time->now_ms
+                < trial->step_start_ms + TRIAL_WARM_UP_MS + (uint64_t)time->ms;
+}
+
+/* Count TIME of ARM, whose logarithm exceeds that of the usual time by
+   LOG_RATIO.  */
+static void
+count_time (trial_t *trial, trial_arm_t arm, const trial_time_t *time,
+            double log_ratio, bool is_late)
+{
+  trial_sums_t *sums
+      = &trial->own_counts.sums[arm][time->route % TRIAL_ROUTE_CELLS];
+  double bin = ceil ((log_ratio - second_bin) / bin_width);
+
+  sums->timing_count[time->timing] += 1;
+  sums->late_count[time->timing] += is_late;
+  trial->own_counts.times[arm][time->timing]
+                         [(size_t)fmin (fmax (bin, 0), TRIAL_TIME_BINS - 1)]
+      += 1;
+  trial->has_unwritten_counts = true;
+}
+
+/* Set *LOG_RATIO to the logarithm of TIME by the usual time.  Return false if
+   the usual time is not known.  */
+static bool
+compare_time (trial_t *trial, const trial_time_t *time, double *log_ratio)
+{
+  const regression_t *usual = usual_times (trial, time);
+  double factors[REGRESSION_FACTORS];
+
+  if (regression_weight (usual) < TRIAL_ANSWERS_MIN)
+    return false;
+  set_factors (time, factors);
+  *log_ratio = log_ratio_to_usual (usual, factors, time->ms);
+  return true;
+}
+
+bool
+trial_observe_timing (trial_t *trial, trial_arm_t arm,
+                      const trial_time_t *measured)
+{
+  trial_time_t time = *measured;
+  double factors[REGRESSION_FACTORS];
+  double log_ratio;
+  bool is_late = false;
+
+  if (time.timing == TRIAL_TIMING_FIRST_EVENT)
+    time.ms = fmax (time.ms, CLOCK_RESOLUTION_MS);
+  if (time.ms <= 0)
+    return false;
+  if (compare_time (trial, &time, &log_ratio))
+    {
+      is_late = log_ratio > log (trial_timings[time.timing].late_factor);
+      if (!is_warming_up (trial, arm, &time))
+        count_time (trial, arm, &time, log_ratio, is_late);
+    }
+  if (arm == TRIAL_ARM_OLD)
+    {
+      set_factors (&time, factors);
+      regression_add (usual_times (trial, &time), factors, log (time.ms));
+    }
+  return is_late;
+}
+
+bool
+trial_observe_unanswered (trial_t *trial, trial_arm_t arm,
+                          const trial_time_t *wait)
+{
+  double log_ratio;
+
+  if (is_warming_up (trial, arm, wait) || wait->ms <= 0
+      || !compare_time (trial, wait, &log_ratio))
+    return false;
+  bool is_late = log_ratio > log (trial_timings[wait->timing].late_factor);
+  if (is_late)
+    count_time (trial, arm, wait, log_ratio, true);
+  else
+    trial->own_counts.times[arm][wait->timing][TRIAL_TIME_BINS] += 1;
+  return is_late;
+}
+
+/* Return the logarithm of the likelihood ratio, slow against equal, of the NEW
+   times, if a version of which SHARE is later by BINS is slow and OLD are the
+   times of the old version.  */
+static double
+slow_log_ratio (const double *old, const double *new, double share,
+                size_t bins)
+{
+  double part[TRIAL_TIME_BINS + 1];
+  double late_part[TRIAL_TIME_BINS] = { 0 };
+  double sum = 0;
+  double log_ratio = 0;
+
+  for (size_t bin = 0; bin <= TRIAL_TIME_BINS; bin++)
+    sum += old[bin] + bin_prior;
+  for (size_t bin = 0; bin <= TRIAL_TIME_BINS; bin++)
+    part[bin] = (old[bin] + bin_prior) / sum;
+  for (size_t bin = 0; bin < TRIAL_TIME_BINS; bin++)
+    late_part[bin + bins < TRIAL_TIME_BINS ? bin + bins : TRIAL_TIME_BINS - 1]
+        += part[bin];
+  /* Callers leave half of the slow answers before they begin.  */
+  double unanswered = part[TRIAL_TIME_BINS];
+  double left = share * (1 - unanswered) / 2;
+  log_ratio += new[TRIAL_TIME_BINS] * log ((unanswered + left) / unanswered);
+  for (size_t bin = 0; bin < TRIAL_TIME_BINS; bin++)
+    log_ratio
+        += new[bin] * log ((1 - share) + share * late_part[bin] / part[bin]);
+  return log_ratio;
+}
+
+bool
+trial_are_times_good (const trial_counts_t *counts)
+{
+  for (size_t i = 0; i < sizeof slow_versions / sizeof slow_versions[0]; i++)
+    {
+      double log_ratio = 0;
+      for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+        log_ratio
+            += slow_log_ratio (counts->times[TRIAL_ARM_OLD][timing],
+                               counts->times[TRIAL_ARM_NEW][timing],
+                               slow_versions[i].share, slow_versions[i].bins);
+      if (log_ratio > slow_versions[i].log_ratio_max)
+        return false;
+    }
+  return true;
+}
--- a/packages/policy/trial_verdict.c
+++ b/packages/policy/trial_verdict.c
@@ -68,8 +68,7 @@
     has_times |= old.timing_count[timing] > 0;
   if (outcome_log_ratio (&all, TRIAL_ADVANCE_LOST_CONNECTION_WEIGHT)
           < TRIAL_GOOD_LOG_RATIO
-      || (has_times
-          && all.times_for - all.times_against < TRIAL_GOOD_LOG_RATIO))
+      || (has_times && !trial_are_times_good (counts)))
     return false;
   for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
     {
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -1,7 +1,8 @@
 /* Declarations shared by the files of a trial.
 
    trial.c           progress, shares and decisions
-   trial_evidence.c  counts of answers and times, and their weights
+   trial_evidence.c  counts of answers, and their weights
+   trial_times.c     counts of times, and whether they show a slow version
    trial_verdict.c   what the counts say of the new version
    trial_message.c   counts in messages between processes  */
 
@@ -21,18 +22,15 @@
 {
   trial_sums_t sums[TRIAL_ARM_COUNT][TRIAL_CELL_COUNT];
   trial_likelihoods_t likelihoods[TRIAL_ROUTE_CELLS];
+  /* Histograms of times as logarithms of ratios to the usual time, and in the
+     last place waits for a first event that ended without one and were not
+     late.  */
+  double times[TRIAL_ARM_COUNT][TRIAL_TIMING_COUNT][TRIAL_TIME_BINS + 1];
   bool was_sent_by_peer; /* Whether a peer sent the counts; otherwise they were
                             read from the store.  */
   unsigned age_s;
 } trial_counts_t;
 
-/* Sums over the old version's times in one load class.  */
-typedef struct
-{
-  double time_count;
-  double log_ms_sum; /* Sum of the natural logarithms of the times in ms.  */
-} trial_load_times_t;
-
 struct trial
 {
   char *service;
@@ -49,11 +47,8 @@
   bool is_final_phase_stored; /* Whether the row in the store holds a final
                                  phase.  */
   trial_counts_t own_counts;
-  trial_load_times_t usual_times[TRIAL_TIMING_COUNT][TRIAL_ROUTE_CELLS]
-                                [TRIAL_LOAD_CLASSES];
-  /* Waits for a first event of the old version that ended without one and were
-     not late, of this process.  */
-  double old_unanswered;
+  /* Logarithms of the old version's times at this process.  */
+  regression_t usual_times[TRIAL_TIMING_COUNT][TRIAL_MODELS];
   map_t *peers; /* Maps the name of a process to its trial_counts_t.  */
   bool has_unwritten_counts; /* Whether a count changed since the last
                                 message.  */
@@ -97,6 +92,8 @@
 /* Raise the number of bad answers that process ID counted to COUNT.  A number
    never falls, so that messages may arrive in any order.  */
 void trial_raise_bad_answers (trial_t *trial, str_t id, uint64_t count);
+/* Return whether the times in COUNTS show that the version is not slow.  */
+bool trial_are_times_good (const trial_counts_t *counts);
 /* Return whether the answers in COUNTS show that the version is good.  */
 bool trial_is_shown_good (const trial_counts_t *counts);
 /* Return whether COUNTS do not suffice to declare the version good, which the
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -324,6 +324,18 @@
 }
 END_TEST
 
+/* Count a time at MS of an instance with LOAD requests.  */
+static void
+observe_time (trial_t *trial, trial_arm_t arm, uint64_t route,
+              trial_timing_t timing, uint32_t load, double ms, uint64_t now_ms)
+{
+  const trial_time_t time = {
+    .timing = timing, .route = route, .load = load, .ms = ms, .now_ms = now_ms
+  };
+
+  trial_observe_timing (trial, arm, &time);
+}
+
 /* Simulate one second of sends to both versions, with their loads and times.
    The gap between events grows with the load.  */
 static void
@@ -343,10 +355,10 @@
       trial_count_request (trial, route);
       trial_observe (trial, arm, route, TRIAL_OUTCOME_ANSWERED,
                      (uint64_t)first_ms, false);
-      trial_observe_timing (trial, arm, route, TRIAL_TIMING_FIRST_EVENT, load,
-                            first_ms, now_ms);
-      trial_observe_timing (trial, arm, route, TRIAL_TIMING_EVENT_GAP, load,
-                            gap_ms, now_ms);
+      observe_time (trial, arm, route, TRIAL_TIMING_FIRST_EVENT, load,
+                    first_ms, now_ms);
+      observe_time (trial, arm, route, TRIAL_TIMING_EVENT_GAP, load, gap_ms,
+                    now_ms);
     }
 }
 
@@ -435,15 +447,15 @@
     {
       trial_observe (trial, TRIAL_ARM_OLD, 1, TRIAL_OUTCOME_ANSWERED, 50,
                      false);
-      trial_observe_timing (trial, TRIAL_ARM_OLD, 1, TRIAL_TIMING_FIRST_EVENT,
-                            4, 50, after_warm_up_ms);
+      observe_time (trial, TRIAL_ARM_OLD, 1, TRIAL_TIMING_FIRST_EVENT, 4, 50,
+                    after_warm_up_ms);
     }
   for (int i = 0; i < 30; i++)
     {
       trial_observe (trial, TRIAL_ARM_NEW, 1, TRIAL_OUTCOME_ANSWERED, 50,
                      false);
-      trial_observe_timing (trial, TRIAL_ARM_NEW, 1, TRIAL_TIMING_FIRST_EVENT,
-                            4, i % 4 == 0 ? 500 : 50, after_warm_up_ms);
+      observe_time (trial, TRIAL_ARM_NEW, 1, TRIAL_TIMING_FIRST_EVENT, 4,
+                    i % 4 == 0 ? 500 : 50, after_warm_up_ms);
     }
   const uint64_t last_ms = START_MS + TIME_LIMIT_MS - TRIAL_ROLLBACK_LEAD_MS;
   ck_assert_int_eq (trial_decide (trial, last_ms - 1, false, &reason),
@@ -468,12 +480,11 @@
   for (uint64_t ms = 0; ms < 2000; ms += 5)
     {
       uint64_t now_ms = START_MS + ms;
-      trial_observe_timing (trial, TRIAL_ARM_OLD, 1, TRIAL_TIMING_FIRST_EVENT,
-                            4, 50, now_ms);
+      observe_time (trial, TRIAL_ARM_OLD, 1, TRIAL_TIMING_FIRST_EVENT, 4, 50,
+                    now_ms);
       if (ms % 50 == 0)
-        trial_observe_timing (trial, TRIAL_ARM_NEW, 1,
-                              TRIAL_TIMING_FIRST_EVENT, 4,
-                              ms < 1000 ? 400 : 50, now_ms);
+        observe_time (trial, TRIAL_ARM_NEW, 1, TRIAL_TIMING_FIRST_EVENT, 4,
+                      ms < 1000 ? 400 : 50, now_ms);
       ck_assert_int_eq (trial_decide (trial, now_ms, false, &reason),
                         TRIAL_DECISION_WAIT);
     }
@@ -630,8 +641,8 @@
            || rng_double (rng) < badness->lost_share)
     outcome = TRIAL_OUTCOME_CONNECTION_LOST;
   if (outcome == TRIAL_OUTCOME_ANSWERED)
-    trial_observe_timing (trial, arm, (uint64_t)route,
-                          TRIAL_TIMING_FIRST_EVENT, 4, wait_ms, START_MS + ms);
+    observe_time (trial, arm, (uint64_t)route, TRIAL_TIMING_FIRST_EVENT, 4,
+                  wait_ms, START_MS + ms);
   trial_observe (trial, arm, (uint64_t)route, outcome,
                  outcome == TRIAL_OUTCOME_ANSWERED ? (uint64_t)wait_ms : 0,
                  false);
@@ -801,16 +812,19 @@
           trial_count_request (trial, route);
           if (wait_ms > patience_ms)
             {
-              trial_observe_unanswered (trial, arm, route, 4, patience_ms,
-                                        START_MS + TRIAL_WARM_UP_MS
-                                            + patience_ms);
+              const trial_time_t wait
+                  = { .timing = TRIAL_TIMING_FIRST_EVENT,
+                      .route = route,
+                      .load = 4,
+                      .ms = patience_ms,
+                      .now_ms = START_MS + TRIAL_WARM_UP_MS + patience_ms };
+              trial_observe_unanswered (trial, arm, &wait);
               continue;
             }
           trial_observe (trial, arm, route, TRIAL_OUTCOME_ANSWERED,
                          (uint64_t)wait_ms, false);
-          trial_observe_timing (trial, arm, route, TRIAL_TIMING_FIRST_EVENT, 4,
-                                wait_ms,
-                                START_MS + TRIAL_WARM_UP_MS + patience_ms);
+          observe_time (trial, arm, route, TRIAL_TIMING_FIRST_EVENT, 4,
+                        wait_ms, START_MS + TRIAL_WARM_UP_MS + patience_ms);
         }
       decision
           = trial_decide (trial, START_MS + TIME_LIMIT_MS, false, &reason);
@@ -967,12 +981,13 @@
 }
 END_TEST
 
-/* During an update an older process sends the sums alone.  Its answers would
-   be missing.  */
+/* During an update older processes send the sums alone, or with weights of
+   another format before the bad answers.  Their answers would be missing.  */
 START_TEST (message_of_an_older_process_is_refused)
 {
   const size_t sums_count = (size_t)TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
                             * (sizeof (trial_sums_t) / sizeof (double));
+  const size_t older_weights_count = 24;
   trial_t *trial
       = trial_create (STR ("llm"), STR ("v2"), 7, TIME_LIMIT_MS, EXPOSURE);
   buf_t text = BUF_NULL;
@@ -982,6 +997,12 @@
     buf_append_str (&text, STR (" 1"));
   ck_assert_int_eq (trial_merge (trial, STR ("one"), true, buf_str (&text)),
                     VH_OK);
+  for (size_t i = 0; i < older_weights_count; i++)
+    buf_append_str (&text, STR (" 1"));
+  buf_append_str (&text, STR (" a1=12"));
+  ck_assert_int_eq (trial_merge (trial, STR ("one"), true, buf_str (&text)),
+                    VH_OK);
+  ck_assert_uint_eq (trial_bad_answers (trial), 12);
   buf_append_str (&text, STR (" 1"));
   ck_assert_int_eq (trial_merge (trial, STR ("one"), true, buf_str (&text)),
                     VH_E_PROTOCOL);
@@ -990,6 +1011,26 @@
 }
 END_TEST
 
+/* A message that breaks off would be taken for one without bad answers.  */
+START_TEST (cut_message_is_accepted)
+{
+  trial_t *trial
+      = trial_create (STR ("llm"), STR ("v2"), 7, TIME_LIMIT_MS, EXPOSURE);
+  buf_t text = BUF_NULL;
+
+  trial_write (trial, false, &text);
+  str_t message = buf_str (&text);
+  ck_assert_int_eq (trial_merge (trial, STR ("one"), true, message), VH_OK);
+  for (size_t len = 0; len < message.len; len++)
+    if (message.ptr[len] == ' ')
+      ck_assert_int_eq (
+          trial_merge (trial, STR ("one"), true, str_make (message.ptr, len)),
+          VH_E_PROTOCOL);
+  buf_free (&text);
+  trial_destroy (trial);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -1021,6 +1062,7 @@
                        sizeof patiences_ms / sizeof patiences_ms[0]);
   tcase_add_test (tcase, bad_answers_of_an_ended_process_are_lost);
   tcase_add_test (tcase, message_of_an_older_process_is_refused);
+  tcase_add_test (tcase, cut_message_is_accepted);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
