trial: first events that wait behind the same prompt count half; roll-backs in time

Cause: the likelihood takes the first events at one instance for independent; the roll-back was decided 300 ms before the limit, and its row takes up to 500 ms to be read everywhere.

--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -81,18 +81,18 @@
 #define TRIAL_FAILURE_EXCESS 0.15
 #define TRIAL_FAILURE_STDERRS 3.0
 #define TRIAL_FIRST_EVENT_RATIO 3.0
-/* X (symbol, late, samples, stderrs, name): the times that are measured of a
-   send.  A time is late when it exceeds LATE usual times at the
+/* X (symbol, late, samples, stderrs, independence, name): the times that are
+   measured of a send.  A time is late when it exceeds LATE usual times at the
    same load. The version is bad when, over at least SAMPLES times, its share
    of late ones exceeds the old version's by TRIAL_LATE_EXCESS and by STDERRS
-   standard errors.
+   standard errors.  In a likelihood one time counts as INDEPENDENCE times.
 
    The time to the first event includes waiting behind other prompts, which
    delays all requests that are at one instance at the same time.  The gap
    between events depends on the size of the batch alone.  */
 #define TRIAL_TIMINGS(X)                                                      \
-  X (TRIAL_TIMING_FIRST_EVENT, 4.0, 16, 4.5, "first events")                  \
-  X (TRIAL_TIMING_EVENT_GAP, 2.5, 8, 4.0, "gaps between events")
+  X (TRIAL_TIMING_FIRST_EVENT, 4.0, 16, 4.5, 0.5, "first events")             \
+  X (TRIAL_TIMING_EVENT_GAP, 2.5, 8, 4.0, 1.0, "gaps between events")
 #define TRIAL_LATE_EXCESS 0.3
 /* X (share, bins, log_ratio_max): versions that are slow.  SHARE of the times
    of such a version is later than the old version's by BINS bins of the
@@ -191,7 +191,7 @@
 
 typedef enum
 {
-#define X(symbol, late, samples, stderrs, name) symbol,
+#define X(symbol, late, samples, stderrs, independence, name) symbol,
   TRIAL_TIMINGS (X)
 #undef X
       TRIAL_TIMING_COUNT
@@ -223,7 +223,7 @@
   TRIAL_FINISH_LEAD_MS = 700,
   /* Time before the limit at which a version that is held back is rolled back,
      so that the operators read the result within the limit.  */
-  TRIAL_ROLLBACK_LEAD_MS = 300
+  TRIAL_ROLLBACK_LEAD_MS = 500
 };
 
 typedef struct trial trial_t;
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -29,8 +29,8 @@
 static const double usual_log_load = 2;
 
 const trial_timing_properties_t trial_timings[TRIAL_TIMING_COUNT] = {
-#define X(symbol, late, samples, stderrs, name)                               \
-  [symbol] = { late, samples, stderrs, name },
+#define X(symbol, late, samples, stderrs, independence, name)                 \
+  [symbol] = { late, samples, stderrs, independence, name },
   TRIAL_TIMINGS (X)
 #undef X
 };
@@ -200,10 +200,11 @@
     {
       double log_ratio = 0;
       for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
-        log_ratio
-            += slow_log_ratio (counts->times[TRIAL_ARM_OLD][timing],
-                               counts->times[TRIAL_ARM_NEW][timing],
-                               slow_versions[i].share, slow_versions[i].bins);
+        log_ratio += trial_timings[timing].independence
+                     * slow_log_ratio (counts->times[TRIAL_ARM_OLD][timing],
+                                       counts->times[TRIAL_ARM_NEW][timing],
+                                       slow_versions[i].share,
+                                       slow_versions[i].bins);
       if (log_ratio > slow_versions[i].log_ratio_max)
         return false;
     }
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -71,6 +71,7 @@
   double late_factor;
   double samples_min;
   double stderrs;
+  double independence;
   const char *name;
 } trial_timing_properties_t;
 
