trial: evidence is weighed against a version that is bad a little

Cause: the evidence weighed 0.4 bad against 0.05, under which an answer of a version that fails 0.15 speaks for it on average. A test with a fixed alternative accepts what lies between.

Change: 0.25 against 0.04 over all answers, whose sum drifts against the version from 0.125 on, and 0.4 against 0.04 for a group of routes, as before. What is bad less than that, or passes by chance, is left to the watch after `done'.

--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -39,9 +39,10 @@
      a good version.  The version is declared good only if its answers make it
      unlikely that it is bad: each answer changes the logarithm of a likelihood
      ratio (Wald 1945), which compares the old version's share of failures at
-     that time and process with that of a version that itself fails
-     TRIAL_BAD_SHARE of its requests.  While the old version fails as well, an
-     answer changes the ratio by less.
+     that time and process with that of a version that itself fails a part of
+     its requests.  The part is small: answers of a version that is bad less
+     than the part speak for it on average.  While the old version fails as
+   well, an answer changes the ratio by less.
    - A version that still may not advance shortly before the time limit is
      rolled back: its failures or late times exceed the old version's by too
      little to call the version bad, but by more than a version that gets all
@@ -139,14 +140,17 @@
 /* Number of requests since the start from which a service, or a group of its
    routes, is busy, so that a new version must be shown to be good.  */
 #define TRIAL_BUSY_REQUESTS 100.0
-/* Part of the requests that a bad version itself fails, or makes late, and the
-   part that a good one may.  */
-#define TRIAL_BAD_SHARE 0.4
-#define TRIAL_GOOD_SHARE 0.05
+/* Smallest part of the requests that a bad version itself fails, of all
+   requests and of those of a group of routes on which alone it is bad, and the
+   part that a good one may.  A version that is bad less than that, or that is
+   taken for good by chance, is found after it was declared good.  */
+#define TRIAL_BAD_SHARE 0.25
+#define TRIAL_BAD_ROUTE_SHARE 0.4
+#define TRIAL_GOOD_SHARE 0.04
 /* Logarithms of the likelihood ratio, good against bad, from which the version
    is shown to be good over all its answers, and over those of a busy group of
    routes.  */
-#define TRIAL_GOOD_LOG_RATIO 3.0
+#define TRIAL_GOOD_LOG_RATIO 2.0
 #define TRIAL_GOOD_CELL_LOG_RATIO 1.8
 /* Factor by which the logarithms decay in a second, so that a version that
    turns bad is no longer shown to be good.  */
@@ -276,13 +280,19 @@
 
    - requests: for the service, of either version.
    - failures_against, failures_for: logarithms of likelihood ratios by which
-     answers and failures of the new version speak against and for it.
-   - losses_against: the same of its lost connections, without weight.  */
+     failures and other answers of the new version speak against and for it,
+     if a bad version fails TRIAL_BAD_SHARE.
+   - losses_against: the same of its lost connections, without weight.
+   - route_failures_against, route_failures_for, route_losses_against: the same
+     if it fails TRIAL_BAD_ROUTE_SHARE.  */
 #define TRIAL_LIKELIHOODS(X)                                                  \
   X (requests, 0, 1)                                                          \
   X (failures_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                       \
   X (failures_for, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                           \
-  X (losses_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)
+  X (losses_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                         \
+  X (route_failures_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                 \
+  X (route_failures_for, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)                     \
+  X (route_losses_against, 2, TRIAL_LIKELIHOOD_DECAY_PER_S)
 
 typedef struct
 {
--- a/packages/policy/trial_evidence.c
+++ b/packages/policy/trial_evidence.c
@@ -53,13 +53,14 @@
 
 /* Add to AGAINST the logarithm of the likelihood ratio of an event of the new
    version, such as a failed answer, that the old version has in OLD_SHARE of
-   the cases; to IN_FAVOR that of a case without the event.  */
+   the cases and a bad version itself in BAD_SHARE; to IN_FAVOR that of a case
+   without the event.  */
 static void
-add_likelihood (double old_share, bool has_event, double *against,
-                double *in_favor)
+add_likelihood (double old_share, double bad_share, bool has_event,
+                double *against, double *in_favor)
 {
   double good = old_share + (1 - old_share) * TRIAL_GOOD_SHARE;
-  double bad = old_share + (1 - old_share) * TRIAL_BAD_SHARE;
+  double bad = old_share + (1 - old_share) * bad_share;
 
   if (has_event)
     *against += log (bad / good);
@@ -74,15 +75,20 @@
 {
   trial_likelihoods_t *likelihoods = &trial->own_counts.likelihoods[cell];
   trial_sums_t old = trial->own_counts.sums[TRIAL_ARM_OLD][cell];
+  bool has_failed = outcome != TRIAL_OUTCOME_ANSWERED;
+  bool is_lost = outcome == TRIAL_OUTCOME_CONNECTION_LOST;
 
   if (old.count < TRIAL_ANSWERS_MIN)
     old = trial_sums_of_routes (&trial->own_counts, TRIAL_ARM_OLD);
-  add_likelihood (trial_old_advance_failure_share (&old),
-                  outcome != TRIAL_OUTCOME_ANSWERED,
-                  outcome == TRIAL_OUTCOME_CONNECTION_LOST
-                      ? &likelihoods->losses_against
-                      : &likelihoods->failures_against,
+  double old_share = trial_old_advance_failure_share (&old);
+  add_likelihood (old_share, TRIAL_BAD_SHARE, has_failed,
+                  is_lost ? &likelihoods->losses_against
+                          : &likelihoods->failures_against,
                   &likelihoods->failures_for);
+  add_likelihood (old_share, TRIAL_BAD_ROUTE_SHARE, has_failed,
+                  is_lost ? &likelihoods->route_losses_against
+                          : &likelihoods->route_failures_against,
+                  &likelihoods->route_failures_for);
 }
 
 void
--- a/packages/policy/trial_verdict.c
+++ b/packages/policy/trial_verdict.c
@@ -48,15 +48,6 @@
          <= TRIAL_ADVANCE_EXCESS * (1 - old_share);
 }
 
-/* Return the logarithm of the likelihood ratio, good against bad, of the
-   outcomes in LIKELIHOODS, with LOSS_WEIGHT for lost connections.  */
-static double
-outcome_log_ratio (const trial_likelihoods_t *likelihoods, double loss_weight)
-{
-  return likelihoods->failures_for - likelihoods->failures_against
-         - loss_weight * likelihoods->losses_against;
-}
-
 bool
 trial_is_shown_good (const trial_counts_t *counts)
 {
@@ -66,16 +57,21 @@
 
   for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
     has_times |= old.timing_count[timing] > 0;
-  if (outcome_log_ratio (&all, TRIAL_ADVANCE_LOST_CONNECTION_WEIGHT)
-          < TRIAL_GOOD_LOG_RATIO
+  double log_ratio
+      = all.failures_for - all.failures_against
+        - TRIAL_ADVANCE_LOST_CONNECTION_WEIGHT * all.losses_against;
+  if (log_ratio < TRIAL_GOOD_LOG_RATIO
       || (has_times && !trial_are_times_good (counts)))
     return false;
   for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
     {
       const trial_likelihoods_t *likelihoods = &counts->likelihoods[cell];
+      double route_log_ratio
+          = likelihoods->route_failures_for
+            - likelihoods->route_failures_against
+            - TRIAL_LOST_CONNECTION_WEIGHT * likelihoods->route_losses_against;
       if (likelihoods->requests >= TRIAL_BUSY_REQUESTS
-          && outcome_log_ratio (likelihoods, TRIAL_LOST_CONNECTION_WEIGHT)
-                 < TRIAL_GOOD_CELL_LOG_RATIO)
+          && route_log_ratio < TRIAL_GOOD_CELL_LOG_RATIO)
         return false;
     }
   return true;
