rollouts: a version that was declared good is watched, and withdrawn when it is bad

Cause: nothing judged a version after `done'. No decision can rest on answers that come later, and a decision within the operators' share of requests is right by a chance only, so the promise, which is absolute, rested on luck. The class: a bound without a time limit that is enforced only until a deadline.

Change: bad answers are counted on, gateways tell each other the evidence for ten minutes more, and with 40 bad answers the version is withdrawn if it fails clearly more often than the old one did on most groups of instances, or its gaps between events (first events where it has none) are those of a slow version. The row has the phase `withdrawn', the status `rolled_back'. Requests go to instances of the old version if some are left, else they are refused at once, with 10 s to come back after.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -149,6 +149,15 @@
   return true;
 }
 
+/* Return whether the version in service was withdrawn.  */
+static bool
+is_version_withdrawn (const relay_t *relay)
+{
+  const trial_t *trial = relay_trial (relay);
+
+  return trial != NULL && trial_phase (trial) == TRIAL_PHASE_WITHDRAWN;
+}
+
 void
 relay_send (relay_t *relay)
 {
@@ -213,8 +222,9 @@
     {
       relay->upstream = NULL;
       relay_fail (relay, code, code == VH_E_FULL ? "full" : "no-upstream",
-                  code == VH_E_FULL ? RETRY_AFTER_FULL_MS
-                                    : RETRY_AFTER_UNAVAILABLE_MS);
+                  code == VH_E_FULL              ? RETRY_AFTER_FULL_MS
+                  : is_version_withdrawn (relay) ? RETRY_AFTER_WITHDRAWN_MS
+                                                 : RETRY_AFTER_UNAVAILABLE_MS);
       return;
     }
   log_event (
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -44,21 +44,26 @@
   return map_get (relay->state->trials, relay->attrs.service->name);
 }
 
-/* Return the roll-out of the request's service if it is running, else
-   NULL.  */
+/* Return the roll-out of the request's service if its version is under trial
+   or watched, else NULL.  */
 static trial_t *
-running_trial (const relay_t *relay)
+observed_trial (const relay_t *relay)
 {
   trial_t *trial = relay_trial (relay);
 
-  return trial != NULL && trial_phase (trial) == TRIAL_PHASE_RUNNING ? trial
-                                                                     : NULL;
+  return trial != NULL
+                 && (trial_phase (trial) == TRIAL_PHASE_RUNNING
+                     || trial_is_watched (
+                         trial, table_sync_store_now_ms (
+                                    relay->state->operator_rows_sync)))
+             ? trial
+             : NULL;
 }
 
 trial_arm_t
 relay_trial_arm (const relay_t *relay)
 {
-  const trial_t *trial = running_trial (relay);
+  const trial_t *trial = observed_trial (relay);
 
   return trial != NULL
                  && str_eq (upstream_version (relay->upstream),
@@ -75,15 +80,15 @@
   return str_hash (relay->attrs.route->name, 0);
 }
 
-/* Count the answer to the current send as bad, once, if the version that is
-   being rolled out gave it.  */
+/* Count the answer to the current send as bad, once.  */
 static void
 count_bad_answer (relay_t *relay, trial_t *trial)
 {
-  if (relay->has_bad_answer || relay_trial_arm (relay) != TRIAL_ARM_NEW)
+  if (relay->has_bad_answer)
     return;
   relay->has_bad_answer = true;
-  trial_count_bad_answer (trial);
+  if (relay_trial_arm (relay) == TRIAL_ARM_NEW)
+    trial_count_bad_answer (trial);
 }
 
 /* Record the OUTCOME of the current send in the running roll-out of the
@@ -93,7 +98,7 @@
 static void
 record_trial_outcome (relay_t *relay, send_outcome_t outcome)
 {
-  trial_t *trial = running_trial (relay);
+  trial_t *trial = observed_trial (relay);
 
   if (trial == NULL || (outcome != SEND_OK && outcome != SEND_FAILED)
       || relay->has_connect_failed)
@@ -126,7 +131,7 @@
 void
 relay_record_timing (relay_t *relay, trial_timing_t timing, double duration_ms)
 {
-  trial_t *trial = running_trial (relay);
+  trial_t *trial = observed_trial (relay);
 
   if (trial == NULL)
     return;
@@ -140,7 +145,7 @@
 static void
 record_unanswered (relay_t *relay)
 {
-  trial_t *trial = running_trial (relay);
+  trial_t *trial = observed_trial (relay);
 
   if (trial == NULL || relay->has_head || relay->has_connect_failed)
     return;
@@ -151,10 +156,29 @@
     count_bad_answer (relay, trial);
 }
 
+/* Record the answer to the current send, which ended with OUTCOME, in the
+   roll-out of the service.  */
+static void
+record_answer (const relay_t *relay, send_outcome_t outcome)
+{
+  trial_t *trial = observed_trial (relay);
+  bool has_failed = outcome == SEND_FAILED;
+
+  if (trial == NULL || relay->has_connect_failed || outcome == SEND_REFUSED
+      || (!relay->has_head && !has_failed))
+    return;
+  trial_count_answer (trial, relay_trial_arm (relay), route_hash (relay),
+                      str_hash (upstream_id (relay->upstream), 0),
+                      !has_failed ? TRIAL_OUTCOME_ANSWERED
+                      : relay->is_connection_lost
+                          ? TRIAL_OUTCOME_CONNECTION_LOST
+                          : TRIAL_OUTCOME_FAILED);
+}
+
 void
 relay_count_trial_request (const relay_t *relay)
 {
-  trial_t *trial = running_trial (relay);
+  trial_t *trial = observed_trial (relay);
 
   if (trial != NULL)
     trial_count_request (trial, route_hash (relay));
@@ -208,6 +232,7 @@
   if (outcome == SEND_FAILED || outcome == SEND_CANCELLED)
     record_unanswered (relay);
   record_trial_outcome (relay, outcome);
+  record_answer (relay, outcome);
   pool_request_finished (relay->state->pool, relay->upstream,
                          relay->unread_prompt_tokens, outcome);
   relay->upstream = NULL;
--- a/packages/gateway/relay_select.c
+++ b/packages/gateway/relay_select.c
@@ -74,6 +74,7 @@
   switch (trial_phase (trial))
     {
     case TRIAL_PHASE_ROLLED_BACK:
+    case TRIAL_PHASE_WITHDRAWN:
       criteria->arm = VERSION_ARM_OLD;
       break;
     case TRIAL_PHASE_DONE:
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -29,6 +29,9 @@
   /* Mean Retry-After when no configuration or no instance is known, which
      usually lasts only seconds.  */
   RETRY_AFTER_UNAVAILABLE_MS = 700,
+  /* Mean Retry-After when the service's only version is withdrawn: the
+     operators have to order another one.  */
+  RETRY_AFTER_WITHDRAWN_MS = 10000,
   /* Span over which callers return after a pause of all instances.  */
   PAUSE_SPREAD_MS = 800
 };
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -108,11 +108,14 @@
              log_field_number (FIELD_FROM, numbers[3]),
              log_field_text (FIELD_PHASE, phase_name));
   /* The phase `running' in the row does not override a decision of this
-     gateway that is not written yet.  */
+     gateway that is not written yet, nor does `done' one to withdraw the
+     version.  */
   bool is_final = false;
-  for (trial_phase_t phase = TRIAL_PHASE_DONE;
-       phase <= TRIAL_PHASE_ROLLED_BACK; phase++)
-    if (str_eq (phase_name, str_from (trial_phase_name (phase))))
+  for (trial_phase_t phase = TRIAL_PHASE_DONE; phase <= TRIAL_PHASE_WITHDRAWN;
+       phase++)
+    if (str_eq (phase_name, str_from (trial_phase_name (phase)))
+        && (phase != TRIAL_PHASE_DONE
+            || trial_phase (trial) != TRIAL_PHASE_WITHDRAWN))
       {
         trial_set_phase (trial, phase);
         is_final = true;
@@ -291,7 +294,9 @@
     {
       /* Instances of a rolled-back version stay registered for some time.
          They must not count as the old version of the next roll-out.  */
-      if (trial != NULL && trial_phase (trial) == TRIAL_PHASE_ROLLED_BACK)
+      if (trial != NULL
+          && (trial_phase (trial) == TRIAL_PHASE_ROLLED_BACK
+              || trial_phase (trial) == TRIAL_PHASE_WITHDRAWN))
         pool_set_version_withdrawn (state->pool, spec.service,
                                     trial_version (trial), true);
       pool_set_version_withdrawn (state->pool, spec.service, spec.version,
@@ -375,7 +380,8 @@
              double extra_share)
 {
   static const rollout_state_t states[]
-      = { ROLLOUT_RUNNING, ROLLOUT_DONE, ROLLOUT_ROLLED_BACK };
+      = { ROLLOUT_RUNNING, ROLLOUT_DONE, ROLLOUT_ROLLED_BACK,
+          ROLLOUT_ROLLED_BACK };
   trial_phase_t phase = trial_phase (trial);
   rows_write_t writes[2] = { 0 };
   buf_t key = BUF_NULL;
@@ -432,7 +438,19 @@
   buf_append_str (out, rollouts->state->options.name);
 }
 
-/* List the evidence on running roll-outs that is sent to the reader.  If
+/* Return whether gateways tell each other evidence on TRIAL: it is running, or
+   its version is in service and watched.  */
+static bool
+has_evidence (const rollouts_t *rollouts, const trial_t *trial)
+{
+  return trial_step (trial) != TRIAL_STEP_NO_TRAFFIC
+         && (trial_phase (trial) == TRIAL_PHASE_RUNNING
+             || trial_is_watched (trial,
+                                  table_sync_store_now_ms (
+                                      rollouts->state->operator_rows_sync)));
+}
+
+/* List the evidence on roll-outs that is sent to the reader.  If
    IS_INTERMEDIATE, the evidence that other gateways sent to this gateway is
    included.  */
 static size_t
@@ -449,8 +467,7 @@
          && map_next (rollouts->state->trials, &cursor, &service, &value))
     {
       trial_t *trial = value;
-      if (trial_phase (trial) != TRIAL_PHASE_RUNNING
-          || trial_step (trial) == TRIAL_STEP_NO_TRAFFIC)
+      if (!has_evidence (rollouts, trial))
         continue;
       append_evidence_key (rollouts, service, &items[count].key);
       trial_write (trial, is_intermediate, &items[count++].value);
@@ -498,7 +515,7 @@
   buf_free (&new);
 }
 
-/* Evaluate the evidence on a running TRIAL and carry out the verdict.  */
+/* Evaluate the evidence on TRIAL and carry out the verdict.  */
 static void
 evaluate_trial (rollouts_t *rollouts, str_t service, trial_t *trial)
 {
@@ -530,6 +547,11 @@
                                   : TRIAL_PHASE_ROLLED_BACK);
       log_decision (service, trial, buf_str (&reason));
       break;
+    case TRIAL_DECISION_WITHDRAW:
+      trial_set_phase (trial, TRIAL_PHASE_WITHDRAWN);
+      trial_set_final_phase_stored (trial, false);
+      log_decision (service, trial, buf_str (&reason));
+      break;
     }
   buf_free (&reason);
 }
@@ -562,7 +584,8 @@
       write_state (rollouts, service, trial, start_ms, 0, start_ms, 0);
       return;
     }
-  if (trial_phase (trial) == TRIAL_PHASE_RUNNING)
+  if (trial_phase (trial) == TRIAL_PHASE_RUNNING
+      || trial_is_watched (trial, now_ms))
     {
       if (has_second_elapsed)
         trial_decay (trial);
@@ -576,9 +599,8 @@
     write_state (rollouts, service, trial, trial_start_ms (trial),
                  trial_step (trial), trial_step_start_ms (trial),
                  trial_extra_share (trial));
-  else if (has_second_elapsed && trial_phase (trial) == TRIAL_PHASE_RUNNING
-           && trial_step (trial) > 0 && trial_has_unwritten_counts (trial)
-           && is_decider (rollouts))
+  else if (has_second_elapsed && has_evidence (rollouts, trial)
+           && trial_has_unwritten_counts (trial) && is_decider (rollouts))
     write_evidence (rollouts, service, trial);
 }
 
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -86,7 +86,8 @@
 const char *
 trial_phase_name (trial_phase_t phase)
 {
-  static const char *const names[] = { "running", "done", "rolled-back" };
+  static const char *const names[]
+      = { "running", "done", "rolled-back", "withdrawn" };
 
   return names[phase];
 }
@@ -284,6 +285,11 @@
   const trial_sums_t new = trial_sums_of_routes (&all, TRIAL_ARM_NEW);
   bool has_inconclusive_cell = false;
 
+  if (trial_is_watched (trial, now_ms))
+    return trial->bad_answers_sum >= TRIAL_BAD_ANSWERS_MAX
+                   && trial_is_bad_in_service (&all, reason)
+               ? TRIAL_DECISION_WITHDRAW
+               : TRIAL_DECISION_WAIT;
   if (trial->phase != TRIAL_PHASE_RUNNING || trial->start_ms == 0)
     return TRIAL_DECISION_WAIT;
   for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -47,6 +47,15 @@
      rolled back: its failures or late times exceed the old version's by too
      little to call the version bad, but by more than a version that gets all
      requests may have, or it has too few answers.
+   - Neither the answers within the time limit nor their number show a version
+     that turns bad later, that is bad under more load only, or that is bad so
+     little that it passes by chance.  A version that was declared good is
+     therefore watched.  It is withdrawn, and gets nothing more, when it has
+     given TRIAL_BAD_ANSWERS_MAX bad answers and its times are those of a slow
+     version, or it fails clearly more often than the old version did, on most
+     groups of its instances.  Faults of some instances concentrate on a few
+     groups, which are left out.  If instances of the old version are left they
+     get the requests, else requests are refused.
    - The comparisons above bound the failures only in proportion to those of
    the old version.  The operators' bound on the bad answers of a bad version
    is absolute, so once the version has given TRIAL_BAD_ANSWERS_MAX of them,
@@ -168,6 +177,23 @@
 #define TRIAL_BAD_ANSWERS_MAX 40
 #define TRIAL_BAD_ANSWERS_WAIT_MS 1500
 
+/* A version is watched until this long after its time limit.  */
+#define TRIAL_WATCH_MS 600000
+/* Part of the groups of instances, those with the most failures, that are left
+   out when a version is watched.  */
+#define TRIAL_WATCH_LEFT_OUT_PART 0.4
+/* Excess over the old version's share of failures, as a part of its other
+   answers, from which a version in service is bad, the excess that a good one
+   may have, and the logarithm of the likelihood ratio of the two.  */
+#define TRIAL_WATCH_EXCESS 0.05
+#define TRIAL_WATCH_GOOD_EXCESS 0.02
+#define TRIAL_WATCH_LOG_RATIO 3.0
+/* Logarithms of the likelihood ratio, of one of TRIAL_SLOW_VERSIONS against a
+   version with the old one's times, from which a version in service is slow,
+   over gaps between events, and over first events where there are no gaps.  */
+#define TRIAL_WATCH_GAPS_LOG_RATIO 10.0
+#define TRIAL_WATCH_FIRST_EVENTS_LOG_RATIO 25.0
+
 /* X (symbol, minimum length of the step as a part of the time limit).  */
 #define TRIAL_STEPS(X)                                                        \
   X (TRIAL_STEP_NO_TRAFFIC, 0.50)                                             \
@@ -210,6 +236,9 @@
   /* Number of models of a service whose times are compared apart.  */
   TRIAL_MODELS = 4,
   TRIAL_TIME_BINS = 16,
+  /* Number of groups of instances, by hash, whose answers are counted
+     apart.  */
+  TRIAL_INSTANCE_GROUPS = 16,
   /* Time from writing a step to its start: all processes read the row within a
      second, and a second of answers must be evaluated before the next
      step.  */
@@ -236,7 +265,8 @@
 {
   TRIAL_PHASE_RUNNING,
   TRIAL_PHASE_DONE,
-  TRIAL_PHASE_ROLLED_BACK
+  TRIAL_PHASE_ROLLED_BACK,
+  TRIAL_PHASE_WITHDRAWN /* It was declared good, and turned out to be bad.  */
 } trial_phase_t;
 
 typedef enum
@@ -384,6 +414,13 @@
 void trial_set_process_id (trial_t *trial, uint64_t process_id);
 /* Count a bad answer of the new version: it failed, broke off or was late.  */
 void trial_count_bad_answer (trial_t *trial);
+/* Count an answer of an instance with hash INSTANCE on a route with hash
+   ROUTE.  */
+void trial_count_answer (trial_t *trial, trial_arm_t arm, uint64_t route,
+                         uint64_t instance, trial_outcome_t outcome);
+/* Return whether the version was declared good and is watched at NOW_MS of the
+   store's clock.  */
+bool trial_is_watched (const trial_t *trial, uint64_t now_ms);
 /* Return the number of bad answers of which this process knows.  */
 uint64_t trial_bad_answers (const trial_t *trial);
 /* Count the outcome of a send on a route with hash ROUTE.  WAIT_MS is the time
@@ -440,8 +477,10 @@
   TRIAL_DECISION_ADVANCE,   /* The next step may start.  */
   TRIAL_DECISION_ROLL_BACK, /* The version is bad; all requests return to the
                                old one.  */
-  TRIAL_DECISION_FINISH /* The version is good and gets all requests; instances
-                           of the old version may drain.  */
+  TRIAL_DECISION_FINISH,    /* The version is good and gets all requests;
+                               instances of the old version may drain.  */
+  TRIAL_DECISION_WITHDRAW   /* The version in service is bad and gets no more
+                               requests.  */
 } trial_decision_t;
 
 /* Append the counts of all processes over the answers of ARM to OUT: answers,
--- a/packages/policy/trial_evidence.c
+++ b/packages/policy/trial_evidence.c
@@ -173,7 +173,7 @@
       sums->log_wait_sum += log_wait;
       sums->log_wait_square_sum += log_wait * log_wait;
     }
-  trial->has_unwritten_counts = true;
+  trial->has_unwritten_counts |= trial->phase == TRIAL_PHASE_RUNNING;
 }
 
 static void
@@ -205,17 +205,22 @@
 #undef X
 }
 
+/* Let a second pass for COUNTS.  When the new version has all requests, no
+   times of the old one replace older ones, so these keep their weight.  */
 static void
-counts_decay (trial_counts_t *counts)
+counts_decay (trial_counts_t *counts, bool is_running)
 {
   for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
     likelihoods_decay (&counts->likelihoods[cell]);
   for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
     for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
       sums_decay (&counts->sums[arm][cell]);
-  double *times = &counts->times[0][0][0];
-  for (size_t i = 0; i < sizeof counts->times / sizeof *times; i++)
-    times[i] *= TRIAL_TIMING_DECAY_PER_S;
+  trial_tallies_decay (counts);
+  for (size_t arm = is_running ? TRIAL_ARM_OLD : TRIAL_ARM_NEW;
+       arm < TRIAL_ARM_COUNT; arm++)
+    for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+      for (size_t bin = 0; bin <= TRIAL_TIME_BINS; bin++)
+        counts->times[arm][timing][bin] *= TRIAL_TIMING_DECAY_PER_S;
 }
 
 void
@@ -225,14 +230,16 @@
   str_t key;
   void *value;
 
-  counts_decay (&trial->own_counts);
-  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+  bool is_running = trial->phase == TRIAL_PHASE_RUNNING;
+
+  counts_decay (&trial->own_counts, is_running);
+  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT && is_running; timing++)
     for (size_t model = 0; model < TRIAL_MODELS; model++)
       regression_decay (&trial->usual_times[timing][model],
                         TRIAL_TIMING_DECAY_PER_S);
   while (map_next (trial->peers, &cursor, &key, &value))
     {
-      counts_decay (value);
+      counts_decay (value, is_running);
       ((trial_counts_t *)value)->age_s++;
     }
 }
@@ -256,6 +263,7 @@
           sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
       for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
         likelihoods_add (&all.likelihoods[cell], &peer->likelihoods[cell]);
+      trial_tallies_add (&all, peer);
       for (size_t i = 0; i < sizeof all.times / sizeof (double); i++)
         (&all.times[0][0][0])[i] += (&peer->times[0][0][0])[i];
     }
--- a/packages/policy/trial_message.c
+++ b/packages/policy/trial_message.c
@@ -9,6 +9,7 @@
 enum
 {
   TIMES_COUNT = TRIAL_ARM_COUNT * TRIAL_TIMING_COUNT * (TRIAL_TIME_BINS + 1),
+  TALLIES_COUNT = 2 * TRIAL_ROUTE_CELLS * TRIAL_TALLIES,
   /* Number of sums in a message.  */
   SUMS_COUNT = TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
                * (int)(sizeof (trial_sums_t) / sizeof (double)),
@@ -16,7 +17,7 @@
      in that of an older process.  */
   WEIGHTS_COUNT
   = TRIAL_ROUTE_CELLS * (int)(sizeof (trial_likelihoods_t) / sizeof (double))
-    + TIMES_COUNT,
+    + TIMES_COUNT + TALLIES_COUNT,
   OLDER_WEIGHTS_COUNT = 24
 };
 
@@ -43,7 +44,8 @@
 }
 
 /* The message is one line: MESSAGE_FORMAT and the order's number, then the
-   sums, the logarithms of likelihood ratios, the histograms, and PROCESS=COUNT
+   sums, the logarithms of likelihood ratios, the histograms, the tallies, and
+   PROCESS=COUNT
    for the bad answers of each process.  The message of an older process has no
    format and other weights, which are not read.  */
 /* Append the bad answers of this process to OUT; with ALL, of all
@@ -93,6 +95,8 @@
     }
   for (size_t i = 0; i < TIMES_COUNT; i++)
     buf_printf (out, " %.4g", (&counts.times[0][0][0])[i]);
+  for (size_t i = 0; i < TALLIES_COUNT; i++)
+    buf_printf (out, " %.4g", (&counts.tallies[0][0].answers)[i]);
   write_bad_answers (trial, all, out);
   trial->has_unwritten_counts = false;
 }
@@ -124,6 +128,9 @@
   for (size_t i = 0; i < TIMES_COUNT; i++)
     if (!read_number (rest, &(&counts->times[0][0][0])[i]))
       return VH_E_PROTOCOL;
+  for (size_t i = 0; i < TALLIES_COUNT; i++)
+    if (!read_number (rest, &(&counts->tallies[0][0].answers)[i]))
+      return VH_E_PROTOCOL;
   return VH_OK;
 }
 
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -35,12 +35,19 @@
 #undef X
 };
 
+enum
+{
+#define X(share, bins, log_ratio_max) +1
+  SLOW_VERSIONS = 0 TRIAL_SLOW_VERSIONS (X)
+#undef X
+};
+
 static const struct
 {
   double share;
   size_t bins; /* Number of bins by which the slow part is later.  */
   double log_ratio_max;
-} slow_versions[] = {
+} slow_versions[SLOW_VERSIONS] = {
 #define X(share, bins, log_ratio_max) { share, bins, log_ratio_max },
   TRIAL_SLOW_VERSIONS (X)
 #undef X
@@ -102,7 +109,7 @@
   trial->own_counts.times[arm][time->timing]
                          [(size_t)fmin (fmax (bin, 0), TRIAL_TIME_BINS - 1)]
       += 1;
-  trial->has_unwritten_counts = true;
+  trial->has_unwritten_counts |= trial->phase == TRIAL_PHASE_RUNNING;
 }
 
 /* Set *LOG_RATIO to the logarithm of TIME by the usual time.  Return false if
@@ -193,20 +200,61 @@
   return log_ratio;
 }
 
+/* Return the logarithm of the likelihood ratio, slow version INDEX against
+   equal, of the new version's times for TIMING.  */
+static double
+timing_log_ratio (const trial_counts_t *counts, trial_timing_t timing,
+                  size_t index)
+{
+  return slow_log_ratio (counts->times[TRIAL_ARM_OLD][timing],
+                         counts->times[TRIAL_ARM_NEW][timing],
+                         slow_versions[index].share,
+                         slow_versions[index].bins);
+}
+
 bool
 trial_are_times_good (const trial_counts_t *counts)
 {
-  for (size_t i = 0; i < sizeof slow_versions / sizeof slow_versions[0]; i++)
+  for (size_t i = 0; i < SLOW_VERSIONS; i++)
     {
       double log_ratio = 0;
-      for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+      for (trial_timing_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
         log_ratio += trial_timings[timing].independence
-                     * slow_log_ratio (counts->times[TRIAL_ARM_OLD][timing],
-                                       counts->times[TRIAL_ARM_NEW][timing],
-                                       slow_versions[i].share,
-                                       slow_versions[i].bins);
+                     * timing_log_ratio (counts, timing, i);
       if (log_ratio > slow_versions[i].log_ratio_max)
         return false;
     }
   return true;
 }
+
+static double
+measured_times (const trial_counts_t *counts, trial_arm_t arm,
+                trial_timing_t timing)
+{
+  double sum = 0;
+
+  for (size_t bin = 0; bin < TRIAL_TIME_BINS; bin++)
+    sum += counts->times[arm][timing][bin];
+  return sum;
+}
+
+bool
+trial_is_slow_in_service (const trial_counts_t *counts)
+{
+  /* First events wait longer in a burst and while caches are cold, so they
+     only count where answers have no gaps.  */
+  bool has_gaps
+      = measured_times (counts, TRIAL_ARM_OLD, TRIAL_TIMING_EVENT_GAP)
+            >= TRIAL_ANSWERS_MIN
+        && measured_times (counts, TRIAL_ARM_NEW, TRIAL_TIMING_EVENT_GAP)
+               >= TRIAL_ANSWERS_MIN;
+  trial_timing_t timing
+      = has_gaps ? TRIAL_TIMING_EVENT_GAP : TRIAL_TIMING_FIRST_EVENT;
+  double log_ratio_min = has_gaps ? TRIAL_WATCH_GAPS_LOG_RATIO
+                                  : TRIAL_WATCH_FIRST_EVENTS_LOG_RATIO;
+
+  for (size_t i = 0; i < SLOW_VERSIONS; i++)
+    if (timing_log_ratio (counts, timing, i) >= log_ratio_min)
+      return true;
+  return false;
+}
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -3,6 +3,7 @@
    trial.c           progress, shares and decisions
    trial_evidence.c  counts of answers, and their weights
    trial_times.c     counts of times, and whether they show a slow version
+   trial_watch.c     answers of a version that was declared good
    trial_verdict.c   what the counts say of the new version
    trial_message.c   counts in messages between processes  */
 
@@ -15,13 +16,24 @@
 
 enum
 {
-  TRIAL_PROCESS_ID_SIZE = 17 /* 16 hexadecimal digits and NUL.  */
+  TRIAL_PROCESS_ID_SIZE = 17, /* 16 hexadecimal digits and NUL.  */
+  TRIAL_TALLY_OLD = TRIAL_INSTANCE_GROUPS,
+  TRIAL_TALLIES
 };
 
+typedef struct
+{
+  double answers;
+  double failed; /* Failures among them, also lost connections.  */
+} trial_tally_t;
+
 typedef struct
 {
   trial_sums_t sums[TRIAL_ARM_COUNT][TRIAL_CELL_COUNT];
   trial_likelihoods_t likelihoods[TRIAL_ROUTE_CELLS];
+  /* Answers by group of routes: of the new version by group of instances, with
+     a decay, and at TRIAL_TALLY_OLD of the old version since the start.  */
+  trial_tally_t tallies[TRIAL_ROUTE_CELLS][TRIAL_TALLIES];
   /* Histograms of times as logarithms of ratios to the usual time, and in the
      last place waits for a first event that ended without one and were not
      late.  */
@@ -98,6 +110,9 @@
 void trial_raise_bad_answers (trial_t *trial, str_t id, uint64_t count);
 /* Return whether the times in COUNTS show that the version is not slow.  */
 bool trial_are_times_good (const trial_counts_t *counts);
+/* Return whether the times in COUNTS show that a version in service is
+   slow.  */
+bool trial_is_slow_in_service (const trial_counts_t *counts);
 /* Return whether the answers in COUNTS show that the version is good.  */
 bool trial_is_shown_good (const trial_counts_t *counts);
 /* Return whether COUNTS do not suffice to declare the version good, which the
@@ -110,6 +125,13 @@
    all cells may show neither.  */
 bool trial_is_cell_inconclusive (const trial_sums_t *old,
                                  const trial_sums_t *new);
+/* Add FROM to TO.  */
+void trial_tallies_add (trial_counts_t *to, const trial_counts_t *from);
+/* Let a second pass for the tallies of the new version.  */
+void trial_tallies_decay (trial_counts_t *counts);
+/* Return whether COUNTS show that a version in service is bad; if so, append
+   the reason to REASON.  */
+bool trial_is_bad_in_service (const trial_counts_t *counts, buf_t *reason);
 /* Return whether a step that has lasted IN_STEP_MS, with a minimum length of
    STEP_MIN_MS, may advance.  An excess of late answers of at least STDERRS
    standard errors prevents the advance.  */
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -104,6 +104,7 @@
       switch (trial_decide (trial, now_ms, is_store_down, &reason))
         {
         case TRIAL_DECISION_WAIT:
+        case TRIAL_DECISION_WITHDRAW: /* Only after the end.  */
           break;
         case TRIAL_DECISION_ADVANCE:
           trial_set_progress (trial, START_MS, trial_step (trial) + 1,
@@ -593,6 +594,7 @@
   TROUBLE_AFTER_MS = 2000,
   MASKED_AFTER_MS = 16000, /* Simulated time after the time limit.  */
   MASKED_ROUTES = 3,
+  INSTANCES = 9,
   SLOW_FACTOR = 8,
   /* Promise of the users: a bad version gets no request that is sent later
      than LATE_AFTER_MS after its bad answer number BAD_ANSWERS.  */
@@ -646,6 +648,8 @@
   trial_observe (trial, arm, (uint64_t)route, outcome,
                  outcome == TRIAL_OUTCOME_ANSWERED ? (uint64_t)wait_ms : 0,
                  false);
+  trial_count_answer (trial, arm, (uint64_t)route, rng_below (rng, INSTANCES),
+                      outcome);
   return is_slow || outcome != TRIAL_OUTCOME_ANSWERED;
 }
 
@@ -681,7 +685,8 @@
         }
       if (ms % 1000 == 0)
         trial_decay (trial);
-      if (trial_phase (trial) == TRIAL_PHASE_ROLLED_BACK)
+      if (trial_phase (trial) == TRIAL_PHASE_ROLLED_BACK
+          || trial_phase (trial) == TRIAL_PHASE_WITHDRAWN)
         continue;
       trial_decision_t decision = trial_decide (trial, now_ms, false, &reason);
       if (decision == TRIAL_DECISION_ADVANCE && ms % 1000 == 0)
@@ -691,6 +696,8 @@
         trial_set_phase (trial, TRIAL_PHASE_ROLLED_BACK);
       else if (decision == TRIAL_DECISION_FINISH)
         trial_set_phase (trial, TRIAL_PHASE_DONE);
+      else if (decision == TRIAL_DECISION_WITHDRAW)
+        trial_set_phase (trial, TRIAL_PHASE_WITHDRAWN);
     }
   result.phase = trial_phase (trial);
   buf_free (&reason);
