--- a/packages/policy/regression.c
+++ b/packages/policy/regression.c
@@ -56,7 +56,7 @@
                     const double factors[REGRESSION_FACTORS])
 {
   double lower[REGRESSION_FACTORS][REGRESSION_FACTORS];
-  double coefficients[REGRESSION_FACTORS];
+  double coefficients[REGRESSION_FACTORS] = { 0 };
   double value = 0;
 
   factorize (regression, lower);
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -35,24 +35,22 @@
 #undef X
 };
 
-enum
-{
-#define X(share, bins, log_ratio_max) +1
-  SLOW_VERSIONS = 0 TRIAL_SLOW_VERSIONS (X)
-#undef X
-};
-
 static const struct
 {
   double share;
   size_t bins; /* Number of bins by which the slow part is later.  */
   double log_ratio_max;
-} slow_versions[SLOW_VERSIONS] = {
+} slow_versions[] = {
 #define X(share, bins, log_ratio_max) { share, bins, log_ratio_max },
   TRIAL_SLOW_VERSIONS (X)
 #undef X
 };
 
+enum
+{
+  SLOW_VERSIONS = sizeof slow_versions / sizeof slow_versions[0]
+};
+
 /* Return the logarithm of TIME by the usual time of the old version under the
    same conditions.  The usual time must be known.  */
 static double
--- a/packages/policy/trial_watch.c
+++ b/packages/policy/trial_watch.c
@@ -68,7 +68,7 @@
 static trial_tally_t
 sum_of_most_groups (const trial_tally_t groups[TRIAL_TALLIES])
 {
-  trial_tally_t sorted[TRIAL_INSTANCE_GROUPS];
+  trial_tally_t sorted[TRIAL_INSTANCE_GROUPS] = { 0 };
   trial_tally_t sum = { 0 };
   size_t count = 0;
 
