trial: faults of some instances do not withdraw a good version

Cause: 16 groups by route held several instances each, so a third of the instances was in most of them; and over hundreds of gaps between events a small difference of the times added up to the bound of the likelihood.

Change: 64 groups of instances, not by route; a version is slow in service only if most groups are late more often and the mean of the logarithms is as large as that of a slow version.

--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -165,14 +165,15 @@
   bool has_failed = outcome == SEND_FAILED;
 
   if (trial == NULL || relay->has_connect_failed || outcome == SEND_REFUSED
-      || (!relay->has_head && !has_failed))
+      || (!relay->has_head && !relay->has_bad_answer && !has_failed))
     return;
-  trial_count_answer (trial, relay_trial_arm (relay), route_hash (relay),
+  trial_count_answer (trial, relay_trial_arm (relay),
                       str_hash (upstream_id (relay->upstream), 0),
                       !has_failed ? TRIAL_OUTCOME_ANSWERED
                       : relay->is_connection_lost
                           ? TRIAL_OUTCOME_CONNECTION_LOST
-                          : TRIAL_OUTCOME_FAILED);
+                          : TRIAL_OUTCOME_FAILED,
+                      relay->has_bad_answer && !has_failed);
 }
 
 void
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -239,17 +239,20 @@
 bool
 trial_is_slow_in_service (const trial_counts_t *counts)
 {
+  double old_gaps
+      = measured_times (counts, TRIAL_ARM_OLD, TRIAL_TIMING_EVENT_GAP);
+  double new_gaps
+      = measured_times (counts, TRIAL_ARM_NEW, TRIAL_TIMING_EVENT_GAP);
   /* First events wait longer in a burst and while caches are cold, so they
      only count where answers have no gaps.  */
   bool has_gaps
-      = measured_times (counts, TRIAL_ARM_OLD, TRIAL_TIMING_EVENT_GAP)
-            >= TRIAL_ANSWERS_MIN
-        && measured_times (counts, TRIAL_ARM_NEW, TRIAL_TIMING_EVENT_GAP)
-               >= TRIAL_ANSWERS_MIN;
+      = old_gaps >= TRIAL_ANSWERS_MIN && new_gaps >= TRIAL_ANSWERS_MIN;
   trial_timing_t timing
       = has_gaps ? TRIAL_TIMING_EVENT_GAP : TRIAL_TIMING_FIRST_EVENT;
-  double log_ratio_min = has_gaps ? TRIAL_WATCH_GAPS_LOG_RATIO
-                                  : TRIAL_WATCH_FIRST_EVENTS_LOG_RATIO;
+  double times = measured_times (counts, TRIAL_ARM_NEW, timing);
+  double log_ratio_min = fmax (has_gaps ? TRIAL_WATCH_GAPS_LOG_RATIO
+                                        : TRIAL_WATCH_FIRST_EVENTS_LOG_RATIO,
+                               times * TRIAL_WATCH_LOG_RATIO_PER_TIME);
 
   for (size_t i = 0; i < SLOW_VERSIONS; i++)
     if (timing_log_ratio (counts, timing, i) >= log_ratio_min)
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -21,19 +21,26 @@
   TRIAL_TALLIES
 };
 
+typedef enum
+{
+  TRIAL_FLAW_FAILED, /* Also lost connections.  */
+  TRIAL_FLAW_LATE,
+  TRIAL_FLAW_COUNT
+} trial_flaw_t;
+
 typedef struct
 {
   double answers;
-  double failed; /* Failures among them, also lost connections.  */
+  double flawed[TRIAL_FLAW_COUNT];
 } trial_tally_t;
 
 typedef struct
 {
   trial_sums_t sums[TRIAL_ARM_COUNT][TRIAL_CELL_COUNT];
   trial_likelihoods_t likelihoods[TRIAL_ROUTE_CELLS];
-  /* Answers by group of routes: of the new version by group of instances, with
-     a decay, and at TRIAL_TALLY_OLD of the old version since the start.  */
-  trial_tally_t tallies[TRIAL_ROUTE_CELLS][TRIAL_TALLIES];
+  /* Answers of the new version by group of instances, with a decay, and at
+     TRIAL_TALLY_OLD those of the old version since the start.  */
+  trial_tally_t tallies[TRIAL_TALLIES];
   /* Histograms of times as logarithms of ratios to the usual time, and in the
      last place waits for a first event that ended without one and were not
      late.  */
