--- a/packages/policy/trial_message.c
+++ b/packages/policy/trial_message.c
@@ -95,8 +95,13 @@
     }
   for (size_t i = 0; i < TIMES_COUNT; i++)
     buf_printf (out, " %.4g", (&counts.times[0][0][0])[i]);
-  for (size_t i = 0; i < TALLIES_COUNT; i++)
-    buf_printf (out, " %.4g", (&counts.tallies[0].answers)[i]);
+  for (size_t group = 0; group < TRIAL_TALLIES; group++)
+    {
+      const trial_tally_t *tally = &counts.tallies[group];
+      buf_printf (out, " %.4g", tally->answers);
+      for (size_t flaw = 0; flaw < TRIAL_FLAW_COUNT; flaw++)
+        buf_printf (out, " %.4g", tally->flawed[flaw]);
+    }
   write_bad_answers (trial, all, out);
   trial->has_unwritten_counts = false;
 }
@@ -128,9 +133,15 @@
   for (size_t i = 0; i < TIMES_COUNT; i++)
     if (!read_number (rest, &(&counts->times[0][0][0])[i]))
       return VH_E_PROTOCOL;
-  for (size_t i = 0; i < TALLIES_COUNT; i++)
-    if (!read_number (rest, &(&counts->tallies[0].answers)[i]))
-      return VH_E_PROTOCOL;
+  for (size_t group = 0; group < TRIAL_TALLIES; group++)
+    {
+      trial_tally_t *tally = &counts->tallies[group];
+      if (!read_number (rest, &tally->answers))
+        return VH_E_PROTOCOL;
+      for (size_t flaw = 0; flaw < TRIAL_FLAW_COUNT; flaw++)
+        if (!read_number (rest, &tally->flawed[flaw]))
+          return VH_E_PROTOCOL;
+    }
   return VH_OK;
 }
 
