--- a/tests/gateway_chaos.c
+++ b/tests/gateway_chaos.c
@@ -292,6 +292,7 @@
 {
   static const fake_action_t bad_actions[]
       = { ACT_ERROR, ACT_RESET, ACT_STREAM_CUT_IN_EVENT, ACT_TRUNCATE_BODY };
+  static const double bad_shares[] = { 0.5, 0.17, 0.3 };
   uint64_t now_ms = harness_now_ms () - chaos->start_ms;
 
   if (!args.is_variant[VARIANT_VERSIONS] || chaos->is_ordered
@@ -303,11 +304,14 @@
       &chaos->rng, sizeof bad_actions / sizeof bad_actions[0])];
   unsigned within_s
       = (unsigned)(WITHIN_S_MIN + rng_below (&chaos->rng, WITHIN_S_SPAN));
-  gateway_processes_order_version (chaos->processes, within_s, action,
-                                   chaos->is_version_bad ? 0.5 : 0);
-  printf ("%7.3f order of a %s version within %u s, action %d\n",
-          (double)now_ms / MS_PER_S, chaos->is_version_bad ? "bad" : "good",
-          within_s, (int)action);
+  double share
+      = chaos->is_version_bad
+            ? bad_shares[args.seed % (sizeof bad_shares / sizeof *bad_shares)]
+            : 0;
+  gateway_processes_order_version (chaos->processes, within_s, action, share);
+  printf (
+      "%7.3f order of a version that is bad in %g within %u s, action %d\n",
+      (double)now_ms / MS_PER_S, share, within_s, (int)action);
 }
 
 /* Store.  */
