tests: a good version is withdrawn when a third of its instances fails

With 16 groups of instances, as before "faults of some instances do not withdraw a good version", the first case fails: withdrawn instead of kept.

--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -595,6 +595,7 @@
   MASKED_AFTER_MS = 16000, /* Simulated time after the time limit.  */
   MASKED_ROUTES = 3,
   INSTANCES = 9,
+  SERVICE_INSTANCES = 24,
   SLOW_FACTOR = 8,
   /* Promise of the users: a bad version gets no request that is sent later
      than LATE_AFTER_MS after its bad answer number BAD_ANSWERS.  */
@@ -842,6 +843,54 @@
 }
 END_TEST
 
+/* After a good version was declared good a third of its instances fails.  It
+   would be withdrawn, and with it the service.  */
+START_TEST (faults_of_some_instances_withdraw_a_good_version)
+{
+  static const struct
+  {
+    uint64_t failing_instances;
+    double failure_share; /* Of the answers of a failing instance.  */
+    trial_decision_t decision;
+  } cases[] = { { 8, 0.5, TRIAL_DECISION_WAIT },
+                { SERVICE_INSTANCES, 0.05, TRIAL_DECISION_WAIT },
+                { SERVICE_INSTANCES, 0.2, TRIAL_DECISION_WITHDRAW } };
+  const uint64_t now_ms = START_MS + TIME_LIMIT_MS;
+
+  for (size_t at = 0; at < sizeof cases / sizeof cases[0]; at++)
+    {
+      trial_t *trial
+          = trial_create (STR ("llm"), STR ("v2"), 1, TIME_LIMIT_MS, EXPOSURE);
+      rng_t rng = rng_make (1);
+      buf_t reason = BUF_NULL;
+      trial_set_progress (trial, START_MS, TRIAL_STEP_INCREASED, START_MS);
+      trial_set_phase (trial, TRIAL_PHASE_DONE);
+      for (int i = 0; i < 1000; i++)
+        trial_count_answer (trial, TRIAL_ARM_OLD, 0,
+                            i % 100 == 0 ? TRIAL_OUTCOME_FAILED
+                                         : TRIAL_OUTCOME_ANSWERED,
+                            false);
+      for (int i = 0; i < 1000; i++)
+        {
+          uint64_t instance = rng_below (&rng, SERVICE_INSTANCES);
+          bool has_failed = instance < cases[at].failing_instances
+                            && rng_double (&rng) < cases[at].failure_share;
+          trial_count_answer (trial, TRIAL_ARM_NEW, instance,
+                              has_failed ? TRIAL_OUTCOME_FAILED
+                                         : TRIAL_OUTCOME_ANSWERED,
+                              false);
+          if (has_failed)
+            trial_count_bad_answer (trial);
+        }
+      ck_assert_uint_ge (trial_bad_answers (trial), TRIAL_BAD_ANSWERS_MAX);
+      ck_assert_int_eq (trial_decide (trial, now_ms, false, &reason),
+                        cases[at].decision);
+      buf_free (&reason);
+      trial_destroy (trial);
+    }
+}
+END_TEST
+
 /* The store is down when the steps are due, and processes cannot exchange
    their counts.  A step taken then would rely on incomplete counts; after the
    outage the steps follow one after the other.  */
@@ -1062,6 +1111,7 @@
   tcase_add_loop_test (tcase, bad_version_stays_after_it_was_declared_good, 0,
                        sizeof small_ways_of_being_bad
                            / sizeof small_ways_of_being_bad[0]);
+  tcase_add_test (tcase, faults_of_some_instances_withdraw_a_good_version);
   tcase_add_test (tcase, steps_advance_during_a_store_outage);
   tcase_add_test (tcase, request_changes_version_between_sends);
   tcase_add_test (tcase, counts_of_other_processes_are_lost);
