--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -77,8 +77,7 @@
    operator's request, the store time at which the request was first read, the
    step in force, the store time from which the step is in force, the phase
    with the extra share of the step, and the versions that were rolled back
-   earlier.  The state row may be read
-   before the operator's request.  */
+   earlier.  The state row may be read before the operator's request.  */
 static void
 apply_state_row (rollouts_t *rollouts, str_t service)
 {
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -4,82 +4,85 @@
    the start, later, or only under load.  Without this module a bad version
    receives all requests before an operator notices.
 
-   - The new version's share of the requests rises in TRIAL_STEPS.  The current
-     step and the time of the store's clock from which it applies stand in a
-     row that all gateway processes read, so that all change the share at the
-     same moment.  The share stays 0 in the first half of the time limit: the
-     requests of one session may arrive at any process, no process knows which
-     sessions are in progress at the others, and a session that is in progress
-     in that half must not change its version.
-   - Measurements cannot show a version that fails only under a load that its
-     instances do not have yet.  The shares therefore add up to a part of the
-     operators' bound on the requests that the version may get within the time
-     limit.  It receives all requests when it is declared good, as late as the
-     time limit allows; the requests that then run on the old version end while
-     its instances drain.
+   - The new version's share of the requests rises in TRIAL_STEPS.  The
+     current step and the time of the store's clock from which it applies
+     stand in a row that all gateway processes read, so that all change the
+     share at the same moment.  The share stays 0 in the first half of the
+     time limit: the requests of one session may arrive at any process, no
+     process knows which sessions are in progress at the others, and a
+     session that is in progress in that half must not change its version.
+   - Measurements cannot show a version that fails only under a load that
+     its instances do not have yet.  The shares therefore add up to a part
+     of the operators' bound on the requests that the version may get within
+     the time limit.  It receives all requests when it is declared good, as
+     late as the time limit allows; the requests that then run on the old
+     version end while its instances drain.
    - A step advances only while the store answers: during an outage of the
-     store the measurements of other processes cannot arrive, so the share must
-     not rise.
+     store the measurements of other processes cannot arrive, so the share
+     must not rise.
    - Answers of both versions are counted in cells: one for each of
-     TRIAL_ROUTE_CELLS groups of routes, by hash, and one for loaded instances.
-     Each process sends its counts, added to those that it received, to the
-     process through which it reads the store.  The process that reads the
-     store directly thus has the counts of all processes, and decides.  Counts
-     of answers and failures decay with a half-life of about 4 s, counts of
-     late times with one of about 13 s, so that the good answers of a version
-     that fails later do not hide its failures.
-   - An instance that crashes ends all its requests, at each process: a single
-     crash looks like many failures of the version.  A lost connection
-     therefore has the weight TRIAL_LOST_CONNECTION_WEIGHT, with which a
-     version that loses half of its connections is still detected.
+     TRIAL_ROUTE_CELLS groups of routes, by hash, and one for loaded
+     instances.  Each process sends its counts, added to those that it
+     received, to the process through which it reads the store.  The process
+     that reads the store directly thus has the counts of all processes, and
+     decides.  Counts of answers and failures decay with a half-life of
+     about 4 s, counts of late times with one of about 13 s, so that the
+     good answers of a version that fails later do not hide its failures.
+   - An instance that crashes ends all its requests, at each process: a
+     single crash looks like many failures of the version.  A lost
+     connection therefore has the weight TRIAL_LOST_CONNECTION_WEIGHT, with
+     which a version that loses half of its connections is still detected.
    - A version may fail only on loaded instances, and its answers from the
-     other instances would hide that, so answers of loaded instances also count
-     in a cell of their own.
-   - Few answers, and a difference that other failures hide, are no evidence of
-     a good version.  The version is declared good only if its answers make it
-     unlikely that it is bad: each answer changes the logarithm of a likelihood
-     ratio (Wald 1945), which compares the old version's share of failures at
-     that time and process with that of a version that itself fails a part of
-     its requests.  The part is small: answers of a version that is bad less
-     than the part speak for it on average.  While the old version fails as
-   well, an answer changes the ratio by less.
+     other instances would hide that, so answers of loaded instances also
+     count in a cell of their own.
+   - Few answers, and a difference that other failures hide, are no evidence
+     of a good version.  The version is declared good only if its answers
+     make it unlikely that it is bad: each answer changes the logarithm of a
+     likelihood ratio (Wald 1945), which compares the old version's share of
+     failures at that time and process with that of a version that itself
+     fails a part of its requests.  The part is small, since answers of a
+     version that fails less than about half of it speak for the version on
+     average.  While the old version fails as well, an answer changes the
+     ratio by less.
    - A version that still may not advance shortly before the time limit is
      rolled back: its failures or late times exceed the old version's by too
-     little to call the version bad, but by more than a version that gets all
-     requests may have, or it has too few answers.
-   - Neither the answers within the time limit nor their number show a version
-     that turns bad later, that is bad under more load only, or that is bad so
-     little that it passes by chance.  A version that was declared good is
-     therefore watched.  It is withdrawn, and gets nothing more, when it has
-     given TRIAL_BAD_ANSWERS_MAX bad answers and on most groups of its
-   instances fails clearly more often than the old version did, or is late more
-   often and its times are those of a slow version.  Faults of some instances
-   concentrate on a few groups, which are left out.  If instances of the old
-   version are left they get the requests, else requests are refused.
+     little to call the version bad, but by more than a version that gets
+     all requests may have, or it has too few answers.
+   - Neither the answers within the time limit nor their number show a
+     version that turns bad later, that is bad under more load only, or that
+     is bad so little that it passes by chance.  A version that was declared
+     good is therefore watched.  It is withdrawn, and gets nothing more,
+     when it has given TRIAL_BAD_ANSWERS_MAX bad answers and on most groups
+     of its instances fails clearly more often than the old version did, or
+     is late more often and its times are those of a slow version.  Faults
+     of some instances concentrate on a few groups, which are left out.  If
+     instances of the old version are left they get the requests, else
+     requests are refused.
    - The comparisons above bound the failures only in proportion to those of
-   the old version.  The operators' bound on the bad answers of a bad version
-   is absolute, so once the version has given TRIAL_BAD_ANSWERS_MAX of them,
-   for whatever reason, it stays only while its answers show that it is good.
-     Each process counts its own bad answers; the counts of all processes, also
-     of those that ended, are kept by every process that heard of them.
+     the old version.  The operators' bound on the bad answers of a bad
+     version is absolute, so once the version has given
+     TRIAL_BAD_ANSWERS_MAX of them, for whatever reason, it stays only while
+     its answers show that it is good.  Each process counts its own bad
+     answers; the counts of all processes, also of those that ended, are
+     kept by every process that heard of them.
    - A version is bad when in one cell the share of its answers that failed
      exceeds the old version's by TRIAL_FAILURE_EXCESS of the old version's
-   good ones and by TRIAL_FAILURE_STDERRS standard errors, over
-   TRIAL_ANSWERS_MIN answers; or when its time to the first event is
-   TRIAL_FIRST_EVENT_RATIO times the old version's.
-   - A version that fails no request and is only slow shows in the time to the
-     first event and in the gaps between events.  Each time is compared with
-     the old version's times for the same model, a prompt as long and an
-     instance with the same load, by a regression of their logarithms; if load
-     were ignored, a version eight times as slow would pass, since its
-     instances are nearly empty.  A time that is a fixed multiple of the usual
-     one is late, and late answers are tested as failures are.
-   - A fixed multiple shows little of a version that makes all times somewhat
-     longer, or a few of them much longer while those of the old version vary
-     as much.  Before the version is declared good, histograms of the times of
-     both versions are compared by the likelihood of each of several slow
-     versions (TRIAL_SLOW_VERSIONS), a mixture of the old version's times and
-     of the same times shifted.  */
+     good ones and by TRIAL_FAILURE_STDERRS standard errors, over
+     TRIAL_ANSWERS_MIN answers; or when its time to the first event is
+     TRIAL_FIRST_EVENT_RATIO times the old version's.
+   - A version that fails no request and is only slow shows in the time to
+     the first event and in the gaps between events.  Each time is compared
+     with the old version's times for the same model, a prompt as long and
+     an instance with the same load, by a regression of their logarithms; if
+     load were ignored, a version eight times as slow would pass, since its
+     instances are nearly empty.  A time that is a fixed multiple of the
+     usual one is late, and late answers are tested as failures are.
+   - A fixed multiple shows little of a version that makes all times
+     somewhat longer, or a few of them much longer while those of the old
+     version vary as much.  Before the version is declared good, histograms
+     of the times of both versions are compared by the likelihood of each of
+     several slow versions (TRIAL_SLOW_VERSIONS), a mixture of the old
+     version's times and of the same times shifted.  */
 
 #ifndef POLICY_TRIAL_H
 #define POLICY_TRIAL_H
@@ -93,7 +96,7 @@
 #define TRIAL_FIRST_EVENT_RATIO 3.0
 /* X (symbol, late, samples, stderrs, independence, name): the times that are
    measured of a send.  A time is late when it exceeds LATE usual times at the
-   same load. The version is bad when, over at least SAMPLES times, its share
+   same load.  The version is bad when, over at least SAMPLES times, its share
    of late ones exceeds the old version's by TRIAL_LATE_EXCESS and by STDERRS
    standard errors.  In a likelihood one time counts as INDEPENDENCE times.
 
