--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -932,6 +932,33 @@
 }
 END_TEST
 
+/* A process that does not reach the store sees failures that no other process
+   sees.  It would withdraw a good version everywhere.  */
+START_TEST (isolated_process_withdraws_a_version)
+{
+  trial_t *trial
+      = trial_create (STR ("llm"), STR ("v2"), 1, TIME_LIMIT_MS, EXPOSURE);
+  buf_t reason = BUF_NULL;
+
+  trial_set_progress (trial, START_MS, TRIAL_STEP_INCREASED, START_MS);
+  trial_set_phase (trial, TRIAL_PHASE_DONE);
+  for (uint64_t i = 0; i < 200; i++)
+    {
+      trial_count_answer (trial, TRIAL_ARM_NEW, i, TRIAL_OUTCOME_FAILED,
+                          false);
+      trial_count_bad_answer (trial);
+    }
+  ck_assert_int_eq (
+      trial_decide (trial, START_MS + TIME_LIMIT_MS, true, &reason),
+      TRIAL_DECISION_WAIT);
+  ck_assert_int_eq (
+      trial_decide (trial, START_MS + TIME_LIMIT_MS, false, &reason),
+      TRIAL_DECISION_WITHDRAW);
+  buf_free (&reason);
+  trial_destroy (trial);
+}
+END_TEST
+
 /* The store is down when the steps are due, and processes cannot exchange
    their counts.  A step taken then would rely on incomplete counts; after the
    outage the steps follow one after the other.  */
@@ -1154,6 +1181,7 @@
                        sizeof small_ways_of_being_bad
                            / sizeof small_ways_of_being_bad[0]);
   tcase_add_test (tcase, faults_of_some_instances_withdraw_a_good_version);
+  tcase_add_test (tcase, isolated_process_withdraws_a_version);
   tcase_add_test (tcase, steps_advance_during_a_store_outage);
   tcase_add_test (tcase, request_changes_version_between_sends);
   tcase_add_test (tcase, counts_of_other_processes_are_lost);
