trial: a process that does not reach the store withdraws no version

Seen: by reading. A gateway that is cut off from the store decides on its own answers; it would have withdrawn a version in service for failures that its own links cause, and written that for all when the store was back.

Change: a version in service is withdrawn only by a process that hears of the others. The operators' bound counts only gateways that reach the store, so it needs no decision of one that does not.

--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -286,7 +286,7 @@
   bool has_inconclusive_cell = false;
 
   if (trial_is_watched (trial, now_ms))
-    return trial->bad_answers_sum >= TRIAL_BAD_ANSWERS_MAX
+    return !is_store_down && trial->bad_answers_sum >= TRIAL_BAD_ANSWERS_MAX
                    && trial_is_bad_in_service (&all, reason)
                ? TRIAL_DECISION_WITHDRAW
                : TRIAL_DECISION_WAIT;
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -498,7 +498,7 @@
 
 /* Decide on the counts of all processes.  If the version is bad, append the
    reason to REASON.  IS_STORE_DOWN: the counts of other processes may be
-   missing, and no step advances.  */
+   missing, so no step advances, and a version in service stays.  */
 trial_decision_t trial_decide (trial_t *trial, uint64_t now_ms,
                                bool is_store_down, buf_t *reason);
 
