--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -93,8 +93,6 @@
   X ("cold-slack", VALUE_DOUBLE, false, pub.cold_slack, 0, 100000, NULL)      \
   X ("exposure-share", VALUE_DOUBLE, false, pub.rollout_share_max, 0.001, 1,  \
      NULL)                                                                    \
-  X ("exposure-slack", VALUE_DOUBLE, false, pub.rollout_slack, 0, 100000,     \
-     NULL)                                                                    \
   X ("link-mbps", VALUE_DOUBLE, false, pub.link_mbps, 0, 10000000, NULL)      \
   X ("answer-worth", VALUE_DOUBLE, false, pub.good_answer_value, 0, 1000000,  \
      NULL)                                                                    \
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -174,8 +174,6 @@
   /* Largest share of a service's requests that a version in roll-out may get
      within the roll-out's time limit.  */
   double rollout_share_max;
-  /* Number of requests that it may get besides.  */
-  double rollout_slack;
   double link_mbps; /* Network bandwidth of this instance; 0: unknown.  */
   /* Value of a good response to a request of rank 0, the highest, for 1,000
      units of size, in the unit of the models' costs.  A token read is 1 unit
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -101,7 +101,6 @@
     .cold_factor = settings->cold_factor,
     .cold_slack = settings->cold_slack,
     .rollout_share_max = settings->rollout_share_max,
-    .rollout_slack = settings->rollout_slack,
     .escalation = { .value_per_1k_tokens = settings->good_answer_value,
                     .priority_value_ratio = settings->value_factor_per_rank,
                     .late_value_ratio = settings->late_value_share,
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -114,7 +114,6 @@
   double rollout_share_max; /* Largest part, 0 to 1, of the requests that a
                                service gets within rollout_spec_t.within_ms
                                that may be sent to the new version.  */
-  double rollout_slack;     /* Requests that may be sent to it besides.  */
 } gateway_options_t;
 
 /* Start a gateway on LOOP.  ROWS and DIALECT must outlive the gateway; the
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -9,8 +9,7 @@
   /* Time after which any gateway writes a step of a roll-out that is due.
      Normally a gateway that reads the store for others writes the step
      earlier.  */
-  WRITER_TIMEOUT_MS = 1200,
-  EXTRA_SHARE_DENOMINATOR = 1000
+  WRITER_TIMEOUT_MS = 1200
 };
 
 /* The state row of a roll-out, as last read from the store.  */
@@ -57,27 +56,12 @@
     }
 }
 
-/* Return the name of the phase in WORD of a state row, and set *EXTRA_SHARE,
-   which follows the name as a number of thousandths.  */
-static str_t
-read_phase (str_t word, double *extra_share)
-{
-  str_t thousandths;
-  str_t name = str_cut (word, '+', &thousandths);
-  uint64_t number = 0;
-
-  if (thousandths.ptr != NULL)
-    str_to_u64 (thousandths, &number);
-  *extra_share = (double)number / EXTRA_SHARE_DENOMINATOR;
-  return name;
-}
-
 /* Apply the state row of SERVICE's roll-out, if there is one.  The text of the
    row is ORDER START STEP FROM PHASE VERSION...: the store version of the
    operator's request, the store time at which the request was first read, the
-   step in force, the store time from which the step is in force, the phase
-   with the extra share of the step, and the versions that were rolled back
-   earlier.  The state row may be read before the operator's request.  */
+   step in force, the store time from which the step is in force, the phase,
+   and the versions that were rolled back earlier.  The state row may be read
+   before the operator's request.  */
 static void
 apply_state_row (rollouts_t *rollouts, str_t service)
 {
@@ -92,15 +76,13 @@
     if (rest.ptr == NULL
         || !str_to_u64 (str_cut (rest, ' ', &rest), &numbers[i]))
       return;
-  double extra_share;
-  str_t phase_name = read_phase (str_cut (rest, ' ', &rest), &extra_share);
+  str_t phase_name = str_cut (rest, ' ', &rest);
   apply_withdrawn_versions (rollouts, service, rest);
   if (trial == NULL || phase_name.ptr == NULL
       || numbers[0] != trial_order (trial))
     return;
   row->is_outdated = false;
   trial_set_progress (trial, numbers[1], (uint32_t)numbers[2], numbers[3]);
-  trial_set_extra_share (trial, extra_share);
   log_event (EVENT_ROLLOUT_STEP, log_field_text (FIELD_SERVICE, service),
              log_field_text (FIELD_VERSION, trial_version (trial)),
              log_field_number (FIELD_STEP, numbers[2]),
@@ -306,7 +288,6 @@
       trial_set_order_seen_ms (
           trial, table_sync_store_now_ms (state->operator_rows_sync));
       trial_set_process_id (trial, process_id (rollouts, trial));
-      trial_set_exposure_slack (trial, state->options.rollout_slack);
       map_put (state->trials, spec.service, trial);
       log_event (EVENT_ROLLOUT, log_field_text (FIELD_SERVICE, spec.service),
                  log_field_text (FIELD_VERSION, spec.version),
@@ -369,14 +350,13 @@
          || now_ms - rollouts->write_due_ms >= WRITER_TIMEOUT_MS;
 }
 
-/* Write the state of TRIAL, with STEP in force from FROM_MS on and with
-   EXTRA_SHARE, to the state row and to the operators' status row.  Both rows
-   are written in one transaction, and only if the state row has not changed
-   since this gateway read it.  */
+/* Write the state of TRIAL, with STEP in force from FROM_MS on, to the state
+   row and to the operators' status row.  Both rows are written in one
+   transaction, and only if the state row has not changed since this gateway
+   read it.  */
 static void
 write_state (rollouts_t *rollouts, str_t service, const trial_t *trial,
-             uint64_t start_ms, uint32_t step, uint64_t from_ms,
-             double extra_share)
+             uint64_t start_ms, uint32_t step, uint64_t from_ms)
 {
   static const rollout_state_t states[]
       = { ROLLOUT_RUNNING, ROLLOUT_DONE, ROLLOUT_ROLLED_BACK,
@@ -396,8 +376,6 @@
               (unsigned long long)trial_order (trial),
               (unsigned long long)start_ms, step, (unsigned long long)from_ms,
               trial_phase_name (phase));
-  if (extra_share > 0)
-    buf_printf (&value, "+%.0f", extra_share * EXTRA_SHARE_DENOMINATOR);
   pool_append_withdrawn_versions (rollouts->state->pool, service, &value);
   rollouts->state->dialect->write_rollout_status (
       service, trial_version (trial), states[phase], &status_key, &status);
@@ -534,10 +512,8 @@
     case TRIAL_DECISION_WAIT:
       break;
     case TRIAL_DECISION_ADVANCE:
-      write_state (
-          rollouts, service, trial, trial_start_ms (trial),
-          trial_step (trial) + 1, now_ms + TRIAL_STEP_NOTICE_MS,
-          trial_next_extra_share (trial, now_ms + TRIAL_STEP_NOTICE_MS));
+      write_state (rollouts, service, trial, trial_start_ms (trial),
+                   trial_step (trial) + 1, now_ms + TRIAL_STEP_NOTICE_MS);
       break;
     case TRIAL_DECISION_ROLL_BACK:
     case TRIAL_DECISION_FINISH:
@@ -580,7 +556,7 @@
       uint64_t start_ms = trial_order_seen_ms (trial) != 0
                               ? trial_order_seen_ms (trial)
                               : now_ms;
-      write_state (rollouts, service, trial, start_ms, 0, start_ms, 0);
+      write_state (rollouts, service, trial, start_ms, 0, start_ms);
       return;
     }
   if (trial_phase (trial) == TRIAL_PHASE_RUNNING
@@ -596,8 +572,7 @@
       || (trial_phase (trial) != TRIAL_PHASE_RUNNING
           && !trial_is_final_phase_stored (trial)))
     write_state (rollouts, service, trial, trial_start_ms (trial),
-                 trial_step (trial), trial_step_start_ms (trial),
-                 trial_extra_share (trial));
+                 trial_step (trial), trial_step_start_ms (trial));
   else if (has_second_elapsed && has_evidence (rollouts, trial)
            && trial_has_unwritten_counts (trial) && is_decider (rollouts))
     write_evidence (rollouts, service, trial);
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -192,42 +192,7 @@
 
   if (increased_step_ms <= 0)
     return TRIAL_SHARE_MAX;
-  return fmin (fmax (left_ms / increased_step_ms, first) + trial->extra_share,
-               TRIAL_SHARE_MAX);
-}
-
-void
-trial_set_exposure_slack (trial_t *trial, double requests)
-{
-  trial->exposure_slack = requests;
-}
-
-void
-trial_set_extra_share (trial_t *trial, double share)
-{
-  trial->extra_share = share;
-}
-
-double
-trial_extra_share (const trial_t *trial)
-{
-  return trial->extra_share;
-}
-
-double
-trial_next_extra_share (const trial_t *trial, uint64_t from_ms)
-{
-  trial_counts_t all = trial_total_counts (trial, false);
-  double requests = trial_likelihoods_of_routes (&all).requests;
-  double elapsed_ms = (double)from_ms - (double)trial->start_ms;
-  double left_ms = finish_time_ms (trial) - (double)from_ms;
-
-  if (trial->step + 1 != TRIAL_STEP_INCREASED || requests <= 0
-      || elapsed_ms <= 0 || left_ms <= 0)
-    return trial->extra_share;
-  return fmin (trial->exposure_slack * TRIAL_SLACK_PART
-                   / (requests / elapsed_ms * left_ms),
-               TRIAL_SHARE_MAX);
+  return fmin (fmax (left_ms / increased_step_ms, first), TRIAL_SHARE_MAX);
 }
 
 double
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -209,11 +209,6 @@
 /* Part of the operators' bound on the requests to the new version that all
    steps together may use.  */
 #define TRIAL_STEPS_EXPOSURE_PART 0.8
-/* Part of the operators' slack, a number of requests that the version may get
-   besides, that TRIAL_STEP_INCREASED may use.  XXX: the share follows from the
-   rate of requests before the step, and does not fall when traffic more than
-   doubles after it.  */
-#define TRIAL_SLACK_PART 0.25
 /* Share in TRIAL_STEP_INITIAL, as a part of the operators' bound.  */
 #define TRIAL_INITIAL_EXPOSURE_PART 0.7
 /* Largest share before the version is declared good.  */
@@ -373,17 +368,6 @@
 /* Return the time from which the step applies, by the store's clock.  */
 uint64_t trial_step_start_ms (const trial_t *trial);
 
-/* Set the number of requests that the version may get within the time limit
-   besides its part; 0 at first.  */
-void trial_set_exposure_slack (trial_t *trial, double requests);
-/* Set the part of the share in TRIAL_STEP_INCREASED that the slack allows, as
-   the row in the store holds it, so that all processes use the same.  */
-void trial_set_extra_share (trial_t *trial, double share);
-double trial_extra_share (const trial_t *trial);
-/* Return that part for the step after the current one, if it starts at
-   FROM_MS, by the rate of the requests that are known here.  */
-double trial_next_extra_share (const trial_t *trial, uint64_t from_ms);
-
 /* Return the new version's share of the requests at NOW_MS of the store's
    clock.  */
 double trial_share (const trial_t *trial, uint64_t now_ms);
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -57,9 +57,6 @@
   uint64_t order;
   uint64_t time_limit_ms;
   double exposure;
-  double exposure_slack; /* Requests that the version may get besides.  */
-  double extra_share;    /* Part of the share in TRIAL_STEP_INCREASED that the
-                            slack allows.  */
   uint64_t order_seen_ms;
   uint64_t start_ms;
   uint32_t step;
--- a/tests/gateway_processes.c
+++ b/tests/gateway_processes.c
@@ -145,7 +145,6 @@
 
 /* Part of the requests that a version may get within its time limit.  */
 static const double exposure_share = 0.15;
-static const double exposure_slack = 30;
 
 static const char configuration[]
     = "{\"version\":1,\"routes\":["
@@ -487,13 +486,12 @@
               "[process]\nname = %s\nrole = gateway\n"
               "availability-zone = zone-a\nadmin = %s:%u\n%s"
               "[gateway]\nlisten = %s:%u\nready = %s:%u\nkill-after-s = 4\n"
-              "exposure-share = %g\nexposure-slack = %g\n"
+              "exposure-share = %g\n"
               "extra-ratio = %g\nextra-slack = %g\nextra-window-s = %g\n"
               "[platform]\naddress = %.*s\n",
               gateway->name, host, gateway->ports[PORT_ADMIN], rpc, host,
               gateway->ports[PORT_CALLERS], host, gateway->ports[PORT_READY],
-              exposure_share, exposure_slack, p->options.budget.ratio,
-              p->options.budget.slack,
+              exposure_share, p->options.budget.ratio, p->options.budget.slack,
               (double)p->options.budget.window_ms / MS_PER_S,
               STR_ARG (http_store_address (gateway->store)));
   gateway->proc = harness_start (
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -37,7 +37,6 @@
                                   from half the time limit on.  */
   int bad_route; /* The one of four routes on which the version is bad; -1 for
                     all.  */
-  double exposure_slack;
   uint64_t surge_from_ms; /* Time from which SURGE_FACTOR times the requests
                              arrive, in ms after the order; 0 for never.  */
 } behavior_t;
@@ -62,7 +61,6 @@
   buf_t reason = BUF_NULL;
 
   trial_set_progress (trial, START_MS, 0, START_MS);
-  trial_set_exposure_slack (trial, version->exposure_slack);
   for (uint64_t ms = 0; ms < 2 * TIME_LIMIT_MS; ms += TICK_MS)
     {
       uint64_t now_ms = START_MS + ms;
@@ -114,9 +112,6 @@
         case TRIAL_DECISION_WITHDRAW: /* Only after the end.  */
           break;
         case TRIAL_DECISION_ADVANCE:
-          trial_set_extra_share (
-              trial,
-              trial_next_extra_share (trial, now_ms + TRIAL_STEP_NOTICE_MS));
           trial_set_progress (trial, START_MS, trial_step (trial) + 1,
                               now_ms + TRIAL_STEP_NOTICE_MS);
           break;
@@ -318,7 +313,6 @@
                 .latency_factor = 1,
                 .bad_route = -1,
                 .requests_per_tick = requests_per_tick,
-                .exposure_slack = slack,
                 .surge_from_ms = surge_ms };
         result_t result = run_rollout (&no_visible_fault, seed);
         if (result.phase == TRIAL_PHASE_ROLLED_BACK)
