trial: an answer has one flaw or none; messages of older processes are checked as before

A message of an older process with some of its weights was accepted since, where it had been refused; it is refused again, and the test checks that for each number of weights.

--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -169,11 +169,9 @@
     return;
   trial_count_answer (trial, relay_trial_arm (relay),
                       str_hash (upstream_id (relay->upstream), 0),
-                      !has_failed ? TRIAL_OUTCOME_ANSWERED
-                      : relay->is_connection_lost
-                          ? TRIAL_OUTCOME_CONNECTION_LOST
-                          : TRIAL_OUTCOME_FAILED,
-                      relay->has_bad_answer && !has_failed);
+                      has_failed              ? TRIAL_FLAW_FAILED
+                      : relay->has_bad_answer ? TRIAL_FLAW_LATE
+                                              : TRIAL_FLAW_NONE);
 }
 
 void
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -275,9 +275,7 @@
     {
       /* Instances of a rolled-back version stay registered for some time.
          They must not count as the old version of the next roll-out.  */
-      if (trial != NULL
-          && (trial_phase (trial) == TRIAL_PHASE_ROLLED_BACK
-              || trial_phase (trial) == TRIAL_PHASE_WITHDRAWN))
+      if (trial != NULL && trial_is_reverted (trial))
         pool_set_version_withdrawn (state->pool, spec.service,
                                     trial_version (trial), true);
       pool_set_version_withdrawn (state->pool, spec.service, spec.version,
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -92,6 +92,13 @@
   return names[phase];
 }
 
+bool
+trial_is_reverted (const trial_t *trial)
+{
+  return trial->phase == TRIAL_PHASE_ROLLED_BACK
+         || trial->phase == TRIAL_PHASE_WITHDRAWN;
+}
+
 void
 trial_set_phase (trial_t *trial, trial_phase_t phase)
 {
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -95,10 +95,11 @@
 #define TRIAL_FAILURE_STDERRS 3.0
 #define TRIAL_FIRST_EVENT_RATIO 3.0
 /* X (symbol, late, samples, stderrs, independence, name): the times that are
-   measured of a send.  A time is late when it exceeds LATE usual times at the
-   same load.  The version is bad when, over at least SAMPLES times, its share
-   of late ones exceeds the old version's by TRIAL_LATE_EXCESS and by STDERRS
-   standard errors.  In a likelihood one time counts as INDEPENDENCE times.
+   measured of a send.  A time is late when it exceeds LATE times the usual one
+   under the same conditions.  The version is bad when, over at least SAMPLES
+   times, its share of late ones exceeds the old version's by TRIAL_LATE_EXCESS
+   and by STDERRS standard errors.  In a likelihood one time counts as
+   INDEPENDENCE times.
 
    The time to the first event includes waiting behind other prompts, which
    delays all requests that are at one instance at the same time.  The gap
@@ -406,13 +407,22 @@
 void trial_set_process_id (trial_t *trial, uint64_t process_id);
 /* Count a bad answer of the new version: it failed, broke off or was late.  */
 void trial_count_bad_answer (trial_t *trial);
-/* Count an answer of an instance with hash INSTANCE.  IS_LATE: one of its
-   times was late.  */
+typedef enum
+{
+  TRIAL_FLAW_FAILED, /* Also a lost connection.  */
+  TRIAL_FLAW_LATE,
+  TRIAL_FLAW_NONE,
+  TRIAL_FLAW_COUNT = TRIAL_FLAW_NONE
+} trial_flaw_t;
+
+/* Count an answer with FLAW of an instance with hash INSTANCE.  */
 void trial_count_answer (trial_t *trial, trial_arm_t arm, uint64_t instance,
-                         trial_outcome_t outcome, bool is_late);
+                         trial_flaw_t flaw);
 /* Return whether the version was declared good and is watched at NOW_MS of the
    store's clock.  */
 bool trial_is_watched (const trial_t *trial, uint64_t now_ms);
+/* Return whether the version was rolled back or withdrawn.  */
+bool trial_is_reverted (const trial_t *trial);
 /* Return the number of bad answers of which this process knows.  */
 uint64_t trial_bad_answers (const trial_t *trial);
 /* Count the outcome of a send on a route with hash ROUTE.  WAIT_MS is the time
--- a/packages/policy/trial_evidence.c
+++ b/packages/policy/trial_evidence.c
@@ -229,7 +229,6 @@
   size_t cursor = 0;
   str_t key;
   void *value;
-
   bool is_running = trial->phase == TRIAL_PHASE_RUNNING;
 
   counts_decay (&trial->own_counts, is_running);
--- a/packages/policy/trial_message.c
+++ b/packages/policy/trial_message.c
@@ -145,6 +145,21 @@
   return VH_OK;
 }
 
+/* Read the weights of an older process from *REST, which may have none, and
+   leave them out.  */
+static vh_code_t
+read_older_weights (str_t *rest)
+{
+  double weight;
+
+  if (rest->ptr == NULL)
+    return VH_OK;
+  for (size_t i = 0; i < OLDER_WEIGHTS_COUNT; i++)
+    if (!read_number (rest, &weight))
+      return VH_E_PROTOCOL;
+  return VH_OK;
+}
+
 /* Read the start of a message from *TEXT.  Set *IS_OLDER to whether an older
    process wrote it, and *ORDER to its order.  */
 static vh_code_t
@@ -222,9 +237,8 @@
               || !read_number (&text, &sums->late_count[timing]))
             return VH_E_PROTOCOL;
       }
-  if (is_older)
-    skip_words (&text, OLDER_WEIGHTS_COUNT);
-  else if (read_weights (&text, &received) != VH_OK)
+  if ((is_older ? read_older_weights (&text) : read_weights (&text, &received))
+      != VH_OK)
     return VH_E_PROTOCOL;
   if (read_bad_answers (trial, text) != VH_OK)
     return VH_E_PROTOCOL;
--- a/packages/policy/trial_watch.c
+++ b/packages/policy/trial_watch.c
@@ -12,15 +12,15 @@
 
 void
 trial_count_answer (trial_t *trial, trial_arm_t arm, uint64_t instance,
-                    trial_outcome_t outcome, bool is_late)
+                    trial_flaw_t flaw)
 {
   size_t group = arm == TRIAL_ARM_OLD ? TRIAL_TALLY_OLD
                                       : instance % TRIAL_INSTANCE_GROUPS;
   trial_tally_t *tally = &trial->own_counts.tallies[group];
 
   tally->answers += 1;
-  tally->flawed[TRIAL_FLAW_FAILED] += outcome != TRIAL_OUTCOME_ANSWERED;
-  tally->flawed[TRIAL_FLAW_LATE] += is_late;
+  if (flaw != TRIAL_FLAW_NONE)
+    tally->flawed[flaw] += 1;
 }
 
 bool
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -21,13 +21,6 @@
   TRIAL_TALLIES
 };
 
-typedef enum
-{
-  TRIAL_FLAW_FAILED, /* Also lost connections.  */
-  TRIAL_FLAW_LATE,
-  TRIAL_FLAW_COUNT
-} trial_flaw_t;
-
 typedef struct
 {
   double answers;
--- a/tests/test_bad_version.c
+++ b/tests/test_bad_version.c
@@ -71,6 +71,22 @@
     }
 }
 
+/* Check that the version of the run NAME got no request too late and is rolled
+   back, and end PROCESSES.  */
+static void
+finish_reverted (gateway_processes_t *processes, const char *name)
+{
+  version_exposure_t exposure = gateway_processes_exposure (processes);
+
+  printf ("%s: %zu of %zu requests, %zu bad answers, %zu late requests\n",
+          name, exposure.new_requests, exposure.requests, exposure.bad_answers,
+          exposure.late_requests);
+  ck_assert_uint_eq (exposure.late_requests, 0);
+  ck_assert (gateway_processes_is_version (processes, "rolled_back"));
+  gateway_processes_finish (processes);
+  gateway_processes_destroy (processes, false);
+}
+
 /* Failure: a version of which half of the answers are bad gets requests long
    after its 50th bad answer, since the old version fails as well.  */
 START_TEST (bad_version_stays_in_a_trouble_of_both_versions)
@@ -86,14 +102,7 @@
   run (processes, TROUBLE_MS);
   set_trouble (processes, NULL, bad_share);
   run (processes, AFTER_MS);
-  version_exposure_t exposure = gateway_processes_exposure (processes);
-  printf ("%s: %zu of %zu requests, %zu bad answers, %zu late requests\n",
-          trouble->name, exposure.new_requests, exposure.requests,
-          exposure.bad_answers, exposure.late_requests);
-  ck_assert_uint_eq (exposure.late_requests, 0);
-  ck_assert (gateway_processes_is_version (processes, "rolled_back"));
-  gateway_processes_finish (processes);
-  gateway_processes_destroy (processes, false);
+  finish_reverted (processes, trouble->name);
 }
 END_TEST
 
@@ -138,13 +147,7 @@
   run (processes, SHORT_WITHIN_S * 1000);
   set_new_version_share (processes, badness->action, badness->share);
   run (processes, EXPOSED_MS);
-  version_exposure_t exposure = gateway_processes_exposure (processes);
-  printf ("%s: %zu bad answers, %zu late requests\n", badness->name,
-          exposure.bad_answers, exposure.late_requests);
-  ck_assert_uint_eq (exposure.late_requests, 0);
-  ck_assert (gateway_processes_is_version (processes, "rolled_back"));
-  gateway_processes_finish (processes);
-  gateway_processes_destroy (processes, false);
+  finish_reverted (processes, badness->name);
 }
 END_TEST
 
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -684,8 +684,10 @@
   trial_observe (trial, arm, (uint64_t)route, outcome,
                  outcome == TRIAL_OUTCOME_ANSWERED ? (uint64_t)wait_ms : 0,
                  false);
-  trial_count_answer (trial, arm, rng_below (rng, INSTANCES), outcome,
-                      is_slow);
+  trial_count_answer (trial, arm, rng_below (rng, INSTANCES),
+                      outcome != TRIAL_OUTCOME_ANSWERED ? TRIAL_FLAW_FAILED
+                      : is_slow                         ? TRIAL_FLAW_LATE
+                                                        : TRIAL_FLAW_NONE);
   return is_slow || outcome != TRIAL_OUTCOME_ANSWERED;
 }
 
@@ -902,18 +904,16 @@
       trial_set_phase (trial, TRIAL_PHASE_DONE);
       for (int i = 0; i < 1000; i++)
         trial_count_answer (trial, TRIAL_ARM_OLD, 0,
-                            i % 100 == 0 ? TRIAL_OUTCOME_FAILED
-                                         : TRIAL_OUTCOME_ANSWERED,
-                            false);
+                            i % 100 == 0 ? TRIAL_FLAW_FAILED
+                                         : TRIAL_FLAW_NONE);
       for (int i = 0; i < 1000; i++)
         {
           uint64_t instance = rng_below (&rng, SERVICE_INSTANCES);
           bool has_failed = instance < cases[at].failing_instances
                             && rng_double (&rng) < cases[at].failure_share;
           trial_count_answer (trial, TRIAL_ARM_NEW, instance,
-                              has_failed ? TRIAL_OUTCOME_FAILED
-                                         : TRIAL_OUTCOME_ANSWERED,
-                              false);
+                              has_failed ? TRIAL_FLAW_FAILED
+                                         : TRIAL_FLAW_NONE);
           if (has_failed)
             trial_count_bad_answer (trial);
         }
@@ -938,8 +938,7 @@
   trial_set_phase (trial, TRIAL_PHASE_DONE);
   for (uint64_t i = 0; i < 200; i++)
     {
-      trial_count_answer (trial, TRIAL_ARM_NEW, i, TRIAL_OUTCOME_FAILED,
-                          false);
+      trial_count_answer (trial, TRIAL_ARM_NEW, i, TRIAL_FLAW_FAILED);
       trial_count_bad_answer (trial);
     }
   ck_assert_int_eq (
@@ -1116,7 +1115,12 @@
   ck_assert_int_eq (trial_merge (trial, STR ("one"), true, buf_str (&text)),
                     VH_OK);
   for (size_t i = 0; i < older_weights_count; i++)
-    buf_append_str (&text, STR (" 1"));
+    {
+      buf_append_str (&text, STR (" 1"));
+      ck_assert_int_eq (
+          trial_merge (trial, STR ("one"), true, buf_str (&text)),
+          i + 1 < older_weights_count ? VH_E_PROTOCOL : VH_OK);
+    }
   buf_append_str (&text, STR (" a1=12"));
   ck_assert_int_eq (trial_merge (trial, STR ("one"), true, buf_str (&text)),
                     VH_OK);
