--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -11,5 +11,6 @@
 vh_test (test_ratelimit DEPENDS vh_policy)
 vh_test (test_sendbudget DEPENDS vh_policy)
 target_sources (test_sendbudget PRIVATE budget_fleet.c budget_window.c)
-vh_test (test_trial DEPENDS vh_policy)
+# The model of roll-outs, of the bench.
+vh_test (test_trial DEPENDS vh_rollout_model)
 vh_test (test_regression DEPENDS vh_policy)
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -2,6 +2,7 @@
    answers drawn from a seed.  */
 
 #include "policy/trial.h"
+#include "rollout_model.h"
 #include "suite.h"
 
 #include "base/rng.h"
@@ -593,157 +594,13 @@
 }
 END_TEST
 
-/* A trouble that both versions have, from TROUBLE_FROM_PART of the time limit
-   until TROUBLE_AFTER_MS after it.  */
-typedef struct
-{
-  const char *name;
-  double failure_share; /* Share of the answers that fail.  */
-  double lost_share;    /* Share of the connections that are lost.  */
-  double unseen_share;  /* Share of the requests that have no outcome: their
-                           callers leave early, or there is no instance.  */
-  double wait_factor;   /* Factor on the time to the first event.  */
-} trouble_t;
-
-/* How a version is bad.  */
-typedef struct
-{
-  const char *name;
-  double failure_share;
-  double lost_share;
-  double slow_share; /* Share of the answers that are eight times as slow.  */
-  int bad_route;     /* The one of three routes on which it is bad; -1: all. */
-  double bad_from_part; /* Part of the time limit from which it is bad.  */
-} badness_t;
-
-typedef struct
-{
-  uint64_t time_limit_ms;
-  int requests_per_s;
-} masked_setting_t;
-
-#define TROUBLE_FROM_PART 0.4
-
 enum
 {
-  TROUBLE_AFTER_MS = 2000,
-  MASKED_AFTER_MS = 16000, /* Simulated time after the time limit.  */
-  MASKED_ROUTES = 3,
-  INSTANCES = 9,
   SERVICE_INSTANCES = 24,
-  SLOW_FACTOR = 8,
-  /* Promise of the users: a bad version gets no request that is sent later
-     than LATE_AFTER_MS after its bad answer number BAD_ANSWERS.  */
-  BAD_ANSWERS = 50,
-  LATE_AFTER_MS = 5000
+  SLOW_FACTOR = 8
 };
 
-typedef struct
-{
-  trial_phase_t phase;
-  unsigned bad_answers;
-  unsigned late_requests;
-} masked_result_t;
-
-/* Simulate one send to ARM, MS after the order.  Return whether its answer is
-   bad.  */
-static bool
-simulate_send (trial_t *trial, rng_t *rng, trial_arm_t arm, uint64_t ms,
-               const badness_t *badness, const trouble_t *trouble)
-{
-  double limit_ms = (double)trial_time_limit_ms (trial);
-  static const trouble_t calm = { .wait_factor = 1 };
-  static const badness_t good = { 0 };
-  int route = (int)rng_below (rng, MASKED_ROUTES);
-  bool is_bad = arm == TRIAL_ARM_NEW
-                && (double)ms >= badness->bad_from_part * limit_ms
-                && (badness->bad_route < 0 || badness->bad_route == route);
-  trial_outcome_t outcome = TRIAL_OUTCOME_ANSWERED;
-
-  trial_count_request (trial, (uint64_t)route);
-  if ((double)ms < TROUBLE_FROM_PART * limit_ms
-      || (double)ms > limit_ms + TROUBLE_AFTER_MS)
-    trouble = &calm;
-  if (!is_bad)
-    badness = &good;
-  double wait_ms = (50 + rng_double (rng) * 100) * trouble->wait_factor;
-  bool is_slow = rng_double (rng) < badness->slow_share;
-  if (is_slow)
-    wait_ms *= SLOW_FACTOR;
-  if (rng_double (rng) < trouble->unseen_share)
-    return false;
-  if (rng_double (rng) < trouble->failure_share
-      || rng_double (rng) < badness->failure_share || rng_double (rng) < 0.005)
-    outcome = TRIAL_OUTCOME_FAILED;
-  else if (rng_double (rng) < trouble->lost_share
-           || rng_double (rng) < badness->lost_share)
-    outcome = TRIAL_OUTCOME_CONNECTION_LOST;
-  if (outcome == TRIAL_OUTCOME_ANSWERED)
-    observe_time (trial, arm, (uint64_t)route, TRIAL_TIMING_FIRST_EVENT, 4,
-                  wait_ms, START_MS + ms);
-  trial_observe (trial, arm, (uint64_t)route, outcome,
-                 outcome == TRIAL_OUTCOME_ANSWERED ? (uint64_t)wait_ms : 0,
-                 false);
-  trial_count_answer (trial, arm, rng_below (rng, INSTANCES),
-                      outcome != TRIAL_OUTCOME_ANSWERED ? TRIAL_FLAW_FAILED
-                      : is_slow                         ? TRIAL_FLAW_LATE
-                                                        : TRIAL_FLAW_NONE);
-  return is_slow || outcome != TRIAL_OUTCOME_ANSWERED;
-}
-
-/* Simulate the roll-out of a version and the time after it.  */
-static masked_result_t
-run_masked_rollout (const badness_t *badness, const trouble_t *trouble,
-                    const masked_setting_t *setting, uint64_t seed)
-{
-  trial_t *trial = trial_create (STR ("llm"), STR ("v2"), 1,
-                                 setting->time_limit_ms, EXPOSURE);
-  rng_t rng = rng_make (seed);
-  masked_result_t result = { 0 };
-  uint64_t late_from_ms = UINT64_MAX;
-  buf_t reason = BUF_NULL;
-
-  trial_set_progress (trial, START_MS, 0, START_MS);
-  for (uint64_t ms = 0; ms < setting->time_limit_ms + MASKED_AFTER_MS;
-       ms += TICK_MS)
-    {
-      uint64_t now_ms = START_MS + ms;
-      for (int i = 0; i < setting->requests_per_s * TICK_MS / 1000; i++)
-        {
-          trial_arm_t arm = trial_is_assigned (trial, rng_u64 (&rng), now_ms)
-                                ? TRIAL_ARM_NEW
-                                : TRIAL_ARM_OLD;
-          result.late_requests += arm == TRIAL_ARM_NEW && ms > late_from_ms;
-          if (!simulate_send (trial, &rng, arm, ms, badness, trouble)
-              || arm != TRIAL_ARM_NEW)
-            continue;
-          if (++result.bad_answers == BAD_ANSWERS)
-            late_from_ms = ms + LATE_AFTER_MS;
-          trial_count_bad_answer (trial);
-        }
-      if (ms % 1000 == 0)
-        trial_decay (trial);
-      if (trial_phase (trial) == TRIAL_PHASE_ROLLED_BACK
-          || trial_phase (trial) == TRIAL_PHASE_WITHDRAWN)
-        continue;
-      trial_decision_t decision = trial_decide (trial, now_ms, false, &reason);
-      if (decision == TRIAL_DECISION_ADVANCE && ms % 1000 == 0)
-        trial_set_progress (trial, START_MS, trial_step (trial) + 1,
-                            now_ms + TRIAL_STEP_NOTICE_MS);
-      else if (decision == TRIAL_DECISION_ROLL_BACK)
-        trial_set_phase (trial, TRIAL_PHASE_ROLLED_BACK);
-      else if (decision == TRIAL_DECISION_FINISH)
-        trial_set_phase (trial, TRIAL_PHASE_DONE);
-      else if (decision == TRIAL_DECISION_WITHDRAW)
-        trial_set_phase (trial, TRIAL_PHASE_WITHDRAWN);
-    }
-  result.phase = trial_phase (trial);
-  buf_free (&reason);
-  trial_destroy (trial);
-  return result;
-}
-
-static const badness_t ways_of_being_bad[] = {
+static const rollout_badness_t ways_of_being_bad[] = {
   { "errors", .failure_share = 0.5, .bad_route = -1 },
   { "slow", .slow_share = 0.5, .bad_route = -1 },
   { "breaks off", .lost_share = 0.5, .bad_route = -1 },
@@ -752,7 +609,7 @@
     .bad_from_part = 0.6 },
 };
 
-static const trouble_t common_troubles[] = {
+static const rollout_trouble_t common_troubles[] = {
   { "none", .wait_factor = 1 },
   { "a third fails", .failure_share = 0.35, .wait_factor = 1 },
   { "most fail", .failure_share = 0.8, .wait_factor = 1 },
@@ -767,34 +624,35 @@
    leaves hardly any of its answers.  It would be declared good.  */
 START_TEST (bad_version_accepted_in_a_common_trouble)
 {
-  static const masked_setting_t settings[]
+  static const rollout_setting_t settings[]
       = { { 16000, 30 }, { 24000, 30 }, { 24000, 120 }, { 40000, 120 } };
-  const badness_t *badness = &ways_of_being_bad[_i];
+  const rollout_badness_t *badness = &ways_of_being_bad[_i];
   size_t troubles = sizeof common_troubles / sizeof common_troubles[0];
 
   for (size_t at = 0; at < sizeof settings / sizeof settings[0]; at++)
     for (size_t i = 0; i < troubles; i++)
       for (uint64_t seed = 1; seed <= 40; seed++)
         {
-          masked_result_t result = run_masked_rollout (
+          rollout_result_t result = rollout_model_run (
               badness, &common_troubles[i], &settings[at], seed);
           ck_assert_msg (result.late_requests == 0,
                          "%s while %s, setting %zu, seed %d: %u requests "
                          "later than %d ms after bad answer %d, phase %s",
                          badness->name, common_troubles[i].name, at, (int)seed,
-                         result.late_requests, LATE_AFTER_MS, BAD_ANSWERS,
-                         trial_phase_name (result.phase));
+                         result.late_requests, ROLLOUT_LATE_AFTER_MS,
+                         ROLLOUT_BAD_ANSWERS, trial_phase_name (result.phase));
         }
 }
 END_TEST
 
-static const badness_t small_ways_of_being_bad[] = {
+static const rollout_badness_t small_ways_of_being_bad[] = {
   { "a sixth fails", .failure_share = 0.15, .bad_route = -1 },
   { "a quarter fails", .failure_share = 0.25, .bad_route = -1 },
   { "a sixth is slow", .slow_share = 0.15, .bad_route = -1 },
   { "a quarter is slow", .slow_share = 0.25, .bad_route = -1 },
   { "a sixth breaks off", .lost_share = 0.15, .bad_route = -1 },
   { "a quarter of one route fails", .failure_share = 0.25, .bad_route = 1 },
+  { "a sixth of one route fails", .failure_share = 0.15, .bad_route = 1 },
   { "a third of one route is slow", .slow_share = 0.35, .bad_route = 1 },
   { "fails after it was declared good", .failure_share = 0.25, .bad_route = -1,
     .bad_from_part = 1.1 },
@@ -808,21 +666,23 @@
    do not show it.  It would keep all requests after it was declared good.  */
 START_TEST (bad_version_stays_after_it_was_declared_good)
 {
-  static const masked_setting_t settings[]
-      = { { 8000, 30 }, { 16000, 30 }, { 24000, 30 }, { 16000, 120 } };
-  static const trouble_t calm = { .wait_factor = 1 };
-  const badness_t *badness = &small_ways_of_being_bad[_i];
+  static const rollout_setting_t settings[]
+      = { { 8000, 30 },   { 16000, 30 },  { 24000, 30 },
+          { 16000, 120 }, { 16000, 300 }, { 30000, 300 } };
+  static const rollout_trouble_t calm = { .wait_factor = 1 };
+  const rollout_badness_t *badness = &small_ways_of_being_bad[_i];
 
   for (size_t at = 0; at < sizeof settings / sizeof settings[0]; at++)
-    for (uint64_t seed = 1; seed <= 40; seed++)
+    for (uint64_t seed = 1;
+         seed <= (settings[at].requests_per_s < 300 ? 40 : 8); seed++)
       {
-        masked_result_t result
-            = run_masked_rollout (badness, &calm, &settings[at], seed);
+        rollout_result_t result
+            = rollout_model_run (badness, &calm, &settings[at], seed);
         ck_assert_msg (result.late_requests == 0,
                        "%s, setting %zu, seed %d: %u requests later than "
                        "%d ms after bad answer %d, phase %s",
                        badness->name, at, (int)seed, result.late_requests,
-                       LATE_AFTER_MS, BAD_ANSWERS,
+                       ROLLOUT_LATE_AFTER_MS, ROLLOUT_BAD_ANSWERS,
                        trial_phase_name (result.phase));
       }
 }
