trial: losses on most instances count in full, and routes by themselves

Cause: with 40 bad answers a version under trial stayed while its evidence showed it good, in which a lost connection counts half, for the crashes of single instances; a share of 0.15 then looks like 0.075. And in service the failures of one route were compared with the answers of all.

--- a/bench/rollout_model.c
+++ b/bench/rollout_model.c
@@ -65,7 +65,7 @@
   trial_observe (trial, arm, (uint64_t)route, outcome,
                  outcome == TRIAL_OUTCOME_ANSWERED ? (uint64_t)wait_ms : 0,
                  false);
-  trial_count_answer (trial, arm, rng_below (rng, INSTANCES),
+  trial_count_answer (trial, arm, (uint64_t)route, rng_below (rng, INSTANCES),
                       outcome != TRIAL_OUTCOME_ANSWERED ? TRIAL_FLAW_FAILED
                       : is_slow                         ? TRIAL_FLAW_LATE
                                                         : TRIAL_FLAW_NONE);
--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -243,7 +243,9 @@
                           uint64_t now_ms)
 {
   if (trial->bad_answers_sum < TRIAL_BAD_ANSWERS_MAX
-      || trial_is_shown_good (counts) || now_ms < trial->acceptable_ms)
+      || now_ms < trial->acceptable_ms
+      || (trial_is_shown_good (counts)
+          && !trial_is_bad_at_most_instances (counts, NULL)))
     trial->acceptable_ms = now_ms;
   return now_ms - trial->acceptable_ms >= TRIAL_BAD_ANSWERS_WAIT_MS;
 }
@@ -259,7 +261,7 @@
 
   if (trial_is_watched (trial, now_ms))
     return !is_store_down && trial->bad_answers_sum >= TRIAL_BAD_ANSWERS_MAX
-                   && trial_is_bad_in_service (&all, reason)
+                   && trial_is_bad_at_most_instances (&all, reason)
                ? TRIAL_DECISION_WITHDRAW
                : TRIAL_DECISION_WAIT;
   if (trial->phase != TRIAL_PHASE_RUNNING || trial->start_ms == 0)
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -193,6 +193,9 @@
 #define TRIAL_WATCH_EXCESS 0.05
 #define TRIAL_WATCH_GOOD_EXCESS 0.02
 #define TRIAL_WATCH_LOG_RATIO 3.0
+/* The same over the answers of a group of routes alone; larger, as there are
+   several.  */
+#define TRIAL_WATCH_ROUTE_LOG_RATIO 4.5
 /* Logarithms of the likelihood ratio, of one of TRIAL_SLOW_VERSIONS against a
    version with the old one's times, from which a version in service is slow,
    over gaps between events, and over first events where there are no gaps.  */
@@ -415,9 +418,10 @@
   TRIAL_FLAW_COUNT = TRIAL_FLAW_NONE
 } trial_flaw_t;
 
-/* Count an answer with FLAW of an instance with hash INSTANCE.  */
-void trial_count_answer (trial_t *trial, trial_arm_t arm, uint64_t instance,
-                         trial_flaw_t flaw);
+/* Count an answer with FLAW of an instance with hash INSTANCE, on a route with
+   hash ROUTE.  */
+void trial_count_answer (trial_t *trial, trial_arm_t arm, uint64_t route,
+                         uint64_t instance, trial_flaw_t flaw);
 /* Return whether the version was declared good and is watched at NOW_MS of the
    store's clock.  */
 bool trial_is_watched (const trial_t *trial, uint64_t now_ms);
--- a/packages/policy/trial_message.c
+++ b/packages/policy/trial_message.c
@@ -9,7 +9,7 @@
 enum
 {
   TIMES_COUNT = TRIAL_ARM_COUNT * TRIAL_TIMING_COUNT * (TRIAL_TIME_BINS + 1),
-  TALLIES_COUNT = (1 + TRIAL_FLAW_COUNT) * TRIAL_TALLIES,
+  TALLIES_COUNT = (1 + TRIAL_FLAW_COUNT) * TRIAL_ROUTE_CELLS * TRIAL_TALLIES,
   /* Number of sums in a message.  */
   SUMS_COUNT = TRIAL_ARM_COUNT * TRIAL_CELL_COUNT
                * (int)(sizeof (trial_sums_t) / sizeof (double)),
@@ -95,9 +95,10 @@
     }
   for (size_t i = 0; i < TIMES_COUNT; i++)
     buf_printf (out, " %.4g", (&counts.times[0][0][0])[i]);
-  for (size_t group = 0; group < TRIAL_TALLIES; group++)
+  for (size_t i = 0; i < (size_t)TRIAL_ROUTE_CELLS * TRIAL_TALLIES; i++)
     {
-      const trial_tally_t *tally = &counts.tallies[group];
+      const trial_tally_t *tally
+          = &counts.tallies[i / TRIAL_TALLIES][i % TRIAL_TALLIES];
       buf_printf (out, " %.4g", tally->answers);
       for (size_t flaw = 0; flaw < TRIAL_FLAW_COUNT; flaw++)
         buf_printf (out, " %.4g", tally->flawed[flaw]);
@@ -133,9 +134,10 @@
   for (size_t i = 0; i < TIMES_COUNT; i++)
     if (!read_number (rest, &(&counts->times[0][0][0])[i]))
       return VH_E_PROTOCOL;
-  for (size_t group = 0; group < TRIAL_TALLIES; group++)
+  for (size_t i = 0; i < (size_t)TRIAL_ROUTE_CELLS * TRIAL_TALLIES; i++)
     {
-      trial_tally_t *tally = &counts->tallies[group];
+      trial_tally_t *tally
+          = &counts->tallies[i / TRIAL_TALLIES][i % TRIAL_TALLIES];
       if (!read_number (rest, &tally->answers))
         return VH_E_PROTOCOL;
       for (size_t flaw = 0; flaw < TRIAL_FLAW_COUNT; flaw++)
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -31,9 +31,9 @@
 {
   trial_sums_t sums[TRIAL_ARM_COUNT][TRIAL_CELL_COUNT];
   trial_likelihoods_t likelihoods[TRIAL_ROUTE_CELLS];
-  /* Answers of the new version by group of instances, with a decay, and at
-     TRIAL_TALLY_OLD those of the old version since the start.  */
-  trial_tally_t tallies[TRIAL_TALLIES];
+  /* Answers by group of routes: of the new version by group of instances, with
+     a decay, and at TRIAL_TALLY_OLD of the old version since the start.  */
+  trial_tally_t tallies[TRIAL_ROUTE_CELLS][TRIAL_TALLIES];
   /* Histograms of times as logarithms of ratios to the usual time, and in the
      last place waits for a first event that ended without one and were not
      late.  */
@@ -126,9 +126,11 @@
 void trial_tallies_add (trial_counts_t *to, const trial_counts_t *from);
 /* Let a second pass for the tallies of the new version.  */
 void trial_tallies_decay (trial_counts_t *counts);
-/* Return whether COUNTS show that a version in service is bad; if so, append
-   the reason to REASON.  */
-bool trial_is_bad_in_service (const trial_counts_t *counts, buf_t *reason);
+/* Return whether COUNTS show that most instances of the new version give more
+   bad answers than the old version did; if so, append the reason to REASON,
+   which may be NULL.  */
+bool trial_is_bad_at_most_instances (const trial_counts_t *counts,
+                                     buf_t *reason);
 /* Return whether a step that has lasted IN_STEP_MS, with a minimum length of
    STEP_MIN_MS, may advance.  An excess of late answers of at least STDERRS
    standard errors prevents the advance.  */
--- a/tests/test_trial.c
+++ b/tests/test_trial.c
@@ -763,7 +763,7 @@
       trial_set_progress (trial, START_MS, TRIAL_STEP_INCREASED, START_MS);
       trial_set_phase (trial, TRIAL_PHASE_DONE);
       for (int i = 0; i < 1000; i++)
-        trial_count_answer (trial, TRIAL_ARM_OLD, 0,
+        trial_count_answer (trial, TRIAL_ARM_OLD, 0, 0,
                             i % 100 == 0 ? TRIAL_FLAW_FAILED
                                          : TRIAL_FLAW_NONE);
       for (int i = 0; i < 1000; i++)
@@ -771,7 +771,7 @@
           uint64_t instance = rng_below (&rng, SERVICE_INSTANCES);
           bool has_failed = instance < cases[at].failing_instances
                             && rng_double (&rng) < cases[at].failure_share;
-          trial_count_answer (trial, TRIAL_ARM_NEW, instance,
+          trial_count_answer (trial, TRIAL_ARM_NEW, 0, instance,
                               has_failed ? TRIAL_FLAW_FAILED
                                          : TRIAL_FLAW_NONE);
           if (has_failed)
@@ -798,7 +798,7 @@
   trial_set_phase (trial, TRIAL_PHASE_DONE);
   for (uint64_t i = 0; i < 200; i++)
     {
-      trial_count_answer (trial, TRIAL_ARM_NEW, i, TRIAL_FLAW_FAILED);
+      trial_count_answer (trial, TRIAL_ARM_NEW, 0, i, TRIAL_FLAW_FAILED);
       trial_count_bad_answer (trial);
     }
   ck_assert_int_eq (
