--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -183,6 +183,31 @@
   buf_free (&event);
 }
 
+static void
+append_stream_head (conn_t *conn, fake_action_t action, buf_t *out)
+{
+  append_head (conn, "200 OK", out);
+  if (action == ACT_STREAM_LOW_CONFIDENCE)
+    buf_printf (out, "%.*s: 10\r\n",
+                STR_ARG (conn->upstream->names->confidence));
+  buf_append_str (out, STR ("Transfer-Encoding: chunked\r\n\r\n"));
+}
+
+/* Send the whole stream at the end of the pause.  */
+static void
+on_late_timer (uv_timer_t *timer)
+{
+  conn_t *conn = timer->data;
+  buf_t out = BUF_NULL;
+
+  append_stream_head (conn, ACT_STREAM_LATE, &out);
+  append_events (0, STREAM_EVENTS, &out);
+  buf_append_str (&out, STR ("0\r\n\r\n"));
+  conn->has_answered = true;
+  conn_send (conn, &out);
+  buf_free (&out);
+}
+
 /* Send the events after the second one at the end of the pause.  */
 static void
 on_pause_timer (uv_timer_t *timer)
@@ -202,12 +227,13 @@
 {
   uint64_t after = 0;
 
+  if (action == ACT_STREAM_LATE)
+    {
+      uv_timer_start (&conn->timer, on_late_timer, STREAM_PAUSE_MS, 0);
+      return;
+    }
   str_to_u64 (request_header (conn, "last-event-id"), &after);
-  append_head (conn, "200 OK", out);
-  if (action == ACT_STREAM_LOW_CONFIDENCE)
-    buf_printf (out, "%.*s: 10\r\n",
-                STR_ARG (conn->upstream->names->confidence));
-  buf_append_str (out, STR ("Transfer-Encoding: chunked\r\n\r\n"));
+  append_stream_head (conn, action, out);
   bool is_complete = action == ACT_STREAM
                      || action == ACT_STREAM_LOW_CONFIDENCE
                      || action == ACT_STREAM_BIG_EVENT;
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -31,6 +31,7 @@
   ACT_STREAM_LOW_CONFIDENCE, /* A complete stream, low confidence.  */
   ACT_STREAM_STALL,          /* Two events; the connection stays open.  */
   ACT_STREAM_PAUSE,          /* A complete stream with one pause.  */
+  ACT_STREAM_LATE,           /* A complete stream after such a pause.  */
   ACT_STREAM_BIG_EVENT       /* A stream of one event of BIG_EVENT_BYTES.  */
 } fake_action_t;
 
--- a/tests/gateway_chaos.c
+++ b/tests/gateway_chaos.c
@@ -36,6 +36,9 @@
   ORDER_MS_SPAN = 6000,
   WITHIN_S_MIN = 12,
   WITHIN_S_SPAN = 14,
+  VERSION_SEED = 0x51, /* Tells the seed's draws for the version apart.  */
+  /* Longest time after the time limit at which a version turns bad.  */
+  BAD_AFTER_S_MAX = 4,
   MS_PER_S = 1000
 };
 
@@ -80,6 +83,10 @@
   uint64_t order_ms; /* Time after the start at which a version is ordered.  */
   bool is_ordered;
   bool is_version_bad;
+  fake_action_t bad_action;
+  double bad_share;     /* Part of the requests that get BAD_ACTION.  */
+  uint64_t bad_from_ms; /* Time after the start from which they do.  */
+  bool is_spoiled;      /* It is that time.  */
 } chaos_t;
 
 struct fault
@@ -286,13 +293,15 @@
     gateway_processes_send_bad_part (chaos->processes);
 }
 
-/* Order a version, in most runs a bad one, if it is time.  */
+/* Order a version, in most runs a bad one, if it is time.  How bad it is, and
+   from when, follows from the seed alone, so that the other draws stay.  */
 static void
 order_version (chaos_t *chaos)
 {
   static const fake_action_t bad_actions[]
       = { ACT_ERROR, ACT_RESET, ACT_STREAM_CUT_IN_EVENT, ACT_TRUNCATE_BODY };
-  static const double bad_shares[] = { 0.5, 0.17, 0.3 };
+  static const double bad_shares[] = { 0.1, 0.15, 0.25, 0.35, 0.5, 0.8 };
+  rng_t rng = rng_make (args.seed ^ VERSION_SEED);
   uint64_t now_ms = harness_now_ms () - chaos->start_ms;
 
   if (!args.is_variant[VARIANT_VERSIONS] || chaos->is_ordered
@@ -300,18 +309,38 @@
     return;
   chaos->is_ordered = true;
   chaos->is_version_bad = rng_below (&chaos->rng, 4) != 0;
-  fake_action_t action = bad_actions[rng_below (
+  chaos->bad_action = bad_actions[rng_below (
       &chaos->rng, sizeof bad_actions / sizeof bad_actions[0])];
   unsigned within_s
       = (unsigned)(WITHIN_S_MIN + rng_below (&chaos->rng, WITHIN_S_SPAN));
-  double share
-      = chaos->is_version_bad
-            ? bad_shares[args.seed % (sizeof bad_shares / sizeof *bad_shares)]
-            : 0;
-  gateway_processes_order_version (chaos->processes, within_s, action, share);
-  printf (
-      "%7.3f order of a version that is bad in %g within %u s, action %d\n",
-      (double)now_ms / MS_PER_S, share, within_s, (int)action);
+  chaos->bad_share
+      = bad_shares[rng_below (&rng, sizeof bad_shares / sizeof bad_shares[0])];
+  if (rng_below (&rng, 5) == 0)
+    chaos->bad_action = ACT_STREAM_LATE;
+  chaos->bad_from_ms = now_ms;
+  if (rng_below (&rng, 3) == 0)
+    chaos->bad_from_ms
+        += rng_below (&rng, (within_s + BAD_AFTER_S_MAX) * MS_PER_S);
+  gateway_processes_order_version (chaos->processes, within_s,
+                                   chaos->bad_action, 0);
+  printf ("%7.3f order of a %s version within %u s, action %d in %g from "
+          "%.3f s on\n",
+          (double)now_ms / MS_PER_S, chaos->is_version_bad ? "bad" : "good",
+          within_s, (int)chaos->bad_action,
+          chaos->is_version_bad ? chaos->bad_share : 0,
+          (double)chaos->bad_from_ms / MS_PER_S);
+}
+
+/* Let a bad version be bad if it is time.  */
+static void
+spoil_version (chaos_t *chaos)
+{
+  if (!chaos->is_ordered || !chaos->is_version_bad || chaos->is_spoiled
+      || harness_now_ms () - chaos->start_ms < chaos->bad_from_ms)
+    return;
+  chaos->is_spoiled = true;
+  gateway_processes_set_version_share (chaos->processes, chaos->bad_action,
+                                       chaos->bad_share);
 }
 
 /* Store.  */
@@ -549,6 +578,7 @@
       for (size_t i = 0; i < FAULT_SLOTS; i++)
         step_slot (chaos, &chaos->slots[i]);
       order_version (chaos);
+      spoil_version (chaos);
       restart_ended_gateways (chaos);
       restart_crashed_instances (chaos);
       gateway_processes_run (chaos->processes, STEP_MS);
--- a/tests/gateway_processes.c
+++ b/tests/gateway_processes.c
@@ -703,6 +703,16 @@
 
 /* Roll-outs.  */
 
+void
+gateway_processes_set_version_share (gateway_processes_t *p,
+                                     fake_action_t action, double share)
+{
+  size_t count = gateway_processes_instance_count (p, SERVICE_ENGINE);
+
+  for (size_t i = p->options.instances[SERVICE_ENGINE]; i < count; i++)
+    fake_upstream_set_share (p->instances[SERVICE_ENGINE][i], action, share);
+}
+
 void
 gateway_processes_order_version (gateway_processes_t *p, unsigned within_s,
                                  fake_action_t action, double share)
@@ -714,11 +724,9 @@
   p->version
       = (ordered_version_t){ .ordered_ms = uv_now (&p->loop),
                              .time_limit_ms = (uint64_t)within_s * MS_PER_S };
+  gateway_processes_set_version_share (p, action, share);
   for (size_t i = p->options.instances[SERVICE_ENGINE]; i < count; i++)
-    {
-      fake_upstream_set_share (p->instances[SERVICE_ENGINE][i], action, share);
-      register_instance (p, SERVICE_ENGINE, i);
-    }
+    register_instance (p, SERVICE_ENGINE, i);
   snprintf (order, sizeof order,
             "{\"service\":\"engine\",\"to\":\"v2\",\"withinS\":%u}", within_s);
   fake_rows_put (p->rows, ROWS_OPERATOR, "rollout/engine", order);
--- a/tests/gateway_processes.h
+++ b/tests/gateway_processes.h
@@ -117,6 +117,10 @@
 
 /* Roll-out of a version of SERVICE_ENGINE.  */
 
+/* Let the instances of the new version react to SHARE of the requests with
+   ACTION.  */
+void gateway_processes_set_version_share (gateway_processes_t *processes,
+                                          fake_action_t action, double share);
 /* Start the new instances and order their version within WITHIN_S.  They react
    to SHARE of the requests with ACTION.  */
 void gateway_processes_order_version (gateway_processes_t *processes,
--- a/tests/test_bad_version.c
+++ b/tests/test_bad_version.c
@@ -106,20 +106,6 @@
 }
 END_TEST
 
-/* Set the part of the requests to which the instances of the new version react
-   with ACTION.  */
-static void
-set_new_version_share (gateway_processes_t *processes, fake_action_t action,
-                       double share)
-{
-  size_t count = gateway_processes_instance_count (processes, SERVICE_ENGINE);
-
-  for (size_t i = options.instances[SERVICE_ENGINE]; i < count; i++)
-    fake_upstream_set_share (
-        gateway_processes_instance (processes, SERVICE_ENGINE, i), action,
-        share);
-}
-
 typedef struct
 {
   const char *name;
@@ -145,7 +131,8 @@
   gateway_processes_order_version (processes, SHORT_WITHIN_S, badness->action,
                                    share_before);
   run (processes, SHORT_WITHIN_S * 1000);
-  set_new_version_share (processes, badness->action, badness->share);
+  gateway_processes_set_version_share (processes, badness->action,
+                                       badness->share);
   run (processes, EXPOSED_MS);
   finish_reverted (processes, badness->name);
 }
