roll-outs: the routes of a service are spread over the groups of answers

Cause: the group of a route was the hash of its name modulo 4.

Change: catalog_group_routes gives the routes of a service groups in turn, in the order of the hashes of their names, so that all gateways agree.

--- a/packages/gateway/catalog.c
+++ b/packages/gateway/catalog.c
@@ -158,6 +158,69 @@
   catalog->limits = *limits;
 }
 
+static str_t
+first_service (const route_t *route)
+{
+  return route->service_count > 0 ? route->services[0].service : STR ("");
+}
+
+static int
+compare_strings (str_t a, str_t b)
+{
+  int order = memcmp (a.ptr, b.ptr, a.len < b.len ? a.len : b.len);
+
+  return order != 0 ? order : (a.len > b.len) - (a.len < b.len);
+}
+
+/* Compare two routes by the first service and by the hash of the name.  */
+static int
+compare_routes (const void *a, const void *b)
+{
+  const route_t *x = *(route_t *const *)a;
+  const route_t *y = *(route_t *const *)b;
+  uint64_t hash_x = str_hash (x->name, 0);
+  uint64_t hash_y = str_hash (y->name, 0);
+  int order = compare_strings (first_service (x), first_service (y));
+
+  if (order != 0)
+    return order;
+  return hash_x != hash_y ? (hash_x > hash_y) - (hash_x < hash_y)
+                          : compare_strings (x->name, y->name);
+}
+
+void
+catalog_group_routes (catalog_t *catalog, uint32_t cell_count)
+{
+  size_t count = map_size (catalog->routes);
+  route_t **routes = mem_alloc ((count + 1) * sizeof (route_t *));
+  size_t used[CATALOG_CELLS_MAX];
+  size_t cursor = 0;
+  size_t filled = 0;
+  str_t key;
+  void *value;
+
+  while (map_next (catalog->routes, &cursor, &key, &value))
+    routes[filled++] = value;
+  qsort (routes, count, sizeof *routes, compare_routes);
+  for (size_t i = 0; i < count; i++)
+    {
+      uint32_t start = (uint32_t)(str_hash (routes[i]->name, 0) % cell_count);
+      uint32_t cell = start;
+      if (i == 0
+          || !str_eq (first_service (routes[i]),
+                      first_service (routes[i - 1])))
+        memset (used, 0, sizeof used);
+      /* A route changes its group seldom when another is added: it stays in
+         the one of its hash unless that has more routes than another.  */
+      for (uint32_t step = 1; step < cell_count; step++)
+        if (used[(start + step) % cell_count] < used[cell])
+          cell = (start + step) % cell_count;
+      used[cell]++;
+      routes[i]->trial_cell = cell;
+    }
+  free (routes);
+}
+
 uint64_t
 catalog_revision (const catalog_t *catalog)
 {
--- a/packages/gateway/catalog.h
+++ b/packages/gateway/catalog.h
@@ -23,7 +23,8 @@
 {
   ROUTE_SERVICES_MAX = 8,
   ROUTE_MODELS_MAX = 8,
-  SERVICE_MODELS_MAX = 32
+  SERVICE_MODELS_MAX = 32,
+  CATALOG_CELLS_MAX = 16
 };
 
 typedef struct
@@ -82,6 +83,9 @@
   /* Names of the models that may run a request, smallest first.  */
   str_t models[ROUTE_MODELS_MAX];
   size_t model_count;
+  /* Group of routes of the service in which a roll-out counts the answers; set
+     by catalog_group_routes.  */
+  uint32_t trial_cell;
 } route_t;
 
 typedef struct
@@ -123,6 +127,12 @@
 vh_code_t catalog_add_team (catalog_t *catalog, const team_t *team,
                             const str_t *keys, size_t key_count);
 void catalog_set_limits (catalog_t *catalog, const client_limits_t *limits);
+/* Spread the routes of each service evenly over CELL_COUNT groups, at most
+   CATALOG_CELLS_MAX, and set their trial_cell.  The groups follow from the
+   names of the routes alone, so that all gateways have the same.  A hash of
+   the name would often put most routes of a service into one group, in which
+   the answers of the others hide the failures of one.  */
+void catalog_group_routes (catalog_t *catalog, uint32_t cell_count);
 
 uint64_t catalog_revision (const catalog_t *catalog);
 const client_limits_t *catalog_limits (const catalog_t *catalog);
--- a/packages/gateway/loader.c
+++ b/packages/gateway/loader.c
@@ -1,6 +1,7 @@
 #include "gateway/loader.h"
 
 #include "base/mem.h"
+#include "policy/trial.h"
 
 #include <stdlib.h>
 
@@ -41,6 +42,18 @@
   uv_sleep (PAUSE_MS);
 }
 
+/* Parse TEXT, calling PAUSE, which may be NULL, from time to time.  */
+static vh_code_t
+parse_text (const loader_t *loader, str_t text, void (*pause) (void),
+            catalog_t **out)
+{
+  vh_code_t code = loader->parse (text, pause, out);
+
+  if (code == VH_OK)
+    catalog_group_routes (*out, TRIAL_ROUTE_CELLS);
+  return code;
+}
+
 /* Parse loader->text on a thread of the pool.  The loop does not access the
    fields text, catalog and code before on_work_done.  */
 static void
@@ -48,8 +61,8 @@
 {
   loader_t *loader = work->data;
 
-  loader->code = loader->parse (buf_str (&loader->text), yield_to_loop,
-                                &loader->catalog);
+  loader->code = parse_text (loader, buf_str (&loader->text), yield_to_loop,
+                             &loader->catalog);
 }
 
 static void
@@ -103,7 +116,7 @@
   if (!loader->is_parsing
       && (is_first_text || text.len < LOADER_ASYNC_BYTES_MIN))
     {
-      vh_code_t code = loader->parse (text, NULL, &catalog);
+      vh_code_t code = parse_text (loader, text, NULL, &catalog);
       loader->cb (loader->arg, code, catalog, text.len);
       return;
     }
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -72,14 +72,6 @@
              : TRIAL_ARM_OLD;
 }
 
-/* Return the hash of the route's name, by which a roll-out groups its
-   samples.  */
-static uint64_t
-route_hash (const relay_t *relay)
-{
-  return str_hash (relay->attrs.route->name, 0);
-}
-
 /* Count the answer to the current send as bad, once.  */
 static void
 count_bad_answer (relay_t *relay, trial_t *trial)
@@ -106,7 +98,8 @@
   uint64_t first_response_ms = relay->phase == PHASE_RECEIVING_RESPONSE
                                    ? relay->head_received_ms - relay->sent_ms
                                    : 0;
-  trial_observe (trial, relay_trial_arm (relay), route_hash (relay),
+  trial_observe (trial, relay_trial_arm (relay),
+                 relay->attrs.route->trial_cell,
                  outcome == SEND_OK          ? TRIAL_OUTCOME_ANSWERED
                  : relay->is_connection_lost ? TRIAL_OUTCOME_CONNECTION_LOST
                                              : TRIAL_OUTCOME_FAILED,
@@ -119,7 +112,7 @@
 measured_time (const relay_t *relay, trial_timing_t timing, double ms)
 {
   return (trial_time_t){ .timing = timing,
-                         .route = route_hash (relay),
+                         .route = relay->attrs.route->trial_cell,
                          .model = relay->model_index,
                          .prompt_tokens = relay->attrs.prompt_tokens,
                          .load = relay->upstream_request_count,
@@ -167,7 +160,8 @@
   if (trial == NULL || relay->has_connect_failed || outcome == SEND_REFUSED
       || (!relay->has_head && !relay->has_bad_answer && !has_failed))
     return;
-  trial_count_answer (trial, relay_trial_arm (relay), route_hash (relay),
+  trial_count_answer (trial, relay_trial_arm (relay),
+                      relay->attrs.route->trial_cell,
                       str_hash (upstream_id (relay->upstream), 0),
                       has_failed              ? TRIAL_FLAW_FAILED
                       : relay->has_bad_answer ? TRIAL_FLAW_LATE
@@ -180,7 +174,7 @@
   trial_t *trial = observed_trial (relay);
 
   if (trial != NULL)
-    trial_count_request (trial, route_hash (relay));
+    trial_count_request (trial, relay->attrs.route->trial_cell);
 }
 
 bool
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -21,7 +21,7 @@
      store the measurements of other processes cannot arrive, so the share
      must not rise.
    - Answers of both versions are counted in cells: one for each of
-     TRIAL_ROUTE_CELLS groups of routes, by hash, and one for loaded
+     TRIAL_ROUTE_CELLS groups of routes, and one for loaded
      instances.  Each process sends its counts, added to those that it
      received, to the process through which it reads the store.  The process
      that reads the store directly thus has the counts of all processes, and
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -3,6 +3,8 @@
 #include "gateway/catalog.h"
 #include "suite.h"
 
+#include <stdio.h>
+
 static route_t
 route_make (const char *name, const char *host, const char *prefix)
 {
@@ -84,6 +86,87 @@
 }
 END_TEST
 
+/* Failure: a version that is bad on one route only is not found, because the
+   answers of all routes of its service count in one group.  The names have
+   equal hashes modulo 4.  */
+START_TEST (routes_of_a_service_share_a_group)
+{
+  static const char *const names[]
+      = { "r-5hiq3yq", "r-d6rj786", "r-qvhma6j", "r-7zcd7w4" };
+  static const char *const prefixes[] = { "/a/", "/b/", "/c/", "/d/" };
+  enum
+  {
+    CELLS = 4
+  };
+  catalog_t *catalog = catalog_create (1);
+  bool used[CELLS] = { false };
+
+  for (size_t i = 0; i < CELLS; i++)
+    {
+      route_t route = route_make (names[i], "a", prefixes[i]);
+      route.services[0].service = STR ("engine");
+      route.service_count = 1;
+      ck_assert_int_eq (catalog_add_route (catalog, &route), VH_OK);
+    }
+  catalog_group_routes (catalog, CELLS);
+  for (size_t i = 0; i < CELLS; i++)
+    {
+      uint32_t cell
+          = catalog_match_route (catalog, STR ("a"), str_from (prefixes[i]))
+                ->trial_cell;
+      ck_assert_uint_lt (cell, CELLS);
+      ck_assert_msg (!used[cell], "route %zu", i);
+      used[cell] = true;
+    }
+  catalog_unref (catalog);
+}
+END_TEST
+
+/* Failure: gateways that learned of the routes in another order count a
+   route's answers in other groups.  */
+START_TEST (groups_depend_on_the_order_of_routes)
+{
+  enum
+  {
+    ROUTES = 11,
+    CELLS = 4
+  };
+  catalog_t *catalogs[2] = { catalog_create (1), catalog_create (1) };
+  char names[ROUTES][8];
+  char prefixes[ROUTES][8];
+  size_t counts[CELLS] = { 0 };
+
+  for (size_t i = 0; i < ROUTES; i++)
+    {
+      snprintf (names[i], sizeof names[i], "r-%zu", i);
+      snprintf (prefixes[i], sizeof prefixes[i], "/%zu/", i);
+    }
+  for (size_t i = 0; i < ROUTES; i++)
+    for (size_t c = 0; c < 2; c++)
+      {
+        size_t at = c == 0 ? i : ROUTES - 1 - i;
+        route_t route = route_make (names[at], "a", prefixes[at]);
+        ck_assert_int_eq (catalog_add_route (catalogs[c], &route), VH_OK);
+      }
+  for (size_t c = 0; c < 2; c++)
+    catalog_group_routes (catalogs[c], CELLS);
+  for (size_t i = 0; i < ROUTES; i++)
+    {
+      uint32_t cells[2];
+      for (size_t c = 0; c < 2; c++)
+        cells[c] = catalog_match_route (catalogs[c], STR ("a"),
+                                        str_from (prefixes[i]))
+                       ->trial_cell;
+      ck_assert_uint_eq (cells[0], cells[1]);
+      counts[cells[0]]++;
+    }
+  for (size_t cell = 0; cell < CELLS; cell++)
+    ck_assert_uint_ge (counts[cell], ROUTES / CELLS);
+  for (size_t c = 0; c < 2; c++)
+    catalog_unref (catalogs[c]);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -93,6 +176,8 @@
   tcase_add_test (tcase, longest_prefix_of_the_host_is_selected);
   tcase_add_test (tcase, key_of_another_team_is_rejected);
   tcase_add_test (tcase, duplicate_route_and_service_are_rejected);
+  tcase_add_test (tcase, routes_of_a_service_share_a_group);
+  tcase_add_test (tcase, groups_depend_on_the_order_of_routes);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
