pool: instances have a time factor, from reports and other gateways

Load is compared by counts of requests only, so instances of different speed get the same load. instance_speed keeps the lasting and the momentary factor of an instance; the pool records reports, hears factors of other gateways, and lists the factors of its own reports.

--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -30,6 +30,8 @@
   upstream_t **upstreams;
   size_t count;
   size_t capacity;
+  double mean_time_factor; /* Of the instances with a known time factor; 0 if
+                              there is none.  */
 } service_group_t;
 
 struct upstream
@@ -80,6 +82,7 @@
                                if there was none or its end was taken.  */
   bool is_unreachable;      /* Whether the last probe could not connect.  */
   poison_in_flight_t poison_in_flight; /* Requests of this gateway.  */
+  instance_speed_t speed;
   unsigned refs;
   unsigned consecutive_failures;
   uint64_t ejection_ms;      /* Length of the last ejection; 0 for none.  */
@@ -103,6 +106,7 @@
   char *zone;
   double cold_factor;
   double cold_slack;
+  bool ignores_time_factors;
   const allotment_t *gateways;
   list_t upstreams;
   size_t unregistered_count; /* Number of instances that can still be selected
@@ -138,6 +142,7 @@
   pool->zone = str_dup (options->zone);
   pool->cold_factor = options->cold_factor;
   pool->cold_slack = options->cold_slack;
+  pool->ignores_time_factors = options->ignores_time_factors;
   pool->gateways = options->gateways;
   list_init (&pool->upstreams);
   pool->by_id = map_create ();
@@ -1151,6 +1156,83 @@
     upstream->slots = slots;
 }
 
+/* Update what is computed from the time factors of GROUP.  */
+static void
+update_time_factors (service_group_t *group)
+{
+  double sum = 0;
+  size_t count = 0;
+
+  for (size_t i = 0; i < group->count; i++)
+    if (instance_speed_is_known (&group->upstreams[i]->speed))
+      {
+        sum += instance_speed_lasting (&group->upstreams[i]->speed);
+        count++;
+      }
+  group->mean_time_factor = count > 0 ? sum / (double)count : 0;
+}
+
+bool
+pool_record_time_factor (pool_t *pool, upstream_t *upstream, uint32_t percent)
+{
+  instance_speed_t ignored = { 0 };
+
+  if (pool->ignores_time_factors)
+    return instance_speed_report (&ignored, percent, 0);
+  if (!instance_speed_report (&upstream->speed, percent,
+                              clock_ms (pool->clock)))
+    return false;
+  update_time_factors (upstream->group);
+  return true;
+}
+
+bool
+pool_hear_time_factor (pool_t *pool, str_t id, uint64_t incarnation,
+                       double factor, uint64_t age_ms)
+{
+  upstream_t *upstream = map_get (pool->by_id, id);
+
+  if (pool->ignores_time_factors || upstream == NULL
+      || upstream->incarnation != incarnation
+      || !instance_speed_hear (&upstream->speed, factor, age_ms,
+                               clock_ms (pool->clock)))
+    return false;
+  update_time_factors (upstream->group);
+  return true;
+}
+
+bool
+pool_next_time_factor (const pool_t *pool, size_t *cursor,
+                       pool_time_factor_t *out)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+  str_t id;
+  void *value;
+
+  while (map_next (pool->by_id, cursor, &id, &value))
+    {
+      const upstream_t *upstream = value;
+      out->id = str_from (upstream->id);
+      out->incarnation = upstream->incarnation;
+      out->factor
+          = instance_speed_own (&upstream->speed, now_ms, &out->age_ms);
+      if (out->factor > 0)
+        return true;
+    }
+  *cursor = 0;
+  return false;
+}
+
+double
+upstream_time_factor (const pool_t *pool, const upstream_t *upstream)
+{
+  (void)pool;
+  if (!instance_speed_is_known (&upstream->speed)
+      && upstream->group->mean_time_factor > 0)
+    return upstream->group->mean_time_factor;
+  return instance_speed_lasting (&upstream->speed);
+}
+
 void
 pool_set_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -52,6 +52,7 @@
 #include "base/code.h"
 #include "base/str.h"
 #include "policy/allotment.h"
+#include "policy/instance_speed.h"
 #include "policy/poison.h"
 #include "policy/ratelimit.h"
 
@@ -134,6 +135,7 @@
      cold_slack requests a second.  */
   double cold_factor;
   double cold_slack;
+  bool ignores_time_factors; /* Time factors have no effect.  */
 } pool_options_t;
 
 typedef enum
@@ -179,6 +181,16 @@
                     failure.  */
 } send_outcome_t;
 
+/* What this gateway's reports tell of the time that work takes at an
+   instance.  */
+typedef struct
+{
+  str_t id;
+  uint64_t incarnation;
+  double factor;   /* Mean of the reports; 1 means as usual.  */
+  uint64_t age_ms; /* Age of the last report.  */
+} pool_time_factor_t;
+
 pool_t *pool_create (clock_iface_t *clock, uint64_t seed,
                      const pool_options_t *options);
 void pool_destroy (pool_t *pool);
@@ -258,6 +270,24 @@
    of slots was not reported.  */
 void pool_record_load (pool_t *pool, upstream_t *upstream, uint32_t running,
                        uint32_t waiting, uint32_t slots);
+/* Record that UPSTREAM reported that work takes PERCENT of the usual time
+   there now.  Return false, without an effect, if PERCENT is out of the range
+   of policy/instance_speed.h.  */
+bool pool_record_time_factor (pool_t *pool, upstream_t *upstream,
+                              uint32_t percent);
+/* Record that work takes FACTOR times the usual time at the process
+   INCARNATION of instance ID, as another gateway found AGE_MS ago.  Return
+   false, without an effect, if there is no such process, if FACTOR is out of
+   range, or if a newer one was heard.  */
+bool pool_hear_time_factor (pool_t *pool, str_t id, uint64_t incarnation,
+                            double factor, uint64_t age_ms);
+/* Get the next instance of which this gateway has reports of a time factor of
+   its own, and update *CURSOR, which is 0 at first.  OUT->id is valid until
+   the instance is removed.  Return false, with *CURSOR 0, after the last
+   instance.  An instance added or removed between two calls may let others be
+   listed twice or not at all.  */
+bool pool_next_time_factor (const pool_t *pool, size_t *cursor,
+                            pool_time_factor_t *out);
 /* Record that UPSTREAM stays cold for another COLD_MS.  */
 void pool_set_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms);
 
@@ -302,6 +332,11 @@
 /* Return the number of requests that run or wait at UPSTREAM: those of this
    gateway, and those of others according to the last load report.  */
 double upstream_request_count (const pool_t *pool, const upstream_t *upstream);
+/* Return the lasting time factor of UPSTREAM, by the reports to this and other
+   gateways: 1 means that work takes the usual time.  Return the mean of the
+   instances of its service with a known factor if that of UPSTREAM is unknown,
+   and 1 if none is known.  */
+double upstream_time_factor (const pool_t *pool, const upstream_t *upstream);
 /* Return how many requests UPSTREAM runs concurrently, as last reported.  */
 uint32_t upstream_slots (const upstream_t *upstream);
 /* Return the requests of this gateway at UPSTREAM beside which some others do
