pool: instances are compared by the time of their requests

Load was compared by counts of requests, so fast instances were idle while slow ones were crowded. As soon as one instance of a service has a known time factor, instances are compared by factor x (10 + requests), for the least loaded one, the limit of affinity and its mean; affinity keys are spread in proportion to speed (weighted rendezvous, with a bound that spares most logarithms).

That alone is not enough: gateways that agree on the factors but do not know each other's sends all go to the fast instances. So a load report that gets older gives way to the load at which the instance takes as long as the others, not to 0, and a random cost spreads sends over instances of about equal load in proportion to speed. A factor above the mean approaches it when no report came for 2 s, so that a recovered instance is found.

--- a/packages/policy/instance_speed.c
+++ b/packages/policy/instance_speed.c
@@ -13,7 +13,7 @@
 
 /* Weight that old own reports keep, in reports: where reports are rare, one
    during a short slowdown must not replace all that is known.  */
-static const double own_weight_min = 2;
+static const double own_weight_min = 1;
 
 /* Weight of a heard factor of age 0, in own reports.  */
 static const double heard_weight = 0.75;
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -10,9 +10,37 @@
 enum
 {
   /* Longest time for which slots are promised in advance.  */
-  PROMISE_AHEAD_MAX_MS = 60000
+  PROMISE_AHEAD_MAX_MS = 60000,
+  /* Time after which the time factors of a service are computed again.  */
+  TIME_FACTORS_INTERVAL_MS = 100,
+  /* Age of the last report from which a time factor above the mean approaches
+     the mean, and the time in which it goes half the way.  A slow instance
+     gets few requests or none, so no report would tell that it has
+     recovered.  */
+  SLOW_MEMORY_MS = 2000,
+  SLOW_HALF_LIFE_MS = 3000
 };
 
+/* Requests whose time an idle instance takes for one request: the time between
+   two events is about 27 ms + 2.6 ms for each running request.  */
+static const double idle_requests = 10;
+
+/* Scale of the random costs where time factors are known, in requests.
+   Gateways do not know each other's last sends, so those that agree on the
+   factors would all send to the same instances; with a higher scale the slow
+   instances get more than their part.  */
+static const double random_requests = 30;
+
+/* Weight of a load report in the mean load of the instances.  */
+static const double mean_load_weight = 1.0 / 16;
+
+/* Affinity factors are rounded to powers of 2^(1/AFFINITY_STEPS_PER_OCTAVE),
+   and change when the factor is AFFINITY_STEP_HYSTERESIS steps off.  Gateways
+   with slightly different factors thus choose the same instances, which have
+   the prompt prefixes in their caches.  */
+static const double affinity_steps_per_octave = 2;
+static const double affinity_step_hysteresis = 0.75;
+
 /* Multiple of its share of the rate limit that this gateway may use at a warm
    instance.  Above one, because the load of callers is uneven and the gateways
    do not all reach their shares of one instance at the same time.  */
@@ -30,8 +58,12 @@
   upstream_t **upstreams;
   size_t count;
   size_t capacity;
-  double mean_time_factor; /* Of the instances with a known time factor; 0 if
-                              there is none.  */
+  double mean_time_factor;   /* Of the instances with a known time factor; 0 if
+                                there is none.  */
+  double mean_compared_load; /* By the last load reports; 0 if there was
+                                none.  */
+  uint64_t time_factors_due_ms; /* Monotonic time at which the time factors of
+                                   the instances are computed again.  */
 } service_group_t;
 
 struct upstream
@@ -56,6 +88,13 @@
   /* Requests of other gateways in the last load report.  */
   double other_requests;
   uint64_t reported_ms;
+  /* Time factor for comparisons of the load.  Used, as the two fields after
+     it, only if an instance of the service has a known time factor.  */
+  double time_factor;
+  double expected_requests; /* Of other gateways, where no report is recent.
+                             */
+  double affinity_factor;   /* Rounded lasting factor; 0 before the first
+                               use.  */
   uint64_t cold_until_ms;
   uint64_t rank_generation; /* Generation of the gateway list from which RANK
                                was computed.  */
@@ -163,6 +202,7 @@
           group->upstreams, group->capacity * sizeof *group->upstreams);
     }
   group->upstreams[group->count++] = upstream;
+  group->time_factors_due_ms = 0;
   upstream->group = group;
 }
 
@@ -173,6 +213,7 @@
     if (group->upstreams[i] == upstream)
       {
         group->upstreams[i] = group->upstreams[--group->count];
+        group->time_factors_due_ms = 0;
         return;
       }
 }
@@ -662,6 +703,30 @@
                / POOL_PROMPT_TOKENS_PER_REQUEST;
 }
 
+/* Return the load of UPSTREAM, of GROUP, that instances are compared by: the
+   number of requests, or the time that they take if time factors are known.
+   A report that gets older gives way to the number that makes the instance
+   take as long as the others, because all gateways prefer the fast ones: as
+   idle they would get the requests of all gateways.  */
+static double
+compared_load (const service_group_t *group, const upstream_t *upstream,
+               uint64_t now_ms)
+{
+  if (group->mean_time_factor == 0)
+    return load_of (upstream, now_ms);
+  uint64_t age_ms = now_ms - upstream->reported_ms;
+  double fresh_part = age_ms < POOL_REPORT_DECAY_MS
+                          ? 1 - (double)age_ms / POOL_REPORT_DECAY_MS
+                          : 0;
+  double requests = upstream->running_count
+                    + fresh_part * upstream->other_requests
+                    + (1 - fresh_part) * upstream->expected_requests;
+  return upstream->time_factor
+         * (idle_requests + requests
+            + (double)upstream->pending_prompt_tokens
+                  / POOL_PROMPT_TOKENS_PER_REQUEST);
+}
+
 /* Return whether UPSTREAM is eligible apart from its pause.  */
 static bool
 is_usable (const upstream_t *upstream, const pool_criteria_t *criteria,
@@ -703,14 +768,16 @@
                 < upstream->slots;
 }
 
-/* Return the mean load of the instances in GROUP that are eligible for
-   CRITERIA; 0 if there are none.  */
+/* Return the load, as compared, up to which an instance of GROUP may be used
+   for affinity, by the mean of the instances that are eligible for
+   CRITERIA.  */
 static double
-mean_eligible_load (const service_group_t *group,
-                    const pool_criteria_t *criteria, uint64_t now_ms)
+affinity_load_limit (const service_group_t *group,
+                     const pool_criteria_t *criteria, uint64_t now_ms)
 {
   uint64_t version_hash = str_hash (criteria->version, 0);
   double sum = 0;
+  double factor_sum = 0;
   unsigned count = 0;
 
   for (size_t i = 0; i < group->count; i++)
@@ -718,23 +785,41 @@
       const upstream_t *upstream = group->upstreams[i];
       if (!is_eligible (upstream, criteria, version_hash, now_ms))
         continue;
-      sum += load_of (upstream, now_ms);
+      sum += compared_load (group, upstream, now_ms);
+      factor_sum += upstream->time_factor;
       count++;
     }
-  return count > 0 ? sum / count : 0;
-}
-
-/* Return the load of UPSTREAM plus the cost of crossing to another zone,
-   expressed in requests.  */
+  double mean = count > 0 ? sum / count : 0;
+  if (group->mean_time_factor == 0 || count == 0)
+    return mean * POOL_HOT_LOAD_FACTOR + POOL_HOT_LOAD_MIN;
+  /* The limit for requests at an instance with the mean time factor.  */
+  double mean_factor = factor_sum / count;
+  double idle_load = mean_factor * idle_requests;
+  return (mean - idle_load) * POOL_HOT_LOAD_FACTOR + idle_load
+         + mean_factor * POOL_HOT_LOAD_MIN;
+}
+
+/* Return the load of UPSTREAM, of GROUP, plus the cost of crossing to another
+   zone, expressed in requests.  Where time factors are known, add a random
+   cost: an exponential variate in proportion to the factor, so that among
+   instances of equal load each is selected in proportion to its speed.  The
+   result may be any value above LIMIT if it is above LIMIT.  */
 static double
-selection_cost (const upstream_t *upstream, uint64_t now_ms)
+selection_cost (pool_t *pool, const service_group_t *group,
+                const upstream_t *upstream, double limit, uint64_t now_ms)
 {
   static const double zone_cost = 2;
-  double load = load_of (upstream, now_ms);
+  double cost = compared_load (group, upstream, now_ms);
 
   if (!upstream->is_own_zone)
-    load += zone_cost;
-  return load;
+    cost += zone_cost;
+  if (group->mean_time_factor == 0)
+    return cost;
+  double part = 1 - rng_double (&pool->rng);
+  double scale = random_requests * upstream->time_factor;
+  /* A lower bound of the cost, which spares most logarithms.  */
+  double least_cost = cost + scale * (1 - part);
+  return least_cost > limit ? least_cost : cost - scale * log (part);
 }
 
 /* The instances with the highest rendezvous hashes for an affinity key among
@@ -748,23 +833,68 @@
   /* Instance with the highest hash in all zones; NULL for none.  */
   upstream_t *highest;
   uint64_t highest_hash;
+  /* Where time factors are known, the times of the two above take the place of
+     their hashes.  */
+  double least_time_in_own_zone;
+  double least_time;
 } affinity_choice_t;
 
-/* Update AFFINITY if UPSTREAM has a higher rendezvous hash for the affinity
-   key of CRITERIA and a load of at most MAX_LOAD.  Each zone has an affinity
-   instance of its own, because traffic between zones costs more than a second
-   prefill of the shared prompt prefix.  */
+/* Update AFFINITY if the time of UPSTREAM, an exponential variate with a rate
+   in proportion to its speed, is less than that of the others: each instance
+   is then the affinity instance of a part of the keys in proportion to its
+   speed, and a change of one speed moves only keys to or from that
+   instance.  */
+static void
+update_affinity_by_time (upstream_t *upstream, uint64_t hash,
+                         affinity_choice_t *affinity)
+{
+  /* The most significant bits, in (0, 1).  */
+  double part = ((double)(hash >> 12) + 0.5) * 0x1.0p-52;
+  bool is_first = affinity->highest == NULL;
+  bool is_first_in_own_zone
+      = upstream->is_own_zone && affinity->highest_in_own_zone == NULL;
+  double bound = is_first || is_first_in_own_zone ? INFINITY
+                 : upstream->is_own_zone ? affinity->least_time_in_own_zone
+                                         : affinity->least_time;
+
+  /* A lower bound of the time, which spares most logarithms.  */
+  if ((1 - part) * upstream->affinity_factor > bound)
+    return;
+  double time = -log (part) * upstream->affinity_factor;
+  if (is_first || time < affinity->least_time)
+    {
+      affinity->highest = upstream;
+      affinity->least_time = time;
+    }
+  if (is_first_in_own_zone
+      || (upstream->is_own_zone && time < affinity->least_time_in_own_zone))
+    {
+      affinity->highest_in_own_zone = upstream;
+      affinity->least_time_in_own_zone = time;
+    }
+}
+
+/* Update AFFINITY if UPSTREAM, of GROUP, has a higher rendezvous hash for the
+   affinity key of CRITERIA and a compared load of at most MAX_LOAD.  Each zone
+   has an affinity instance of its own, because traffic between zones costs
+   more than a second prefill of the shared prompt prefix.  */
 static void
-update_affinity_choice (upstream_t *upstream, const pool_criteria_t *criteria,
-                        double max_load, uint64_t now_ms,
-                        affinity_choice_t *affinity)
+update_affinity_choice (const service_group_t *group, upstream_t *upstream,
+                        const pool_criteria_t *criteria, double max_load,
+                        uint64_t now_ms, affinity_choice_t *affinity)
 {
   bool is_own_zone = upstream->is_own_zone;
   uint64_t hash
       = rendezvous_weight (upstream->id_hash, criteria->affinity_key);
 
-  if (criteria->affinity_key == 0 || load_of (upstream, now_ms) > max_load)
+  if (criteria->affinity_key == 0
+      || compared_load (group, upstream, now_ms) > max_load)
     return;
+  if (group->mean_time_factor > 0)
+    {
+      update_affinity_by_time (upstream, hash, affinity);
+      return;
+    }
   if (affinity->highest == NULL || hash > affinity->highest_hash)
     {
       affinity->highest = upstream;
@@ -779,6 +909,67 @@
     }
 }
 
+/* Return the lasting time factor of UPSTREAM, or the mean of its service if it
+   is unknown.  */
+static double
+lasting_time_factor (const upstream_t *upstream)
+{
+  double mean = upstream->group->mean_time_factor;
+
+  return !instance_speed_is_known (&upstream->speed) && mean > 0
+             ? mean
+             : instance_speed_lasting (&upstream->speed);
+}
+
+/* Update the time factors of UPSTREAM after those of its service.  */
+static void
+update_upstream_time_factor (upstream_t *upstream, uint64_t now_ms)
+{
+  const service_group_t *group = upstream->group;
+  double mean = group->mean_time_factor;
+  const instance_speed_t *speed = &upstream->speed;
+
+  upstream->time_factor = lasting_time_factor (upstream);
+  if (upstream->time_factor > mean && instance_speed_is_known (speed))
+    {
+      uint64_t age_ms = instance_speed_age_ms (speed, now_ms);
+      if (age_ms > SLOW_MEMORY_MS)
+        upstream->time_factor
+            = mean
+              + (upstream->time_factor - mean)
+                    * exp2 (-(double)(age_ms - SLOW_MEMORY_MS)
+                            / SLOW_HALF_LIFE_MS);
+    }
+  upstream->expected_requests = fmax (
+      0, group->mean_compared_load / upstream->time_factor - idle_requests);
+  double step = log2 (upstream->time_factor) * affinity_steps_per_octave;
+  if (upstream->affinity_factor == 0
+      || fabs (step
+               - log2 (upstream->affinity_factor) * affinity_steps_per_octave)
+             > affinity_step_hysteresis)
+    upstream->affinity_factor
+        = exp2 (round (step) / affinity_steps_per_octave);
+}
+
+/* Update the time factors of GROUP.  */
+static void
+update_time_factors (service_group_t *group, uint64_t now_ms)
+{
+  double sum = 0;
+  size_t count = 0;
+
+  for (size_t i = 0; i < group->count; i++)
+    if (instance_speed_is_known (&group->upstreams[i]->speed))
+      {
+        sum += instance_speed_lasting (&group->upstreams[i]->speed);
+        count++;
+      }
+  group->mean_time_factor = count > 0 ? sum / (double)count : 0;
+  for (size_t i = 0; i < group->count && count > 0; i++)
+    update_upstream_time_factor (group->upstreams[i], now_ms);
+  group->time_factors_due_ms = now_ms + TIME_FACTORS_INTERVAL_MS;
+}
+
 static int
 compare_hashes (const void *a, const void *b)
 {
@@ -846,12 +1037,12 @@
              selection_scope_t scope, uint64_t now_ms,
              eligible_instances_t *eligible)
 {
-  const service_group_t *group = find_or_add_group (pool, criteria->service);
+  service_group_t *group = find_or_add_group (pool, criteria->service);
   uint64_t version_hash = str_hash (criteria->version, 0);
   uint64_t max_id_hash = id_hash_limit (group, criteria, version_hash, now_ms);
-  double max_load
-      = mean_eligible_load (group, criteria, now_ms) * POOL_HOT_LOAD_FACTOR
-        + POOL_HOT_LOAD_MIN;
+  if (group->mean_time_factor > 0 && now_ms >= group->time_factors_due_ms)
+    update_time_factors (group, now_ms);
+  double max_load = affinity_load_limit (group, criteria, now_ms);
   affinity_choice_t affinity = { 0 };
   upstream_t *least_loaded = NULL;
   double lowest_cost = 0;
@@ -890,8 +1081,11 @@
           eligible->limited_count++;
           continue;
         }
-      update_affinity_choice (upstream, criteria, max_load, now_ms, &affinity);
-      double cost = selection_cost (upstream, now_ms);
+      update_affinity_choice (group, upstream, criteria, max_load, now_ms,
+                              &affinity);
+      double cost = selection_cost (
+          pool, group, upstream, least_loaded != NULL ? lowest_cost : INFINITY,
+          now_ms);
       if (least_loaded != NULL && cost > lowest_cost)
         continue;
       ties = least_loaded != NULL && cost == lowest_cost ? ties + 1 : 1;
@@ -1142,6 +1336,20 @@
   upstream_unref (upstream);
 }
 
+/* Add a report of REQUESTS at UPSTREAM to the mean load of its service.  */
+static void
+record_compared_load (upstream_t *upstream, double requests)
+{
+  service_group_t *group = upstream->group;
+  double load = lasting_time_factor (upstream) * (idle_requests + requests);
+
+  if (group->mean_compared_load == 0)
+    group->mean_compared_load = load;
+  else
+    group->mean_compared_load
+        += (load - group->mean_compared_load) * mean_load_weight;
+}
+
 void
 pool_record_load (pool_t *pool, upstream_t *upstream, uint32_t running,
                   uint32_t waiting, uint32_t slots)
@@ -1154,35 +1362,33 @@
   upstream->reported_ms = clock_ms (pool->clock);
   if (slots > 0)
     upstream->slots = slots;
+  if (upstream->group->mean_time_factor > 0)
+    record_compared_load (upstream, reported_requests);
 }
 
-/* Update what is computed from the time factors of GROUP.  */
+/* Handle a change of the time factor of UPSTREAM.  */
 static void
-update_time_factors (service_group_t *group)
+time_factor_changed (upstream_t *upstream, uint64_t now_ms)
 {
-  double sum = 0;
-  size_t count = 0;
+  service_group_t *group = upstream->group;
 
-  for (size_t i = 0; i < group->count; i++)
-    if (instance_speed_is_known (&group->upstreams[i]->speed))
-      {
-        sum += instance_speed_lasting (&group->upstreams[i]->speed);
-        count++;
-      }
-  group->mean_time_factor = count > 0 ? sum / (double)count : 0;
+  if (group->mean_time_factor > 0)
+    update_upstream_time_factor (upstream, now_ms);
+  else
+    update_time_factors (group, now_ms);
 }
 
 bool
 pool_record_time_factor (pool_t *pool, upstream_t *upstream, uint32_t percent)
 {
   instance_speed_t ignored = { 0 };
+  uint64_t now_ms = clock_ms (pool->clock);
 
   if (pool->ignores_time_factors)
-    return instance_speed_report (&ignored, percent, 0);
-  if (!instance_speed_report (&upstream->speed, percent,
-                              clock_ms (pool->clock)))
+    return instance_speed_report (&ignored, percent, now_ms);
+  if (!instance_speed_report (&upstream->speed, percent, now_ms))
     return false;
-  update_time_factors (upstream->group);
+  time_factor_changed (upstream, now_ms);
   return true;
 }
 
@@ -1191,13 +1397,13 @@
                        double factor, uint64_t age_ms)
 {
   upstream_t *upstream = map_get (pool->by_id, id);
+  uint64_t now_ms = clock_ms (pool->clock);
 
   if (pool->ignores_time_factors || upstream == NULL
       || upstream->incarnation != incarnation
-      || !instance_speed_hear (&upstream->speed, factor, age_ms,
-                               clock_ms (pool->clock)))
+      || !instance_speed_hear (&upstream->speed, factor, age_ms, now_ms))
     return false;
-  update_time_factors (upstream->group);
+  time_factor_changed (upstream, now_ms);
   return true;
 }
 
@@ -1227,10 +1433,7 @@
 upstream_time_factor (const pool_t *pool, const upstream_t *upstream)
 {
   (void)pool;
-  if (!instance_speed_is_known (&upstream->speed)
-      && upstream->group->mean_time_factor > 0)
-    return upstream->group->mean_time_factor;
-  return instance_speed_lasting (&upstream->speed);
+  return lasting_time_factor (upstream);
 }
 
 void
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -1,8 +1,10 @@
 /* Tests of instance selection: prompt affinity, cold instances, failures.  */
 
+#include "base/rng.h"
 #include "policy/pool.h"
 #include "suite.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -579,6 +581,166 @@
 }
 END_TEST
 
+enum
+{
+  RECORDED_INSTANCES = 9,
+  RECORDED_CHOICES = 20000,
+  RECORDED_RUNNING = 60
+};
+
+/* Where time factors are reported in play_recorded_choices.  */
+typedef enum
+{
+  FACTORS_NOWHERE,
+  FACTORS_OF_ANOTHER_SERVICE,
+  FACTORS_IGNORED, /* Everywhere, but the pool ignores them.  */
+  FACTORS_OF_REMOVED_INSTANCES,
+  FACTORS_INVALID,
+  FACTORS_CASES
+} recorded_factors_t;
+
+static void
+put_recorded_factors (fixture_t *f, recorded_factors_t factors)
+{
+  const pool_options_t options = { .zone = STR ("a"),
+                                   .gateways = f->gateways,
+                                   .cold_factor = 1.5,
+                                   .cold_slack = 5,
+                                   .ignores_time_factors = true };
+  upstream_info_t info
+      = { .id = STR ("other"),
+          .service = factors == FACTORS_OF_ANOTHER_SERVICE ? STR ("other")
+                                                           : STR ("llm"),
+          .address = STR ("127.0.0.1:1"),
+          .slots = 64 };
+
+  if (factors == FACTORS_IGNORED)
+    {
+      pool_destroy (f->pool);
+      f->pool = pool_create (f->clock, 1, &options);
+    }
+  if (factors == FACTORS_OF_ANOTHER_SERVICE
+      || factors == FACTORS_OF_REMOVED_INSTANCES)
+    {
+      pool_put (f->pool, &info);
+      ck_assert (pool_record_time_factor (f->pool,
+                                          pool_find (f->pool, info.id), 250));
+    }
+  if (factors == FACTORS_OF_REMOVED_INSTANCES)
+    pool_unregister (f->pool, info.id, 0);
+}
+
+static void
+report_recorded_factor (fixture_t *f, upstream_t *upstream, int i,
+                        recorded_factors_t factors)
+{
+  str_t id = upstream_id (upstream);
+
+  if (factors == FACTORS_IGNORED)
+    {
+      ck_assert (pool_record_time_factor (f->pool, upstream,
+                                          (uint32_t)(1 + i % 300)));
+      ck_assert (!pool_hear_time_factor (f->pool, id, 0, 0.5, 0));
+    }
+  else if (factors == FACTORS_INVALID)
+    {
+      ck_assert (!pool_record_time_factor (f->pool, upstream, 0));
+      ck_assert (!pool_record_time_factor (f->pool, upstream, 10001));
+      ck_assert (!pool_record_time_factor (f->pool, upstream, UINT32_MAX));
+      ck_assert (!pool_hear_time_factor (f->pool, id, 7, 0.5, 0));
+      ck_assert (!pool_hear_time_factor (f->pool, id, 0, 0, 0));
+      ck_assert (!pool_hear_time_factor (f->pool, id, 0, -1, 0));
+      ck_assert (!pool_hear_time_factor (f->pool, id, 0, NAN, 0));
+      ck_assert (!pool_hear_time_factor (f->pool, id, 0, INFINITY, 0));
+    }
+}
+
+/* Return a hash of RECORDED_CHOICES choices among instances of two versions
+   and three zones, with load reports, failures, prompts, pauses and rate
+   limits.  Append the first choices to TEXT.  */
+static uint64_t
+play_recorded_choices (fixture_t *f, recorded_factors_t factors, buf_t *text)
+{
+  static const char *const zones[] = { "a", "b", "c" };
+  static const char *const versions[] = { "v1", "v1", "v2" };
+  upstream_t *running[RECORDED_RUNNING] = { NULL };
+  uint32_t prompt_tokens[RECORDED_RUNNING] = { 0 };
+  rng_t rng = rng_make (42);
+  uint64_t hash = 0;
+
+  setup (f, 0);
+  put_recorded_factors (f, factors);
+  for (int i = 0; i < RECORDED_INSTANCES; i++)
+    add_instance (f, i, versions[i / 2 % 3], zones[i % 3], i == 3 ? 5000 : 0);
+  for (int i = 0; i < RECORDED_CHOICES; i++)
+    {
+      size_t slot = rng_below (&rng, RECORDED_RUNNING);
+      upstream_t *upstream = running[slot];
+      if (upstream != NULL)
+        {
+          report_recorded_factor (f, upstream, i, factors);
+          pool_request_finished (f->pool, upstream, prompt_tokens[slot],
+                                 rng_below (&rng, 10) == 0 ? SEND_FAILED
+                                                           : SEND_OK);
+          if (rng_below (&rng, 2) == 0)
+            pool_record_load (f->pool, upstream,
+                              (uint32_t)rng_below (&rng, 40),
+                              (uint32_t)rng_below (&rng, 3), 64);
+          if (rng_below (&rng, 100) == 0)
+            pool_pause (f->pool, upstream, 1 + rng_below (&rng, 500));
+          if (rng_below (&rng, 500) == 0)
+            pool_announce_rate_limit (f->pool, upstream, 20);
+          else if (rng_below (&rng, 100) == 0)
+            pool_end_rate_limit (f->pool, upstream);
+          running[slot] = NULL;
+        }
+      const pool_criteria_t criteria
+          = { .service = STR ("llm"),
+              .cold_rate_per_s = rng_below (&rng, 2) == 0 ? 0 : 10,
+              .arm = (version_arm_t)rng_below (&rng, 3),
+              .version = STR ("v2"),
+              .max_instances = rng_below (&rng, 3),
+              .affinity_key = rng_below (&rng, 2) * rng_below (&rng, 50),
+              .is_extra_send = rng_below (&rng, 8) == 0,
+              .is_repeatable = true,
+              .tried = (const upstream_t *const *)running,
+              .tried_count = rng_below (&rng, 3) };
+      vh_code_t code = pool_select (f->pool, &criteria, &upstream);
+      uint64_t choice = upstream != NULL ? str_hash (upstream_id (upstream), 0)
+                                         : (uint64_t)code;
+      hash = rendezvous_weight (hash + 1, choice);
+      if (i < 80)
+        buf_append_char (
+            text, upstream == NULL ? '-' : upstream_id (upstream).ptr[2]);
+      if (upstream != NULL)
+        {
+          prompt_tokens[slot] = (uint32_t)rng_below (&rng, 8000);
+          pool_request_started (f->pool, upstream, prompt_tokens[slot]);
+          running[slot] = upstream;
+        }
+      clock_manual_advance_us (f->clock, (int64_t)rng_below (&rng, 30000));
+    }
+  return hash;
+}
+
+/* Where no factor is known, the time factors must change no choice, nor the
+   random numbers drawn for it.  The choices were recorded with the code before
+   time factors.  */
+START_TEST (choices_without_time_factors_are_as_recorded)
+{
+  fixture_t f;
+  buf_t text = BUF_NULL;
+
+  uint64_t hash = play_recorded_choices (&f, (recorded_factors_t)_i, &text);
+  ck_assert (str_eq (buf_str (&text), STR ("88835065884517562560833580648725"
+                                           "55554330322842876388448806448075"
+                                           "5405314351846080")));
+  ck_assert_uint_eq (hash, 0x1afa95cebb1d7438);
+  buf_free (&text);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -601,6 +763,8 @@
   tcase_add_test (tcase, older_registration_replaces_a_later_one);
   tcase_add_test (tcase, pause_is_shortened_or_passed_over);
   tcase_add_test (tcase, registration_forgets_that_an_instance_is_leaving);
+  tcase_add_loop_test (tcase, choices_without_time_factors_are_as_recorded,
+                       FACTORS_NOWHERE, FACTORS_CASES);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
