gateway: time factors in load reports are read, counted, logged and measured

A fourth figure of a load report is the time that work takes at the instance, in percent of the usual time. Nothing read it. It is recorded in the pool; one that is no number or out of 1 to 10,000 is counted (loads_ignored) and ignored, and the first three figures hold. A report without three figures, or with one above 1,000,000, is counted and ignored too; before, huge figures were cut to 32 bits.

pool.speed tells of a lasting factor that changed by a quarter, each 30 s at most for an instance; two gauges show the lowest and the highest factor.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -87,6 +87,8 @@
      "An instance gets requests again after the pause that it asked for")     \
   X (EVENT_PAUSE_BAD, "pool", "pause-unreadable", WARNING, 5,                 \
      "The length of a pause cannot be read and is ignored")                   \
+  X (EVENT_SPEED, "pool", "speed", INFO, 20,                                  \
+     "The lasting time that work takes at an instance changed")               \
   X (EVENT_CRASH, "pool", "crashed", NOTICE, 50,                              \
      "An instance crashed while requests ran there")                          \
   X (EVENT_CRASH_BAD, "pool", "crash-unreadable", WARNING, 5,                 \
@@ -199,6 +201,10 @@
   X (FIELD_PAUSE_MS, "pause_ms",                                              \
      "For how long the instance wants no requests of this entry")             \
   X (FIELD_PAUSED, "paused", "Instances passed over in their pauses")         \
+  X (FIELD_TIME_PERCENT, "time_percent",                                      \
+     "Lasting time that work takes there, 100: as usual")                     \
+  X (FIELD_OLD_TIME_PERCENT, "old_time_percent",                              \
+     "The time of the last such line of the instance, or 100")                \
   X (FIELD_KNOWN_MS, "known_ms", "For how long it was known here")            \
   X (FIELD_VALUE, "value", "Text that cannot be read")                        \
   X (FIELD_DRAINING, "draining", "1: it is leaving")                          \
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -148,7 +148,10 @@
   size_t cursor = 0;
   str_t service;
   void *value;
+  double lowest_factor;
+  double highest_factor;
 
+  pool_time_factor_range (state->pool, &lowest_factor, &highest_factor);
   set_gauge (gateway, "vanillahook_gateway_in_flight", "",
              "Requests in progress.",
              (double)httpd_in_flight (gateway->caller_server));
@@ -171,6 +174,14 @@
   set_gauge (gateway, "vanillahook_gateway_limited_instances", "",
              "Instances that announce a rate limit.",
              (double)pool_count_rate_limits (state->pool));
+  set_gauge (gateway, "vanillahook_gateway_time_factor_lowest", "",
+             "Lasting time factor of the fastest instance, 1 as usual; 0: "
+             "none is known.",
+             lowest_factor);
+  set_gauge (gateway, "vanillahook_gateway_time_factor_highest", "",
+             "Lasting time factor of the slowest instance, 1 as usual; 0: "
+             "none is known.",
+             highest_factor);
   set_gauge (gateway, "vanillahook_gateway_suspects", "",
              "Requests suspected of crashing instances, the refused among "
              "them.",
@@ -467,9 +478,11 @@
 {
   gateway_t *gateway = mem_zalloc (sizeof *gateway);
   gateway_state_t *state = &gateway->state;
-  pool_options_t pool_options = { .zone = options->zone,
-                                  .cold_factor = options->cold_factor,
-                                  .cold_slack = options->cold_slack };
+  pool_options_t pool_options
+      = { .zone = options->zone,
+          .cold_factor = options->cold_factor,
+          .cold_slack = options->cold_slack,
+          .ignores_time_factors = options->ignores_time_factors };
 
   *out = NULL;
   state->loop = loop;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -110,10 +110,12 @@
      a second.  */
   double cold_factor;
   escalation_options_t escalation;
-  double cold_slack;        /* In requests a second; see cold_factor.  */
-  double rollout_share_max; /* Largest part, 0 to 1, of the requests that a
-                               service gets within rollout_spec_t.within_ms
-                               that may be sent to the new version.  */
+  double cold_slack;         /* In requests a second; see cold_factor.  */
+  bool ignores_time_factors; /* The time factors that instances report have no
+                                effect.  */
+  double rollout_share_max;  /* Largest part, 0 to 1, of the requests that a
+                                service gets within rollout_spec_t.within_ms
+                                that may be sent to the new version.  */
 } gateway_options_t;
 
 /* Start a gateway on LOOP.  ROWS and DIALECT must outlive the gateway; the
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -31,6 +31,7 @@
   X (resends, "Sends beyond the first of a request.")                         \
   X (resends_refused, "Times that an extra send was not in the budget.")      \
   X (limited_sends, "Sends to upstreams that announced a rate limit.")        \
+  X (loads_ignored, "Load reports, or their time factors, out of range.")     \
   X (resumes, "Interrupted streams resumed by another send.")                 \
   X (escalations, "Responses discarded to escalate to a larger model.")       \
   X (events, "Events of streams forwarded to callers.")                       \
--- a/packages/gateway/header_names.h
+++ b/packages/gateway/header_names.h
@@ -26,7 +26,9 @@
   /* Only instance that is allowed to run the request.  */                    \
   X (expect_instance, "vanillahook-expect-instance")                          \
   X (expect_version, "vanillahook-expect-version")                            \
-  /* Running requests, waiting requests and slots of an upstream: N,N,N.  */  \
+  /* Running requests, waiting requests and slots of an upstream, and         \
+     optionally the time that work takes there now in percent of the usual    \
+     time: N,N,N or N,N,N,N.  */                                              \
   X (load, "vanillahook-load")                                                \
   /* Present if the upstream did not run the request and never will.  */      \
   X (not_run, "vanillahook-not-run")                                          \
--- a/packages/gateway/instance_notices.c
+++ b/packages/gateway/instance_notices.c
@@ -7,24 +7,65 @@
 
 enum
 {
-  MS_PER_S = 1000
+  MS_PER_S = 1000,
+  PERCENT = 100,
+  /* Highest figure of a load report that is used.  No engine has nearly as
+     many slots; a sum of two figures has room in 32 bits.  */
+  LOAD_FIGURE_MAX = 1000000
 };
 
+/* Record the time factor TEXT, in percent, that RELAY's instance
+   reported.  */
+static void
+observe_time_factor (const relay_t *relay, str_t text)
+{
+  gateway_state_t *state = relay->state;
+  uint64_t percent;
+  double old_factor;
+  double factor;
+
+  if (!str_to_u64 (str_trim (text), &percent) || percent > UINT32_MAX
+      || !pool_record_time_factor (state->pool, relay->upstream,
+                                   (uint32_t)percent))
+    {
+      counter_add (state->counters.loads_ignored, 1);
+      return;
+    }
+  if (pool_take_time_factor_change (state->pool, relay->upstream, &old_factor,
+                                    &factor))
+    log_event (EVENT_SPEED,
+               log_field_text (FIELD_UPSTREAM, upstream_id (relay->upstream)),
+               log_field_number (FIELD_TIME_PERCENT,
+                                 (uint64_t)lround (factor * PERCENT)),
+               log_field_number (FIELD_OLD_TIME_PERCENT,
+                                 (uint64_t)lround (old_factor * PERCENT)));
+}
+
+/* Record the load report TEXT of RELAY's instance.  A time factor that cannot
+   be used leaves the other figures in force.  */
 static void
 observe_load (relay_t *relay, str_t text)
 {
   uint64_t values[3] = { 0, 0, 0 };
   size_t count = 0;
 
+  if (text.ptr == NULL)
+    return;
   while (text.ptr != NULL && count < 3
-         && str_to_u64 (str_trim (str_cut (text, ',', &text)), &values[count]))
+         && str_to_u64 (str_trim (str_cut (text, ',', &text)), &values[count])
+         && values[count] <= LOAD_FIGURE_MAX)
     count++;
   if (count < 3)
-    return;
+    {
+      counter_add (relay->state->counters.loads_ignored, 1);
+      return;
+    }
   relay->upstream_request_count = (uint32_t)(values[0] + values[1]);
   relay->is_upstream_loaded = values[0] * 2 >= values[2];
   pool_record_load (relay->state->pool, relay->upstream, (uint32_t)values[0],
                     (uint32_t)values[1], (uint32_t)values[2]);
+  if (text.ptr != NULL)
+    observe_time_factor (relay, text);
 }
 
 static void
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -31,6 +31,9 @@
    instances get more than their part.  */
 static const double random_requests = 30;
 
+/* Change of a time factor from which it is noticed.  */
+static const double noticed_change = 1.25;
+
 /* Weight of a load report in the mean load of the instances.  */
 static const double mean_load_weight = 1.0 / 16;
 
@@ -122,6 +125,8 @@
   bool is_unreachable;      /* Whether the last probe could not connect.  */
   poison_in_flight_t poison_in_flight; /* Requests of this gateway.  */
   instance_speed_t speed;
+  double noticed_time_factor; /* 0 for none.  */
+  uint64_t noticed_ms;
   unsigned refs;
   unsigned consecutive_failures;
   uint64_t ejection_ms;      /* Length of the last ejection; 0 for none.  */
@@ -1429,6 +1434,52 @@
   return false;
 }
 
+bool
+pool_take_time_factor_change (pool_t *pool, upstream_t *upstream,
+                              double *old_factor, double *factor)
+{
+  uint64_t now_ms = clock_ms (pool->clock);
+  bool is_first = upstream->noticed_time_factor == 0;
+
+  if (!instance_speed_is_known (&upstream->speed)
+      || (!is_first
+          && now_ms - upstream->noticed_ms < POOL_TIME_FACTOR_NOTICE_MS))
+    return false;
+  *old_factor = is_first ? 1 : upstream->noticed_time_factor;
+  *factor = instance_speed_lasting (&upstream->speed);
+  if (*factor<*old_factor * noticed_change && * factor> * old_factor
+      / noticed_change)
+    return false;
+  upstream->noticed_time_factor = *factor;
+  upstream->noticed_ms = now_ms;
+  return true;
+}
+
+size_t
+pool_time_factor_range (const pool_t *pool, double *lowest, double *highest)
+{
+  size_t count = 0;
+  size_t cursor = 0;
+  str_t id;
+  void *value;
+
+  *lowest = 0;
+  *highest = 0;
+  while (map_next (pool->by_id, &cursor, &id, &value))
+    {
+      const instance_speed_t *speed = &((const upstream_t *)value)->speed;
+      double factor = instance_speed_lasting (speed);
+      if (!instance_speed_is_known (speed))
+        continue;
+      if (count == 0 || factor < *lowest)
+        *lowest = factor;
+      if (factor > *highest)
+        *highest = factor;
+      count++;
+    }
+  return count;
+}
+
 double
 upstream_time_factor (const pool_t *pool, const upstream_t *upstream)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -27,6 +27,17 @@
    - An instance that asks for a pause gets nothing before the pause ends.  It
      runs nothing, so without that it is the least loaded one and is tried
      first.
+   - Instances of different speed (policy/instance_speed.h): compared by the
+     number of requests, the fast ones are idle while the others are crowded.
+     As soon as one instance of a service has a known time factor, instances
+     are compared by the time that their requests take, and each is the
+     affinity instance of a part of the keys in proportion to its speed.  The
+     lasting factor counts, not the momentary one, which gains nothing as it
+     is over before a response ends.  Gateways that agree on the factors but
+     do not know each other's sends would all send to the fast instances, so
+     an instance without a recent report counts as loaded like the others, and
+     among instances of equal load each is selected in proportion to its
+     speed.
    - A full instance: its load report keeps requests away for
      POOL_FULL_DECAY_MS.
    - A failing instance: POOL_EJECTION_FAILURES consecutive failures eject it
@@ -102,6 +113,9 @@
      and that the instance is leaving or in a pause: longer than an instance
      takes to stop.  */
   POOL_NOTICE_MEMORY_MS = 600000,
+  /* Least time between two notices of a change of one instance's time
+     factor.  */
+  POOL_TIME_FACTOR_NOTICE_MS = 30000,
   /* Longest pause that an instance gets on its request.  */
   POOL_PAUSE_MAX_MS = 3600000
 };
@@ -288,6 +302,18 @@
    listed twice or not at all.  */
 bool pool_next_time_factor (const pool_t *pool, size_t *cursor,
                             pool_time_factor_t *out);
+/* Return whether the lasting time factor of UPSTREAM is off by a quarter or
+   more from the one that the last call with the result true set as *FACTOR, or
+   from 1 before the first, and the last such call is
+   POOL_TIME_FACTOR_NOTICE_MS or more ago.  If so, set *OLD_FACTOR and
+   *FACTOR.  */
+bool pool_take_time_factor_change (pool_t *pool, upstream_t *upstream,
+                                   double *old_factor, double *factor);
+/* Return the number of instances with a known time factor.  Set *LOWEST and
+   *HIGHEST to the extremes of their lasting factors, or to 0 if there is
+   none.  */
+size_t pool_time_factor_range (const pool_t *pool, double *lowest,
+                               double *highest);
 /* Record that UPSTREAM stays cold for another COLD_MS.  */
 void pool_set_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms);
 
--- a/tests/test_instance_notices.c
+++ b/tests/test_instance_notices.c
@@ -306,6 +306,34 @@
 }
 END_TEST
 
+/* A fast instance reports that work takes less time there, and gets as many
+   requests as the others.  */
+START_TEST (fast_instance_gets_no_more_requests)
+{
+  load_t load;
+
+  load_setup (&load, "/read/a");
+  script (&load, ACT_RESPOND, "vanillahook-load: 1,0,32,55\r\n");
+  for (size_t i = 1; i < UPSTREAMS; i++)
+    fake_upstream_set_headers (load.fixture.upstreams[i],
+                               "vanillahook-load: 1,0,32,220\r\n");
+  load_start (&load);
+  /* Time until each instance has reported.  */
+  load_run_for (&load, 2000);
+  size_t before = request_count (&load);
+  size_t others_before = 0;
+  size_t others = 0;
+  for (size_t i = 1; i < UPSTREAMS; i++)
+    others_before += fake_upstream_request_count (load.fixture.upstreams[i]);
+  load_run_for (&load, 4000);
+  for (size_t i = 1; i < UPSTREAMS; i++)
+    others += fake_upstream_request_count (load.fixture.upstreams[i]);
+  ck_assert_uint_gt (request_count (&load) - before,
+                     2 * (others - others_before));
+  load_teardown (&load);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -323,6 +351,7 @@
   tcase_add_test (tcase, pause_does_not_end);
   tcase_add_loop_test (tcase, unreadable_pause_is_applied, 0, 6);
   tcase_add_test (tcase, caller_returns_before_a_pause_ends);
+  tcase_add_test (tcase, fast_instance_gets_no_more_requests);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
