--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -10,6 +10,8 @@
     = { "entry", "sidecar", "standalone", "gateway", NULL };
 static const char *const platform_names[] = { "http", "memory", NULL };
 static const char *const upstream_kind_names[] = { "engine", "service", NULL };
+/* Indexed by instance_speed_use_t.  */
+static const char *const instance_speed_names[] = { "off", "reported", NULL };
 static const char *const no_yes_names[] = { "no", "yes", NULL };
 static const char *const log_level_names[]
     = { "err", "warning", "notice", "info", "debug", NULL };
@@ -91,6 +93,8 @@
      NULL)                                                                    \
   X ("cold-factor", VALUE_DOUBLE, false, pub.cold_factor, 0.1, 100, NULL)     \
   X ("cold-slack", VALUE_DOUBLE, false, pub.cold_slack, 0, 100000, NULL)      \
+  X ("instance-speed", VALUE_ENUM, false, pub.instance_speed, 0, 0,           \
+     instance_speed_names)                                                    \
   X ("exposure-share", VALUE_DOUBLE, false, pub.rollout_share_max, 0.001, 1,  \
      NULL)                                                                    \
   X ("link-mbps", VALUE_DOUBLE, false, pub.link_mbps, 0, 10000000, NULL)      \
@@ -334,6 +338,7 @@
   pub->extra_send_fixed_budget = 10;
   pub->extra_send_window_s = 10;
   pub->cold_factor = 1;
+  pub->instance_speed = INSTANCE_SPEED_USE_REPORTED;
   pub->rollout_share_max = 0.1;
   /* For 1,000 units of size, the users pay 0.45 to 0.56 for a good response of
      rank 0, 0.25 to 0.28 for rank 1 and 0.14 to 0.17 for rank 2.  A late
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -51,6 +51,13 @@
   PLATFORM_MEMORY /* Inside the process; not shared with other processes.  */
 } platform_kind_t;
 
+/* Use of the time that work takes at an instance.  */
+typedef enum
+{
+  INSTANCE_SPEED_USE_OFF,
+  INSTANCE_SPEED_USE_REPORTED /* As instances report it.  */
+} instance_speed_use_t;
+
 /* Optional features of an engine besides POST /v1/chat/completions.  */
 typedef enum
 {
@@ -171,6 +178,7 @@
      at most rate * cold_factor + cold_slack requests a second.  */
   double cold_factor;
   double cold_slack;
+  instance_speed_use_t instance_speed;
   /* Largest share of a service's requests that a version in roll-out may get
      within the roll-out's time limit.  */
   double rollout_share_max;
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -100,6 +100,7 @@
     .retry_window_ms = (uint64_t)(settings->extra_send_window_s * MS_PER_S),
     .cold_factor = settings->cold_factor,
     .cold_slack = settings->cold_slack,
+    .ignores_time_factors = settings->instance_speed == INSTANCE_SPEED_USE_OFF,
     .rollout_share_max = settings->rollout_share_max,
     .escalation = { .value_per_1k_tokens = settings->good_answer_value,
                     .priority_value_ratio = settings->value_factor_per_rank,
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -142,6 +142,35 @@
 }
 END_TEST
 
+#define GATEWAY                                                               \
+  "[process]\nname = g\nrole = gateway\navailability-zone = z\n"              \
+  "admin = 127.0.0.1:1\n"                                                     \
+  "[gateway]\nlisten = 127.0.0.1:2\nready = 127.0.0.1:3\n"
+#define GATEWAY_PLATFORM "[platform]\naddress = 127.0.0.1:4\n"
+
+START_TEST (gateway_stores_use_of_instance_speed)
+{
+  static const struct
+  {
+    const char *text;
+    instance_speed_use_t use;
+  } cases[] = {
+    { GATEWAY GATEWAY_PLATFORM, INSTANCE_SPEED_USE_REPORTED },
+    { GATEWAY "instance-speed = reported\n" GATEWAY_PLATFORM,
+      INSTANCE_SPEED_USE_REPORTED },
+    { GATEWAY "instance-speed = off\n" GATEWAY_PLATFORM,
+      INSTANCE_SPEED_USE_OFF },
+  };
+  settings_t *settings;
+  conf_errors_t errors = { 0 };
+
+  settings_parse (str_from (cases[_i].text), &settings, &errors);
+  check_no_errors (&errors);
+  ck_assert_int_eq (settings->instance_speed, cases[_i].use);
+  settings_destroy (settings);
+}
+END_TEST
+
 /* A faulty text and the error that it must give.  */
 typedef struct
 {
@@ -154,6 +183,10 @@
 static const error_case_t error_cases[] = {
   { "", 0, "[process] is missing", "role" },
   { STANDALONE "[entri]\nx = 1\n", 11, "unknown section `entri'", "`entry'" },
+  { GATEWAY "instance-speed = measured\n" GATEWAY_PLATFORM, 9,
+    "`instance-speed' cannot be `measured'", "off, reported" },
+  { GATEWAY "instance-speed =\n" GATEWAY_PLATFORM, 9,
+    "`instance-speed' cannot be", "off, reported" },
   { STANDALONE "[zebra]\nx = 1\n", 11, "unknown section `zebra'",
     "known sections: process" },
   { STANDALONE "[entry]\nlisten = 127.0.0.1:9\n", 11, "is defined twice",
@@ -451,6 +484,7 @@
   tcase_add_test (tcase, standalone_has_defaults);
   tcase_add_test (tcase, every_key_is_stored);
   tcase_add_test (tcase, entry_stores_load_keys);
+  tcase_add_loop_test (tcase, gateway_stores_use_of_instance_speed, 0, 3);
   tcase_add_loop_test (tcase, errors_name_line_and_hint, 0,
                        sizeof error_cases / sizeof error_cases[0]);
   tcase_add_test (tcase, all_errors_are_reported_in_order);
