pool: an instance whose factor becomes known counts at once

The mean of a service's factors, as which unknown instances count, was up to 100 ms old when another factor became known. With many instances the factors are computed more rarely: 2 ms at 11,000 instances (select at 11,000: 587 us, with the computation 2571 us; 896 us without factors), now each 1.2 s.

--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -11,8 +11,11 @@
 {
   /* Longest time for which slots are promised in advance.  */
   PROMISE_AHEAD_MAX_MS = 60000,
-  /* Time after which the time factors of a service are computed again.  */
+  /* Time after which the time factors of a service are computed again, and
+     the number of instances that adds a millisecond to it: with 11,000
+     instances a computation takes 2 ms.  */
   TIME_FACTORS_INTERVAL_MS = 100,
+  TIME_FACTORS_PER_MS = 10,
   /* Age of the last report from which a time factor above the mean approaches
      the mean, and the time in which it goes half the way.  A slow instance
      gets few requests or none, so no report would tell that it has
@@ -972,7 +975,8 @@
   group->mean_time_factor = count > 0 ? sum / (double)count : 0;
   for (size_t i = 0; i < group->count && count > 0; i++)
     update_upstream_time_factor (group->upstreams[i], now_ms);
-  group->time_factors_due_ms = now_ms + TIME_FACTORS_INTERVAL_MS;
+  group->time_factors_due_ms
+      = now_ms + TIME_FACTORS_INTERVAL_MS + group->count / TIME_FACTORS_PER_MS;
 }
 
 static int
@@ -1371,16 +1375,19 @@
     record_compared_load (upstream, reported_requests);
 }
 
-/* Handle a change of the time factor of UPSTREAM.  */
+/* Handle a change of the time factor of UPSTREAM.  WAS_KNOWN states whether it
+   was known before.  */
 static void
-time_factor_changed (upstream_t *upstream, uint64_t now_ms)
+time_factor_changed (upstream_t *upstream, bool was_known, uint64_t now_ms)
 {
   service_group_t *group = upstream->group;
 
-  if (group->mean_time_factor > 0)
+  if (group->mean_time_factor == 0)
+    update_time_factors (group, now_ms);
+  else if (was_known)
     update_upstream_time_factor (upstream, now_ms);
   else
-    update_time_factors (group, now_ms);
+    group->time_factors_due_ms = 0;
 }
 
 bool
@@ -1388,12 +1395,13 @@
 {
   instance_speed_t ignored = { 0 };
   uint64_t now_ms = clock_ms (pool->clock);
+  bool was_known = instance_speed_is_known (&upstream->speed);
 
   if (pool->ignores_time_factors)
     return instance_speed_report (&ignored, percent, now_ms);
   if (!instance_speed_report (&upstream->speed, percent, now_ms))
     return false;
-  time_factor_changed (upstream, now_ms);
+  time_factor_changed (upstream, was_known, now_ms);
   return true;
 }
 
@@ -1405,10 +1413,12 @@
   uint64_t now_ms = clock_ms (pool->clock);
 
   if (pool->ignores_time_factors || upstream == NULL
-      || upstream->incarnation != incarnation
-      || !instance_speed_hear (&upstream->speed, factor, age_ms, now_ms))
+      || upstream->incarnation != incarnation)
+    return false;
+  bool was_known = instance_speed_is_known (&upstream->speed);
+  if (!instance_speed_hear (&upstream->speed, factor, age_ms, now_ms))
     return false;
-  time_factor_changed (upstream, now_ms);
+  time_factor_changed (upstream, was_known, now_ms);
   return true;
 }
 
