pool: the random cost follows the instances in the own zone

It is now 0.4 for each instance in the zone. A slow instance is remembered for 1 s with a half-life of 2 s, so that a recovered one is found sooner.

--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -20,19 +20,21 @@
      the mean, and the time in which it goes half the way.  A slow instance
      gets few requests or none, so no report would tell that it has
      recovered.  */
-  SLOW_MEMORY_MS = 2000,
-  SLOW_HALF_LIFE_MS = 3000
+  SLOW_MEMORY_MS = 1000,
+  SLOW_HALF_LIFE_MS = 2000
 };
 
 /* Requests whose time an idle instance takes for one request: the time between
    two events is about 27 ms + 2.6 ms for each running request.  */
 static const double idle_requests = 10;
 
-/* Scale of the random costs where time factors are known, in requests.
-   Gateways do not know each other's last sends, so those that agree on the
-   factors would all send to the same instances; with a higher scale the slow
-   instances get more than their part.  */
-static const double random_requests = 30;
+/* Scale of the random costs where time factors are known, in requests for
+   each instance in the zone of this gateway: the least random cost of N
+   instances is an Nth of the scale.  Gateways do not know each other's last
+   sends, so those that agree on the factors would all send to the same
+   instances; with a higher scale, slow instances and those in other zones get
+   more than their part.  */
+static const double random_requests_per_instance = 0.4;
 
 /* Change of a time factor from which it is noticed.  */
 static const double noticed_change = 1.25;
@@ -66,6 +68,7 @@
   size_t capacity;
   double mean_time_factor;   /* Of the instances with a known time factor; 0 if
                                 there is none.  */
+  double random_cost;        /* Scale of the random costs, in requests.  */
   double mean_compared_load; /* By the last load reports; 0 if there was
                                 none.  */
   uint64_t time_factors_due_ms; /* Monotonic time at which the time factors of
@@ -824,7 +827,7 @@
   if (group->mean_time_factor == 0)
     return cost;
   double part = 1 - rng_double (&pool->rng);
-  double scale = random_requests * upstream->time_factor;
+  double scale = group->random_cost * upstream->time_factor;
   /* A lower bound of the cost, which spares most logarithms.  */
   double least_cost = cost + scale * (1 - part);
   return least_cost > limit ? least_cost : cost - scale * log (part);
@@ -965,16 +968,23 @@
 {
   double sum = 0;
   size_t count = 0;
+  size_t own_zone_count = 0;
 
   for (size_t i = 0; i < group->count; i++)
-    if (instance_speed_is_known (&group->upstreams[i]->speed))
-      {
-        sum += instance_speed_lasting (&group->upstreams[i]->speed);
-        count++;
-      }
+    {
+      const upstream_t *upstream = group->upstreams[i];
+      own_zone_count += upstream->is_own_zone;
+      if (!instance_speed_is_known (&upstream->speed))
+        continue;
+      sum += instance_speed_lasting (&upstream->speed);
+      count++;
+    }
   group->mean_time_factor = count > 0 ? sum / (double)count : 0;
   for (size_t i = 0; i < group->count && count > 0; i++)
     update_upstream_time_factor (group->upstreams[i], now_ms);
+  group->random_cost
+      = random_requests_per_instance
+        * (double)(own_zone_count > 0 ? own_zone_count : group->count);
   group->time_factors_due_ms
       = now_ms + TIME_FACTORS_INTERVAL_MS + group->count / TIME_FACTORS_PER_MS;
 }
