--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -27,6 +27,17 @@
    - An instance that asks for a pause gets nothing before the pause ends.  It
      runs nothing, so without that it is the least loaded one and is tried
      first.
+   - Instances of different speed (policy/instance_speed.h): compared by the
+     number of requests, the fast ones are idle while the others are crowded.
+     As soon as one instance of a service has a known time factor, instances
+     are compared by the time that their requests take, and each is the
+     affinity instance of a part of the keys in proportion to its speed.  The
+     lasting factor counts, not the momentary one, which gains nothing as it
+     is over before a response ends.  Gateways that agree on the factors but
+     do not know each other's sends would all send to the fast instances, so
+     an instance without a recent report counts as loaded like the others, and
+     among instances of equal load each is selected in proportion to its
+     speed.
    - A full instance: its load report keeps requests away for
      POOL_FULL_DECAY_MS.
    - A failing instance: POOL_EJECTION_FAILURES consecutive failures eject it
@@ -52,6 +63,7 @@
 #include "base/code.h"
 #include "base/str.h"
 #include "policy/allotment.h"
+#include "policy/instance_speed.h"
 #include "policy/poison.h"
 #include "policy/ratelimit.h"
 
@@ -101,6 +113,9 @@
      and that the instance is leaving or in a pause: longer than an instance
      takes to stop.  */
   POOL_NOTICE_MEMORY_MS = 600000,
+  /* Least time between two notices of a change of one instance's time
+     factor.  */
+  POOL_TIME_FACTOR_NOTICE_MS = 30000,
   /* Longest pause that an instance gets on its request.  */
   POOL_PAUSE_MAX_MS = 3600000
 };
@@ -134,6 +149,7 @@
      cold_slack requests a second.  */
   double cold_factor;
   double cold_slack;
+  bool ignores_time_factors; /* Time factors have no effect.  */
 } pool_options_t;
 
 typedef enum
@@ -179,6 +195,16 @@
                     failure.  */
 } send_outcome_t;
 
+/* What this gateway's reports tell of the time that work takes at an
+   instance.  */
+typedef struct
+{
+  str_t id;
+  uint64_t incarnation;
+  double factor;   /* Mean of the reports; 1 means as usual.  */
+  uint64_t age_ms; /* Age of the last report.  */
+} pool_time_factor_t;
+
 pool_t *pool_create (clock_iface_t *clock, uint64_t seed,
                      const pool_options_t *options);
 void pool_destroy (pool_t *pool);
@@ -258,6 +284,36 @@
    of slots was not reported.  */
 void pool_record_load (pool_t *pool, upstream_t *upstream, uint32_t running,
                        uint32_t waiting, uint32_t slots);
+/* Record that UPSTREAM reported that work takes PERCENT of the usual time
+   there now.  Return false, without an effect, if PERCENT is out of the range
+   of policy/instance_speed.h.  */
+bool pool_record_time_factor (pool_t *pool, upstream_t *upstream,
+                              uint32_t percent);
+/* Record that work takes FACTOR times the usual time at the process
+   INCARNATION of instance ID, as another gateway found AGE_MS ago.  Return
+   false, without an effect, if there is no such process, if FACTOR is out of
+   range, or if a newer one was heard.  */
+bool pool_hear_time_factor (pool_t *pool, str_t id, uint64_t incarnation,
+                            double factor, uint64_t age_ms);
+/* Get the next instance of which this gateway has reports of a time factor of
+   its own, and update *CURSOR, which is 0 at first.  OUT->id is valid until
+   the instance is removed.  Return false, with *CURSOR 0, after the last
+   instance.  An instance added or removed between two calls may let others be
+   listed twice or not at all.  */
+bool pool_next_time_factor (const pool_t *pool, size_t *cursor,
+                            pool_time_factor_t *out);
+/* Return whether the lasting time factor of UPSTREAM is off by a quarter or
+   more from the one that the last call with the result true set as *FACTOR, or
+   from 1 before the first, and the last such call is
+   POOL_TIME_FACTOR_NOTICE_MS or more ago.  If so, set *OLD_FACTOR and
+   *FACTOR.  */
+bool pool_take_time_factor_change (pool_t *pool, upstream_t *upstream,
+                                   double *old_factor, double *factor);
+/* Return the number of instances with a known time factor.  Set *LOWEST and
+   *HIGHEST to the extremes of their lasting factors, or to 0 if there is
+   none.  */
+size_t pool_time_factor_range (const pool_t *pool, double *lowest,
+                               double *highest);
 /* Record that UPSTREAM stays cold for another COLD_MS.  */
 void pool_set_cold (pool_t *pool, upstream_t *upstream, uint64_t cold_ms);
 
@@ -302,6 +358,11 @@
 /* Return the number of requests that run or wait at UPSTREAM: those of this
    gateway, and those of others according to the last load report.  */
 double upstream_request_count (const pool_t *pool, const upstream_t *upstream);
+/* Return the lasting time factor of UPSTREAM, by the reports to this and other
+   gateways: 1 means that work takes the usual time.  Return the mean of the
+   instances of its service with a known factor if that of UPSTREAM is unknown,
+   and 1 if none is known.  */
+double upstream_time_factor (const pool_t *pool, const upstream_t *upstream);
 /* Return how many requests UPSTREAM runs concurrently, as last reported.  */
 uint32_t upstream_slots (const upstream_t *upstream);
 /* Return the requests of this gateway at UPSTREAM beside which some others do
