relay: a response without an end is left for another instance

An instance that sent comments only, or an event without an end after two others, kept the caller until its time was over; 64 KiB of interim responses in one read ended the gateway with SIGSEGV; chunk extensions and trailers without an end were read until a timeout.

Cause: each byte counted as progress of a stream, and a comment with an empty line as an event. The parser called itself for each interim response, with arrays of 100 headers on the stack. Only the head without its interim responses, a plain body and an event were bounded in bytes.

Change: progress of a stream is the response head or an event with data or an id; the stall timeouts and the probe of a silent instance follow it. Interim responses count to the 64 KiB of the head and are at most 16; chunk sizes, extensions and trailers are bounded by 64 KiB without a byte of the body, bytes between two events by 64 KiB. Heads and events that come in small pieces are not searched from their start each time. Comments are passed on as before, and counted with the event after them, so a fine stream has the count it had. After a pause for a slow caller the timeout counts from its end, and a send that begins in the pause is paused too.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -249,6 +249,11 @@
   X ("foreign-answer", "The upstream's answer was to another request, had "   \
                        "no mac, or was coded.")                               \
   X ("silent", "The upstream sent nothing for too long.")                     \
+  X ("no-progress", "The upstream sent bytes for too long, but no whole "     \
+                    "head, no event of the stream, or no end of the answer.") \
+  X ("unbounded", "The upstream's answer has a head, a line of the chunk "    \
+                  "coding, trailers, an event or bytes between two events "   \
+                  "that are over the bound.")                                 \
   X ("lost", "The upstream sent nothing and took no connection.")             \
   X ("upstream-error", "The upstream answered with a failure of its own.")    \
   X ("resume-failed", "No upstream went on with the stream.")                 \
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -32,6 +32,8 @@
   X (resends_refused, "Times that an extra send was not in the budget.")      \
   X (limited_sends, "Sends to upstreams that announced a rate limit.")        \
   X (resumes, "Interrupted streams resumed by another send.")                 \
+  X (unbounded_responses,                                                     \
+     "Responses left because they went on without an event or an end.")       \
   X (escalations, "Responses discarded to escalate to a larger model.")       \
   X (events, "Events of streams forwarded to callers.")                       \
   X (crashes, "Crashes of instances that ran requests of this process.")      \
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -256,7 +256,8 @@
   relay->phase = PHASE_AWAITING_RESPONSE;
   relay->sent_ms = now_ms;
   relay->dispatched_ms = now_ms;
-  relay->last_activity_ms = now_ms;
+  relay->last_progress_ms = now_ms;
+  relay->progress_bytes = 0;
   relay->first_event_ms = 0;
   relay->has_survived = false;
   relay->send_event_count = 0;
@@ -292,6 +293,9 @@
       relay_connect_failed (relay, "address");
       return;
     }
+  /* The caller has not read what an earlier upstream sent.  */
+  if (relay->is_paused)
+    http_exchange_pause (relay->call);
   arm_timer (relay, now_ms);
 }
 
@@ -327,11 +331,11 @@
   return relay->event_count == 0
              ? relay->sent_ms
                    + route->objective_ms * FIRST_EVENT_TIMEOUT_OBJECTIVES
-             : relay->last_activity_ms
+             : relay->last_progress_ms
                    + route->event_gap_max_ms * EVENT_TIMEOUT_GAPS;
 }
 
-/* Return the time at which an upstream that sends no data is to be probed, or
+/* Return the time at which an upstream that sends no event is to be probed, or
    the send to be abandoned; UINT64_MAX if never.
 
    For a stream, a probe is due at the time given by pool_probe_due_ms.  The
@@ -417,14 +421,11 @@
         }
       if (relay_check_retry_budget (relay) && relay_has_alternative (relay))
         {
-          relay->is_connection_lost
-              = upstream_is_unreachable (relay->upstream);
-          relay_send_failed (
-              relay, relay->is_connection_lost ? "lost" : "silent", true);
+          relay_send_stalled (relay);
           return;
         }
       /* No retry is possible now: keep waiting for this upstream.  */
-      relay->last_activity_ms = now_ms;
+      relay->last_progress_ms = now_ms;
       relay->sent_ms = now_ms;
       pool_data_received (relay->state->pool, relay->upstream);
     }
@@ -448,11 +449,20 @@
 {
   relay_t *relay = arg;
 
-  if (relay->is_paused && relay->call != NULL)
-    {
-      relay->is_paused = false;
-      http_exchange_resume (relay->call);
-    }
+  if (!relay->is_paused)
+    return;
+  relay->is_paused = false;
+  if (relay->call == NULL)
+    return;
+  http_exchange_resume (relay->call);
+  /* No timeout ran in the pause, and the next one counts from its end.  */
+  relay->last_progress_ms = clock_ms (relay->state->clock);
+  uint64_t due_ms = send_timeout_due_ms (relay);
+  if (due_ms > relay->attrs.deadline_at_ms)
+    due_ms = relay->attrs.deadline_at_ms;
+  peer_timer_start (&relay->timer, due_ms > relay->last_progress_ms
+                                       ? due_ms - relay->last_progress_ms
+                                       : 0);
 }
 
 /* The caller disconnected: cancel the call to the upstream on the same loop
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -175,8 +175,8 @@
   if (may_have_run && relay_trial_arm (relay) == TRIAL_ARM_NEW)
     relay->trial_sends.failed_on_new = true;
   relay_finish_send (relay, may_have_run ? SEND_FAILED : SEND_REFUSED);
-  relay->response_headers.len = 0;
-  relay->response_body.len = 0;
+  buf_free (&relay->response_headers);
+  buf_free (&relay->response_body);
   sse_filter_discard_partial (&relay->sse);
   /* A request that crashed the upstream must not reach the next one before
      that is known.  */
@@ -192,6 +192,39 @@
   resend (relay, reason, may_have_run);
 }
 
+/* Handle that the response of the current send is over the bound that REASON
+   names.  */
+static void
+response_too_large (relay_t *relay, const char *reason)
+{
+  counter_add (relay->state->counters.unbounded_responses, 1);
+  relay_send_failed (relay, reason, true);
+}
+
+void
+relay_note_progress (relay_t *relay)
+{
+  relay->last_progress_ms = clock_ms (relay->state->clock);
+  relay->progress_bytes = http_exchange_bytes_received (relay->call);
+  pool_data_received (relay->state->pool, relay->upstream);
+}
+
+void
+relay_send_stalled (relay_t *relay)
+{
+  const char *reason = "silent";
+
+  relay->is_connection_lost = upstream_is_unreachable (relay->upstream);
+  if (relay->is_connection_lost)
+    reason = "lost";
+  else if (http_exchange_bytes_received (relay->call) > relay->progress_bytes)
+    {
+      reason = "no-progress";
+      counter_add (relay->state->counters.unbounded_responses, 1);
+    }
+  relay_send_failed (relay, reason, true);
+}
+
 /* Copy the status of HEAD and the headers to forward into RELAY.  */
 static void
 store_response_head (relay_t *relay, const http_exchange_head_t *head)
@@ -321,8 +354,7 @@
   const header_names_t *names = relay->state->names;
 
   relay->has_head = true;
-  relay->last_activity_ms = clock_ms (relay->state->clock);
-  pool_data_received (relay->state->pool, relay->upstream);
+  relay_note_progress (relay);
   if (!is_valid_response (relay, head))
     {
       relay_send_failed (relay, "foreign-answer", true);
@@ -333,7 +365,7 @@
     escalation_record_wait (
         gateway_service_escalation (relay->state, relay->attrs.service->name),
         relay_service_model_index (relay, relay->model_index),
-        relay->attrs.prompt_tokens, relay->last_activity_ms - relay->sent_ms,
+        relay->attrs.prompt_tokens, relay->last_progress_ms - relay->sent_ms,
         relay->attrs.route->objective_ms);
   if (head->status == 421
       || http_exchange_header (head, names->not_run).ptr != NULL)
@@ -359,11 +391,11 @@
     }
   if (relay->is_success)
     relay_record_timing (relay, TRIAL_TIMING_FIRST_EVENT,
-                         (double)(relay->last_activity_ms - relay->sent_ms));
+                         (double)(relay->last_progress_ms - relay->sent_ms));
   if (relay->is_success && escalate (relay, head))
     return;
   relay->phase = PHASE_RECEIVING_RESPONSE;
-  relay->head_received_ms = relay->last_activity_ms;
+  relay->head_received_ms = relay->last_progress_ms;
   if (relay->has_response_started)
     return;
   store_response_head (relay, head);
@@ -377,13 +409,35 @@
 record_begin (relay_t *relay)
 {
   if (relay->first_event_ms == 0)
-    relay->first_event_ms = relay->last_activity_ms;
+    relay->first_event_ms = relay->last_progress_ms;
   if (relay->has_survived || !relay_has_begun (relay))
     return;
   relay->has_survived = true;
   crash_records_parts_survived (relay->state->crash_records, &relay->attrs);
 }
 
+/* Record that COUNT events of the current send arrived, at least one.  */
+static void
+record_events (relay_t *relay, size_t count)
+{
+  relay_note_progress (relay);
+  if (relay->unread_prompt_tokens > 0)
+    {
+      pool_prompt_processed (relay->upstream, relay->unread_prompt_tokens);
+      relay->unread_prompt_tokens = 0;
+    }
+  record_begin (relay);
+  relay->event_count += count;
+  if (relay->send_event_count <= MEAN_GAP_EVENT_COUNT
+      && relay->send_event_count + count > MEAN_GAP_EVENT_COUNT)
+    relay_record_timing (
+        relay, TRIAL_TIMING_EVENT_GAP,
+        (double)(relay->last_progress_ms - relay->head_received_ms)
+            / (double)(relay->send_event_count + count - 1));
+  relay->send_event_count += count;
+  counter_add (relay->state->counters.events, count);
+}
+
 static void
 forward_events (relay_t *relay, str_t bytes)
 {
@@ -391,23 +445,10 @@
   size_t count = 0;
   vh_code_t code = sse_filter_feed (&relay->sse, bytes, &out, &count);
 
+  if (count > 0)
+    record_events (relay, count);
   if (out.len > 0)
     {
-      if (relay->unread_prompt_tokens > 0)
-        {
-          pool_prompt_processed (relay->upstream, relay->unread_prompt_tokens);
-          relay->unread_prompt_tokens = 0;
-        }
-      record_begin (relay);
-      relay->event_count += count;
-      if (relay->send_event_count <= MEAN_GAP_EVENT_COUNT
-          && relay->send_event_count + count > MEAN_GAP_EVENT_COUNT)
-        relay_record_timing (
-            relay, TRIAL_TIMING_EVENT_GAP,
-            (double)(relay->last_activity_ms - relay->head_received_ms)
-                / (double)(relay->send_event_count + count - 1));
-      relay->send_event_count += count;
-      counter_add (relay->state->counters.events, count);
       httpd_send (relay->req, buf_str (&out), false);
       if (!relay->is_paused
           && httpd_buffered_bytes (relay->req) > CALLER_BUFFER_BYTES_HIGH)
@@ -417,7 +458,9 @@
         }
     }
   buf_free (&out);
-  if (code != VH_OK)
+  if (code != VH_OK && relay->sse.is_too_large)
+    response_too_large (relay, "unbounded");
+  else if (code != VH_OK)
     relay_send_failed (relay, "events-out-of-order", true);
 }
 
@@ -426,12 +469,14 @@
 {
   relay_t *relay = arg;
 
-  relay->last_activity_ms = clock_ms (relay->state->clock);
-  pool_data_received (relay->state->pool, relay->upstream);
   if (relay->has_response_started)
-    forward_events (relay, bytes);
-  else if (relay->response_body.len + bytes.len > RESPONSE_BODY_BYTES_MAX)
-    relay_send_failed (relay, "answer-too-large", true);
+    {
+      forward_events (relay, bytes);
+      return;
+    }
+  pool_data_received (relay->state->pool, relay->upstream);
+  if (relay->response_body.len + bytes.len > RESPONSE_BODY_BYTES_MAX)
+    response_too_large (relay, "answer-too-large");
   else
     buf_append_str (&relay->response_body, bytes);
 }
@@ -465,6 +510,11 @@
       && !sse_filter_at_boundary (&relay->sse))
     code = VH_E_UPSTREAM_CUT;
   relay->is_connection_lost = code == VH_E_UPSTREAM_CUT;
+  if (code == VH_E_TOO_LARGE)
+    {
+      response_too_large (relay, "unbounded");
+      return;
+    }
   if (code != VH_OK)
     {
       relay_send_failed (relay, code == VH_E_PROTOCOL ? "garbled" : "cut",
@@ -484,6 +534,8 @@
       return;
     }
   counter_add (relay->state->counters.answered, 1);
+  relay->event_count += relay->sse.comment_count;
+  counter_add (relay->state->counters.events, relay->sse.comment_count);
   relay_record_end (relay, EVENT_ANSWERED, relay->response_status,
                     relay->failure_reason, 0);
   /* The last bytes may still be in the write queue.  If the caller disconnects
--- a/packages/gateway/relay_select.c
+++ b/packages/gateway/relay_select.c
@@ -208,7 +208,7 @@
           .confidence = confidence_points,
           .has_smallest_confidence = relay->model_index > 0,
           .smallest_confidence = relay->first_confidence,
-          .elapsed_ms = relay->last_activity_ms - attrs->arrived_ms,
+          .elapsed_ms = relay->last_progress_ms - attrs->arrived_ms,
           .objective_ms = route->objective_ms,
           .max_pause_ms = route->event_gap_max_ms,
           .candidates = choices,
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -76,10 +76,13 @@
   uint64_t dispatched_ms; /* Monotonic time of the send, in ms; not changed
                              when a timeout is postponed.  */
   uint64_t head_received_ms;
-  uint64_t last_activity_ms; /* Monotonic time of the last bytes received from
-                                the upstream, in ms.  Equal to SENT_MS before
-                                the first bytes and when a timeout is
-                                postponed.  */
+  uint64_t last_progress_ms; /* Monotonic time, in ms, of the response head or
+                                the last event received from the upstream, or
+                                of the end of a pause in reading.  Equal to
+                                SENT_MS before the head and when a timeout is
+                                postponed.  Other bytes are no progress.  */
+  uint64_t progress_bytes;   /* Bytes received from the upstream up to that
+                                time.  */
   uint64_t first_event_ms;   /* Monotonic time of the first event of this send,
                                 in ms; 0 before.  */
   bool has_survived; /* The answer went on long enough to show that the prompt
@@ -221,6 +224,10 @@
    upstream reported that it did not run the request.  Retries the request if
    allowed, else fails it.  */
 void relay_send_failed (relay_t *relay, const char *reason, bool may_have_run);
+/* Record that the upstream sent the response head or an event now.  */
+void relay_note_progress (relay_t *relay);
+/* Handle that the upstream has made no progress for too long.  */
+void relay_send_stalled (relay_t *relay);
 /* Handle the failure of the current send for REASON before a byte of the
    request was sent.  The next send does not count against the retry budget. */
 void relay_connect_failed (relay_t *relay, const char *reason);
--- a/packages/gateway/sse_filter.c
+++ b/packages/gateway/sse_filter.c
@@ -1,26 +1,49 @@
 #include "gateway/sse_filter.h"
 
-/* Return the length of the first complete event in BYTES, including the empty
-   line that ends it; 0 if there is none.  */
+/* Return the length of the first complete event in the partial bytes of FILTER
+   from OFFSET on, including the empty line that ends it; 0 if there is none.
+   Bytes that were scanned before are not scanned again.  */
 static size_t
-first_event_length (str_t bytes)
+first_event_length (sse_filter_t *filter, size_t offset)
 {
-  size_t line_len = 0; /* Length of the current line without its line end.  */
+  const buf_t *bytes = &filter->partial;
 
-  for (size_t i = 0; i < bytes.len; i++)
+  for (size_t i = filter->scanned; i < bytes->len; i++)
     {
-      if (bytes.ptr[i] == '\r')
+      if (bytes->ptr[i] == '\r')
         continue;
-      if (bytes.ptr[i] != '\n')
-        line_len++;
-      else if (line_len == 0)
-        return i + 1;
+      if (bytes->ptr[i] != '\n')
+        filter->line_len++;
+      else if (filter->line_len == 0)
+        {
+          filter->scanned = i + 1;
+          return i + 1 - offset;
+        }
       else
-        line_len = 0;
+        filter->line_len = 0;
     }
+  filter->scanned = bytes->len;
   return 0;
 }
 
+/* Return whether BLOCK, which ends with an empty line, is an event.  */
+static bool
+is_event (str_t block)
+{
+  /* A stream may begin with a byte order mark.  */
+  if (str_starts_with (block, STR ("\xef\xbb\xbf")))
+    block = str_make (block.ptr + 3, block.len - 3);
+  while (block.ptr != NULL && block.len > 0)
+    {
+      str_t line = str_cut (block, '\n', &block);
+      if (str_starts_with (line, STR ("data:"))
+          || str_starts_with (line, STR ("id:"))
+          || str_eq (str_trim (line), STR ("data")))
+        return true;
+    }
+  return false;
+}
+
 /* Set *ID to the id of EVENT.  Return false if EVENT has no numeric id.  */
 static bool
 parse_event_id (str_t event, uint64_t *id)
@@ -54,7 +77,24 @@
       filter->last_id = id;
     }
   buf_append_str (out, event);
-  (*count)++;
+  *count += 1 + filter->comment_count;
+  filter->comment_bytes = 0;
+  filter->comment_count = 0;
+  return VH_OK;
+}
+
+/* Append COMMENT, which is no event, to OUT.  */
+static vh_code_t
+append_comment (sse_filter_t *filter, str_t comment, buf_t *out)
+{
+  filter->comment_bytes += comment.len;
+  filter->comment_count++;
+  if (filter->comment_bytes > SSE_COMMENT_BYTES_MAX)
+    {
+      filter->is_too_large = true;
+      return VH_E_PROTOCOL;
+    }
+  buf_append_str (out, comment);
   return VH_OK;
 }
 
@@ -62,29 +102,36 @@
 sse_filter_feed (sse_filter_t *filter, str_t bytes, buf_t *out, size_t *count)
 {
   size_t offset = 0;
+  size_t len;
   vh_code_t code = VH_OK;
 
   buf_append_str (&filter->partial, bytes);
-  for (;;)
+  while (code == VH_OK && (len = first_event_length (filter, offset)) > 0)
     {
-      str_t unread = str_make (filter->partial.ptr + offset,
-                               filter->partial.len - offset);
-      size_t len = first_event_length (unread);
-      if (len == 0 || code != VH_OK)
-        break;
-      code = append_new_event (filter, str_make (unread.ptr, len), out, count);
+      str_t block = str_make (filter->partial.ptr + offset, len);
+      code = is_event (block) ? append_new_event (filter, block, out, count)
+                              : append_comment (filter, block, out);
       offset += len;
     }
   buf_consume (&filter->partial, offset);
+  filter->scanned -= offset;
   if (code == VH_OK && filter->partial.len > SSE_EVENT_BYTES_MAX)
-    code = VH_E_PROTOCOL;
+    {
+      filter->is_too_large = true;
+      code = VH_E_PROTOCOL;
+    }
   return code;
 }
 
 void
 sse_filter_discard_partial (sse_filter_t *filter)
 {
-  filter->partial.len = 0;
+  buf_free (&filter->partial);
+  filter->scanned = 0;
+  filter->line_len = 0;
+  filter->comment_bytes = 0;
+  filter->comment_count = 0;
+  filter->is_too_large = false;
 }
 
 bool
--- a/packages/wire/http_exchange.c
+++ b/packages/wire/http_exchange.c
@@ -10,9 +10,19 @@
 
 enum
 {
-  /* Limits of a response's head; servers send a few dozen headers.  */
+  /* Limits of a response's head, with the interim responses before it; servers
+     send a few dozen headers and at most a few interim responses.  */
   HEAD_BYTES_MAX = 65536,
   HEADERS_MAX = 100,
+  INTERIM_RESPONSES_MAX = 16,
+  /* Length from which an incomplete head is only searched for its end when
+     more of it arrives.  Parsing it again each time would take a time that
+     grows with the square of its length.  */
+  HEAD_REPARSE_BYTES = 4096,
+  /* Limit of the bytes of chunk sizes, chunk extensions and trailers that
+     arrive without a byte of the body between them, in reads that have none of
+     it.  */
+  FRAMING_BYTES_MAX = 65536,
   READ_BUFFER_BYTES = 65536
 };
 
@@ -34,7 +44,12 @@
   http_exchange_events_t events;
   void *arg;
   buf_t request;
-  buf_t input; /* Received bytes of an incomplete response head.  */
+  buf_t input;            /* Received bytes of an incomplete response head.  */
+  size_t parsed_len;      /* Bytes of INPUT that are no complete head.  */
+  size_t head_bytes;      /* Bytes received up to the end of the head.  */
+  unsigned interim_count; /* Interim responses received.  */
+  size_t framing_bytes;   /* See FRAMING_BYTES_MAX.  */
+  uint64_t bytes_received;
   bool connected;
   bool has_response_head;
   bool no_body;
@@ -93,6 +108,12 @@
   return exchange->connected;
 }
 
+uint64_t
+http_exchange_bytes_received (const http_exchange_t *exchange)
+{
+  return exchange->bytes_received;
+}
+
 str_t
 http_exchange_header (const http_exchange_head_t *head, str_t name)
 {
@@ -160,9 +181,14 @@
       is_complete = exchange->body_bytes_left == 0;
       break;
     case BODY_CHUNKED:
-      trailing_len = phr_decode_chunked (&exchange->decoder, bytes, &len);
-      is_complete = trailing_len >= 0;
-      break;
+      {
+        size_t received_len = len;
+        trailing_len = phr_decode_chunked (&exchange->decoder, bytes, &len);
+        is_complete = trailing_len >= 0;
+        exchange->framing_bytes
+            = len > 0 ? 0 : exchange->framing_bytes + received_len;
+        break;
+      }
     case BODY_UNTIL_CLOSE:
       break;
     }
@@ -174,41 +200,72 @@
     finish (exchange, VH_E_PROTOCOL);
   else if (is_complete)
     finish (exchange, VH_OK);
+  else if (exchange->framing_bytes > FRAMING_BYTES_MAX)
+    finish (exchange, VH_E_TOO_LARGE);
 }
 
-/* Parse the response head in the input.  Return its length, or 0 when the head
-   is incomplete or the exchange has ended.  */
-static size_t
-process_head (http_exchange_t *exchange)
+/* Parse the response head in the input into HEAD, whose headers have room for
+   HEADERS_MAX.  Return its length, 0 if it is incomplete, or -1 if the
+   exchange has ended because the response is not valid or too large.  */
+static int
+parse_head (http_exchange_t *exchange, http_exchange_head_t *head,
+            httpc_header_t *headers)
 {
   struct phr_header parsed[HEADERS_MAX];
-  httpc_header_t headers[HEADERS_MAX];
-  http_exchange_head_t head = { 0, headers, HEADERS_MAX };
   const char *reason;
   size_t reason_len;
   int minor;
-  int len = phr_parse_response (exchange->input.ptr, exchange->input.len,
-                                &minor, &head.status, &reason, &reason_len,
-                                parsed, &head.header_count, 0);
 
-  if (len == -1 || (len == -2 && exchange->input.len > HEAD_BYTES_MAX))
-    {
-      finish (exchange, VH_E_PROTOCOL);
-      return 0;
-    }
+  head->headers = headers;
+  head->header_count = HEADERS_MAX;
+  int len = phr_parse_response (
+      exchange->input.ptr, exchange->input.len, &minor, &head->status, &reason,
+      &reason_len, parsed, &head->header_count,
+      exchange->parsed_len >= HEAD_REPARSE_BYTES ? exchange->parsed_len : 0);
+
+  exchange->parsed_len = exchange->input.len;
+  if (len == -1)
+    finish (exchange, head->header_count == HEADERS_MAX ? VH_E_TOO_LARGE
+                                                        : VH_E_PROTOCOL);
+  else if (exchange->head_bytes + (len > 0 ? (size_t)len : exchange->input.len)
+           > HEAD_BYTES_MAX)
+    finish (exchange, VH_E_TOO_LARGE);
+  if (exchange->closed)
+    return -1;
   if (len == -2)
     return 0;
-  for (size_t i = 0; i < head.header_count; i++)
+  for (size_t i = 0; i < head->header_count; i++)
     {
       headers[i].name = str_make (parsed[i].name, parsed[i].name_len);
       headers[i].value = str_make (parsed[i].value, parsed[i].value_len);
     }
-  if (head.status >= 100 && head.status < 200 && head.status != 101)
+  return len;
+}
+
+/* Process the response head in the input, and drop the interim responses (1xx)
+   before it.  Return its length, or 0 when the head is incomplete or the
+   exchange has ended.  */
+static size_t
+process_head (http_exchange_t *exchange)
+{
+  httpc_header_t headers[HEADERS_MAX];
+  http_exchange_head_t head;
+  int len;
+
+  while ((len = parse_head (exchange, &head, headers)) > 0
+         && head.status >= 100 && head.status < 200 && head.status != 101)
     {
-      /* An interim response (1xx); the final one follows.  */
+      exchange->head_bytes += (size_t)len;
+      exchange->parsed_len = 0;
       buf_consume (&exchange->input, (size_t)len);
-      return process_head (exchange);
+      if (++exchange->interim_count > INTERIM_RESPONSES_MAX)
+        {
+          finish (exchange, VH_E_TOO_LARGE);
+          return 0;
+        }
     }
+  if (len <= 0)
+    return 0;
   if (!set_body_framing (exchange, &head))
     {
       finish (exchange, VH_E_PROTOCOL);
@@ -261,6 +318,7 @@
       finish (exchange, is_complete ? VH_OK : VH_E_UPSTREAM_CUT);
       return;
     }
+  exchange->bytes_received += (size_t)read_len;
   if (exchange->has_response_head)
     {
       process_body (exchange, buf->base, (size_t)read_len);
@@ -274,6 +332,7 @@
   if (exchange->body_framing != BODY_UNTIL_CLOSE || exchange->input.len > len)
     process_body (exchange, exchange->input.ptr + len,
                   exchange->input.len - len);
+  buf_free (&exchange->input);
 }
 
 static void
--- a/packages/wire/http_exchange.h
+++ b/packages/wire/http_exchange.h
@@ -33,8 +33,13 @@
    one END.  The exchange is released after END.  Borrowed arguments are valid
    until the callback returns.  END receives VH_OK for a complete response,
    VH_E_CONNECT when no byte of the request left this process,
-   VH_E_UPSTREAM_CUT when the connection ended early and VH_E_PROTOCOL when the
-   server's response is not valid HTTP.  */
+   VH_E_UPSTREAM_CUT when the connection ended early, VH_E_PROTOCOL when the
+   server's response is not valid HTTP and VH_E_TOO_LARGE when its head with
+   the interim responses before it is larger than 64 KiB or has more than 100
+   headers, there are more than 16 interim responses, or more than 64 KiB of
+   chunk sizes, chunk extensions and trailers arrive without a byte of the body
+   (up to 64 KiB more of them are read with such bytes).  The body itself has
+   no limit, and there is no limit in time: both are up to the caller.  */
 typedef struct
 {
   void (*head) (void *arg, const http_exchange_head_t *head);
@@ -57,6 +62,8 @@
 void http_exchange_cancel (http_exchange_t *exchange);
 /* Return whether the server may have received any byte of the request.  */
 bool http_exchange_was_sent (const http_exchange_t *exchange);
+/* Return the number of bytes received from the server.  */
+uint64_t http_exchange_bytes_received (const http_exchange_t *exchange);
 /* Stop and restart reading from the server.  While reading is stopped, TCP
    flow control limits the rate of a server whose response is consumed slowly.
  */
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -36,8 +36,9 @@
   fake_action_t share_action; /* Reaction to SHARE of the requests.  */
   double share;
   fake_action_t last_action;
-  char *rate_limit; /* Value of the rate limit header; NULL: none.  */
-  char *headers;    /* Further header lines; NULL: none.  */
+  size_t endless_bytes; /* Bytes of a part of an endless response.  */
+  char *rate_limit;     /* Value of the rate limit header; NULL: none.  */
+  char *headers;        /* Further header lines; NULL: none.  */
   uint64_t *arrivals_ms;
   size_t arrivals_capacity;
   size_t requests;
@@ -58,7 +59,10 @@
   list_t link;
   fake_upstream_t *upstream;
   uv_tcp_t tcp;
-  uv_timer_t timer; /* Ends the pause of ACT_STREAM_PAUSE.  */
+  uv_timer_t timer; /* Ends the pause of ACT_STREAM_PAUSE, or sends the next
+                       part of an endless response.  */
+  fake_action_t action;
+  uint64_t pause_end_ms; /* End of the comments of ACT_STREAM_COMMENTED.  */
   unsigned open_handles;
   buf_t input;
   bool has_answered;
@@ -222,6 +226,104 @@
   buf_free (&out);
 }
 
+/* Return the text that the endless response ACTION repeats.  */
+static str_t
+endless_unit (fake_action_t action)
+{
+  switch (action)
+    {
+    case ACT_ENDLESS_HEADER_LINES:
+    case ACT_ENDLESS_TRAILERS:
+      return STR ("x-more: y\r\n");
+    case ACT_ENDLESS_INTERIM:
+      return STR ("HTTP/1.1 100 Continue\r\n\r\n");
+    case ACT_ENDLESS_CHUNK_SIZE:
+      return STR ("0");
+    case ACT_ENDLESS_EVENT:
+    case ACT_ENDLESS_EVENT_LATER:
+    case ACT_ENDLESS_COMMENT:
+      return STR ("10\r\nxxxxxxxxxxxxxxxx\r\n");
+    case ACT_ENDLESS_COMMENTS:
+    case ACT_ENDLESS_COMMENTS_LATER:
+    case ACT_STREAM_COMMENTED:
+      return STR ("5\r\n: c\n\n\r\n");
+    default:
+      return STR ("x");
+    }
+}
+
+static void
+on_endless_timer (uv_timer_t *timer)
+{
+  conn_t *conn = timer->data;
+  str_t unit = endless_unit (conn->action);
+  buf_t out = BUF_NULL;
+
+  if (conn->pause_end_ms != 0
+      && uv_now (conn->upstream->loop) >= conn->pause_end_ms)
+    {
+      uv_timer_stop (timer);
+      on_pause_timer (timer);
+      return;
+    }
+  if (uv_stream_get_write_queue_size ((uv_stream_t *)&conn->tcp) > 0)
+    return;
+  do
+    buf_append_str (&out, unit);
+  while (out.len + unit.len <= conn->upstream->endless_bytes);
+  conn_send (conn, &out);
+  buf_free (&out);
+}
+
+/* Begin an endless response, or the comments of ACT_STREAM_COMMENTED.  */
+static void
+conn_send_endless (conn_t *conn, fake_action_t action, buf_t *out)
+{
+  switch (action)
+    {
+    case ACT_ENDLESS_HEADER_LINE:
+      buf_append_str (out, STR ("HTTP/1.1 200 OK\r\nx-line: "));
+      break;
+    case ACT_ENDLESS_HEADER_LINES:
+      buf_append_str (out, STR ("HTTP/1.1 200 OK\r\n"));
+      break;
+    case ACT_ENDLESS_INTERIM:
+      break;
+    case ACT_ENDLESS_BODY:
+      append_head (conn, "200 OK", out);
+      buf_append_str (out, STR ("\r\n"));
+      break;
+    default:
+      append_stream_head (conn, action, out);
+    }
+  if (action == ACT_ENDLESS_CHUNK_EXTENSION)
+    buf_append_str (out, STR ("5;"));
+  else if (action == ACT_ENDLESS_EVENT)
+    append_chunk (out, "id: 1\ndata: ");
+  else if (action == ACT_ENDLESS_COMMENT)
+    append_chunk (out, ": ");
+  else if (action == ACT_ENDLESS_EVENT_LATER)
+    {
+      append_events (0, 2, out);
+      append_chunk (out, "id: 3\ndata: ");
+    }
+  else if (action == ACT_ENDLESS_COMMENTS_LATER
+           || action == ACT_STREAM_COMMENTED)
+    append_events (0, 2, out);
+  else if (action == ACT_ENDLESS_TRAILERS)
+    {
+      append_events (0, STREAM_EVENTS, out);
+      buf_append_str (out, STR ("0\r\n"));
+    }
+  conn->action = action;
+  if (action == ACT_STREAM_COMMENTED)
+    conn->pause_end_ms = uv_now (conn->upstream->loop) + STREAM_PAUSE_MS;
+  if (out->len > 0)
+    conn_send (conn, out);
+  uv_timer_start (&conn->timer, on_endless_timer, ENDLESS_INTERVAL_MS,
+                  ENDLESS_INTERVAL_MS);
+}
+
 static void
 conn_stream (conn_t *conn, fake_action_t action, buf_t *out)
 {
@@ -299,7 +401,10 @@
       conn_close (conn, true);
       goto done;
     default:
-      conn_stream (conn, action, &out);
+      if (action >= ACT_ENDLESS_HEADER_LINE)
+        conn_send_endless (conn, action, &out);
+      else
+        conn_stream (conn, action, &out);
       goto done;
     }
   conn->has_answered = true;
@@ -553,6 +658,12 @@
   upstream->share = share;
 }
 
+void
+fake_upstream_set_endless_bytes (fake_upstream_t *upstream, size_t bytes)
+{
+  upstream->endless_bytes = bytes;
+}
+
 fake_action_t
 fake_upstream_last_action (const fake_upstream_t *upstream)
 {
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -12,7 +12,9 @@
 enum
 {
   BIG_EVENT_BYTES = 900000,
-  STREAM_PAUSE_MS = 900 /* Pause of ACT_STREAM_PAUSE.  */
+  STREAM_PAUSE_MS = 900, /* Pause of ACT_STREAM_PAUSE.  */
+  /* Interval at which an endless response goes on, in ms.  */
+  ENDLESS_INTERVAL_MS = 10
 };
 
 /* Reaction of a fake upstream to one request.  */
@@ -32,7 +34,25 @@
   ACT_STREAM_STALL,          /* Two events; the connection stays open.  */
   ACT_STREAM_PAUSE,          /* A complete stream with one pause.  */
   ACT_STREAM_LATE,           /* A complete stream after such a pause.  */
-  ACT_STREAM_BIG_EVENT       /* A stream of one event of BIG_EVENT_BYTES.  */
+  ACT_STREAM_BIG_EVENT,      /* A stream of one event of BIG_EVENT_BYTES.  */
+  /* Responses without an end, which go on at the rate of
+     fake_upstream_set_endless_bytes.  */
+  ACT_ENDLESS_HEADER_LINE,     /* A response head with a line without end.  */
+  ACT_ENDLESS_HEADER_LINES,    /* A response head without end.  */
+  ACT_ENDLESS_INTERIM,         /* Interim responses.  */
+  ACT_ENDLESS_BODY,            /* A body without a length.  */
+  ACT_ENDLESS_CHUNK_SIZE,      /* The line of the first chunk's size.  */
+  ACT_ENDLESS_CHUNK_EXTENSION, /* An extension of the first chunk.  */
+  ACT_ENDLESS_TRAILERS,        /* Trailers after a complete stream.  */
+  ACT_ENDLESS_EVENT,           /* One event of a stream.  */
+  ACT_ENDLESS_EVENT_LATER,     /* The same after two events.  */
+  ACT_ENDLESS_COMMENT,         /* One comment line of a stream.  */
+  ACT_ENDLESS_COMMENTS,        /* Comments of a stream, each with an empty line
+                                  after it.  */
+  ACT_ENDLESS_COMMENTS_LATER,  /* The same after two events.  */
+  ACT_STREAM_COMMENTED         /* A complete stream with comments every
+                                  ENDLESS_INTERVAL_MS in the pause of
+                                  ACT_STREAM_PAUSE.  */
 } fake_action_t;
 
 typedef struct fake_upstream fake_upstream_t;
@@ -54,6 +74,10 @@
    scripted action.  */
 void fake_upstream_set_share (fake_upstream_t *upstream, fake_action_t action,
                               double share);
+/* Let endless responses go on by BYTES, or one unit of the repeated text if
+   that is more, every ENDLESS_INTERVAL_MS in which the client has read what
+   was sent before.  Without this call each part is one unit.  */
+void fake_upstream_set_endless_bytes (fake_upstream_t *upstream, size_t bytes);
 /* Return the reaction to the last request, valid from the arrival callback
    on.  */
 fake_action_t fake_upstream_last_action (const fake_upstream_t *upstream);
