gateway: all responses together are bounded in memory

128 requests at once, to upstreams whose bodies, or one event, do not end, took 1,081 MB and 273 MB of heap at a gateway; heads without end at 400 connections 28.6 MB. A machine of the deployments has 88 MB.

Cause: a body may have 8 MiB and an event 1 MiB, at each connection, and buffers that had grown were kept for the rest of a request.

Change: the bodies and incomplete events of all requests may take 32 MiB. Above it the largest is left as one over its own bound is (reason=memory), so an answer without end goes before the small ones beside it. Incomplete heads may take 8 MiB; above it only those up to 8 KiB grow. The buffer of a head is released with the head, that of events when most of it is unused, those of a failed send with the send.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -254,6 +254,8 @@
   X ("unbounded", "The upstream's answer has a head, a line of the chunk "    \
                   "coding, trailers, an event or bytes between two events "   \
                   "that are over the bound.")                                 \
+  X ("memory", "The answers of all requests took too much memory, and this "  \
+               "one the most.")                                               \
   X ("lost", "The upstream sent nothing and took no connection.")             \
   X ("upstream-error", "The upstream answered with a failure of its own.")    \
   X ("resume-failed", "No upstream went on with the stream.")                 \
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -87,6 +87,8 @@
   request_metrics_t *request_metrics;
   billing_t *billing;
   list_t relays;
+  size_t response_memory; /* Bytes of memory that RELAYS have for incomplete
+                             events and for bodies that are not streamed.  */
   uint64_t started_ms;
   bool is_initialized;  /* All tables that are needed to process requests were
                            read at least once.  */
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -10,9 +10,7 @@
 {
   relay_t *relay = arg;
 
-  sse_filter_free (&relay->sse);
   buf_free (&relay->response_headers);
-  buf_free (&relay->response_body);
   request_attrs_free (&relay->attrs);
   free (relay->attempt_id);
   free (relay);
@@ -22,6 +20,9 @@
 relay_destroy (relay_t *relay)
 {
   list_remove (&relay->link);
+  sse_filter_free (&relay->sse);
+  buf_free (&relay->response_body);
+  relay_count_memory (relay);
   peer_timer_close (&relay->timer, on_timer_closed);
 }
 
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -14,6 +14,11 @@
   /* Size limit of the body of a response that is not streamed and therefore
      buffered.  */
   RESPONSE_BODY_BYTES_MAX = 8 << 20,
+  /* Limit of the memory for incomplete events and buffered bodies of all
+     requests together, of a machine that has 88 MB.  Above it the largest is
+     given up, if it is larger than RESPONSE_MEMORY_SMALL.  */
+  RESPONSE_MEMORY_MAX = 32 << 20,
+  RESPONSE_MEMORY_SMALL = 65536,
   /* Number of events after the first of a send over which the mean gap between
      events is measured.  A mean is needed because events arrive in bursts.  */
   MEAN_GAP_EVENT_COUNT = 8,
@@ -178,6 +183,7 @@
   buf_free (&relay->response_headers);
   buf_free (&relay->response_body);
   sse_filter_discard_partial (&relay->sse);
+  relay_count_memory (relay);
   /* A request that crashed the upstream must not reach the next one before
      that is known.  */
   if (may_have_run
@@ -201,6 +207,36 @@
   relay_send_failed (relay, reason, true);
 }
 
+void
+relay_count_memory (relay_t *relay)
+{
+  size_t memory = relay->response_body.cap + relay->sse.partial.cap;
+
+  relay->state->response_memory += memory - relay->response_memory;
+  relay->response_memory = memory;
+}
+
+/* Count the memory of the response to RELAY, and give up the largest response
+   if all of them take too much.  May destroy RELAY.  */
+static void
+limit_memory (relay_t *relay)
+{
+  gateway_state_t *state = relay->state;
+  relay_t *largest = relay;
+
+  relay_count_memory (relay);
+  if (state->response_memory <= RESPONSE_MEMORY_MAX)
+    return;
+  LIST_EACH (at, &state->relays)
+    {
+      relay_t *other = CONTAINER_OF (at, relay_t, link);
+      if (other->response_memory > largest->response_memory)
+        largest = other;
+    }
+  if (largest->response_memory > RESPONSE_MEMORY_SMALL)
+    response_too_large (largest, "memory");
+}
+
 void
 relay_note_progress (relay_t *relay)
 {
@@ -462,6 +498,8 @@
     response_too_large (relay, "unbounded");
   else if (code != VH_OK)
     relay_send_failed (relay, "events-out-of-order", true);
+  else
+    limit_memory (relay);
 }
 
 static void
@@ -478,7 +516,10 @@
   if (relay->response_body.len + bytes.len > RESPONSE_BODY_BYTES_MAX)
     response_too_large (relay, "answer-too-large");
   else
-    buf_append_str (&relay->response_body, bytes);
+    {
+      buf_append_str (&relay->response_body, bytes);
+      limit_memory (relay);
+    }
 }
 
 void
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -121,6 +121,7 @@
   /* Response of the current send.  The body is stored only if the response is
      not streamed.  */
   int response_status;
+  size_t response_memory; /* Part of gateway_state_t.response_memory.  */
   buf_t response_headers; /* Headers, each as NAME NUL VALUE NUL.  */
   buf_t response_body;
 
@@ -224,6 +225,8 @@
    upstream reported that it did not run the request.  Retries the request if
    allowed, else fails it.  */
 void relay_send_failed (relay_t *relay, const char *reason, bool may_have_run);
+/* Count the memory that the response takes now.  */
+void relay_count_memory (relay_t *relay);
 /* Record that the upstream sent the response head or an event now.  */
 void relay_note_progress (relay_t *relay);
 /* Handle that the upstream has made no progress for too long.  */
--- a/packages/gateway/sse_filter.c
+++ b/packages/gateway/sse_filter.c
@@ -1,5 +1,28 @@
 #include "gateway/sse_filter.h"
 
+enum
+{
+  /* Size up to which the buffer of incomplete events stays allocated although
+     most of it is unused, so that usual events need no allocation.  */
+  PARTIAL_BYTES_KEPT = 4096
+};
+
+/* Shrink the buffer of incomplete events if most of it is unused, as after a
+   read of many events.  */
+static void
+shrink_partial (sse_filter_t *filter)
+{
+  buf_t rest = BUF_NULL;
+
+  if (filter->partial.cap <= PARTIAL_BYTES_KEPT
+      || filter->partial.len > filter->partial.cap / 4)
+    return;
+  if (filter->partial.len > 0)
+    buf_append_str (&rest, buf_str (&filter->partial));
+  buf_free (&filter->partial);
+  filter->partial = rest;
+}
+
 /* Return the length of the first complete event in the partial bytes of FILTER
    from OFFSET on, including the empty line that ends it; 0 if there is none.
    Bytes that were scanned before are not scanned again.  */
@@ -115,6 +138,7 @@
     }
   buf_consume (&filter->partial, offset);
   filter->scanned -= offset;
+  shrink_partial (filter);
   if (code == VH_OK && filter->partial.len > SSE_EVENT_BYTES_MAX)
     {
       filter->is_too_large = true;
--- a/packages/wire/http_exchange.c
+++ b/packages/wire/http_exchange.c
@@ -23,7 +23,11 @@
      arrive without a byte of the body between them, in reads that have none of
      it.  */
   FRAMING_BYTES_MAX = 65536,
-  READ_BUFFER_BYTES = 65536
+  READ_BUFFER_BYTES = 65536,
+  /* Limit of the memory for the incomplete heads of all exchanges of the
+     process.  Above it only heads up to HEAD_BYTES_SMALL may grow.  */
+  HEADS_MEMORY_MAX = 8 << 20,
+  HEAD_BYTES_SMALL = 8192
 };
 
 typedef enum
@@ -45,6 +49,7 @@
   void *arg;
   buf_t request;
   buf_t input;            /* Received bytes of an incomplete response head.  */
+  size_t input_memory;    /* Part of HEADS_MEMORY for INPUT.  */
   size_t parsed_len;      /* Bytes of INPUT that are no complete head.  */
   size_t head_bytes;      /* Bytes received up to the end of the head.  */
   unsigned interim_count; /* Interim responses received.  */
@@ -64,6 +69,23 @@
 /* Read buffer of all exchanges of the process: they read on its only loop
    thread, one at a time.  */
 static char read_buffer[READ_BUFFER_BYTES];
+/* Memory of the incomplete heads of all exchanges, in bytes.  */
+static size_t heads_memory;
+
+/* Count the memory of the input.  */
+static void
+count_input (http_exchange_t *exchange)
+{
+  heads_memory += exchange->input.cap - exchange->input_memory;
+  exchange->input_memory = exchange->input.cap;
+}
+
+static void
+free_input (http_exchange_t *exchange)
+{
+  buf_free (&exchange->input);
+  count_input (exchange);
+}
 
 static void
 on_handle_released (void *arg)
@@ -73,7 +95,7 @@
   if (--exchange->open_handles > 0)
     return;
   buf_free (&exchange->request);
-  buf_free (&exchange->input);
+  free_input (exchange);
   free (exchange);
 }
 
@@ -326,13 +348,19 @@
     }
   buf_append (&exchange->input, buf->base, (size_t)read_len);
   size_t len = process_head (exchange);
+  count_input (exchange);
   if (len == 0)
-    return;
+    {
+      if (heads_memory > HEADS_MEMORY_MAX
+          && exchange->input.len > HEAD_BYTES_SMALL)
+        finish (exchange, VH_E_TOO_LARGE);
+      return;
+    }
   /* Needed without further bytes too: a body of length 0 is complete.  */
   if (exchange->body_framing != BODY_UNTIL_CLOSE || exchange->input.len > len)
     process_body (exchange, exchange->input.ptr + len,
                   exchange->input.len - len);
-  buf_free (&exchange->input);
+  free_input (exchange);
 }
 
 static void
--- a/packages/wire/http_exchange.h
+++ b/packages/wire/http_exchange.h
@@ -38,7 +38,9 @@
    the interim responses before it is larger than 64 KiB or has more than 100
    headers, there are more than 16 interim responses, or more than 64 KiB of
    chunk sizes, chunk extensions and trailers arrive without a byte of the body
-   (up to 64 KiB more of them are read with such bytes).  The body itself has
+   (up to 64 KiB more of them are read with such bytes).  It is also given for
+   a head of more than 8 KiB while the incomplete heads of all exchanges of the
+   process take more than 8 MiB.  The body itself has
    no limit, and there is no limit in time: both are up to the caller.  */
 typedef struct
 {
--- a/tests/test_unbounded_responses.c
+++ b/tests/test_unbounded_responses.c
@@ -4,7 +4,9 @@
 #include "gateway_fixture.h"
 #include "suite.h"
 #include "virtual_time.h"
+#include "wire/http_exchange.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -29,7 +31,17 @@
      are reached within this time.  */
   FAST_BYTES = 256 * 1024,
   FAST_MS = 200,
-  PLAIN_BODY_BYTES_MAX = 8 << 20
+  PLAIN_BODY_BYTES_MAX = 8 << 20,
+  /* Requests at once, one for each slot of the upstreams, and the memory that
+     they may take.  */
+  MANY_UPSTREAMS = 4,
+  MANY = MANY_UPSTREAMS * 32,
+  MANY_HEADS = 400,
+  RESPONSE_MEMORY_MAX = 32 << 20,
+  HEADS_MEMORY_MAX = 8 << 20,
+  /* Memory beside the bounds: the largest buffer that grows, and connections
+     of gateway, callers and upstreams.  */
+  OTHER_MEMORY_MAX = 12 << 20
 };
 
 typedef struct
@@ -286,6 +298,130 @@
 }
 END_TEST
 
+/* Memory of many responses at once.  */
+
+static size_t
+used_memory (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+/* Return the largest part of the heap that MANY requests for PATH take at
+   once, all upstreams responding with ACTION in parts of BYTES.  */
+static size_t
+memory_of_many (const char *path, fake_action_t action, size_t bytes)
+{
+  static caller_t callers[MANY];
+  gateway_fixture_t f;
+  size_t largest = 0;
+  size_t closed_count = 0;
+
+  gateway_fixture_setup (&f, MANY_UPSTREAMS);
+  for (size_t i = 0; i < MANY_UPSTREAMS; i++)
+    {
+      fake_upstream_script (f.upstreams[i], &action, 1);
+      fake_upstream_set_endless_bytes (f.upstreams[i], bytes);
+    }
+  size_t before = used_memory ();
+  for (size_t i = 0; i < MANY; i++)
+    caller_start (&f, &callers[i], "POST", path, REQUEST_HEADERS, "{}");
+  while (closed_count < MANY)
+    {
+      uv_run (&f.loop, UV_RUN_ONCE);
+      size_t used = used_memory ();
+      if (used > before && used - before > largest)
+        largest = used - before;
+      closed_count = 0;
+      for (size_t i = 0; i < MANY; i++)
+        closed_count += callers[i].closed;
+    }
+  for (size_t i = 0; i < MANY; i++)
+    caller_free (&f, &callers[i]);
+  gateway_fixture_teardown (&f);
+  printf ("action %d: at most %zu bytes, %zu a request\n", (int)action,
+          largest, largest / MANY);
+  fflush (stdout);
+  return largest;
+}
+
+START_TEST (events_of_many_streams_take_the_memory_of_the_machine)
+{
+  ck_assert_uint_lt (memory_of_many ("/chat/", ACT_ENDLESS_EVENT, 16384),
+                     RESPONSE_MEMORY_MAX + OTHER_MEMORY_MAX);
+}
+END_TEST
+
+START_TEST (bodies_of_many_requests_take_the_memory_of_the_machine)
+{
+  ck_assert_uint_lt (memory_of_many ("/read/", ACT_ENDLESS_BODY, 32768),
+                     RESPONSE_MEMORY_MAX + OTHER_MEMORY_MAX);
+}
+END_TEST
+
+static void
+ignore_head (void *arg, const http_exchange_head_t *head)
+{
+  (void)arg;
+  (void)head;
+}
+
+static void
+ignore_body (void *arg, str_t bytes)
+{
+  (void)arg;
+  (void)bytes;
+}
+
+static void
+count_too_large (void *arg, vh_code_t code)
+{
+  ck_assert_int_eq (code, VH_E_TOO_LARGE);
+  ++*(size_t *)arg;
+}
+
+/* More exchanges than the gateway of the fixture can have: heads of 64 KiB of
+   all of them took 26 MB.  */
+START_TEST (heads_of_many_responses_take_the_memory_of_the_machine)
+{
+  static const http_exchange_events_t events
+      = { ignore_head, ignore_body, count_too_large };
+  static const fake_action_t action[] = { ACT_ENDLESS_HEADER_LINE };
+  gateway_fixture_t f;
+  char address[32];
+  size_t ended_count = 0;
+  size_t largest = 0;
+
+  gateway_fixture_setup (&f, 1);
+  fake_upstream_script (f.upstreams[0], action, 1);
+  fake_upstream_set_endless_bytes (f.upstreams[0], 4096);
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            fake_upstream_port (f.upstreams[0]));
+  size_t before = used_memory ();
+  for (size_t i = 0; i < MANY_HEADS; i++)
+    {
+      buf_t request = BUF_NULL;
+      buf_printf (&request, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+      ck_assert_ptr_nonnull (http_exchange_start (&f.loop, str_from (address),
+                                                  &request, 1000, false,
+                                                  &events, &ended_count));
+    }
+  while (ended_count < MANY_HEADS)
+    {
+      uv_run (&f.loop, UV_RUN_ONCE);
+      size_t used = used_memory ();
+      if (used > before && used - before > largest)
+        largest = used - before;
+    }
+  printf ("heads: at most %zu bytes, %zu a response\n", largest,
+          largest / MANY_HEADS);
+  fflush (stdout);
+  ck_assert_uint_lt (largest, HEADS_MEMORY_MAX + OTHER_MEMORY_MAX);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -317,6 +453,12 @@
   tcase_add_test (tcase, fast_plain_body_takes_memory);
   tcase_add_test (tcase, plain_body_of_a_payment_goes_on_after_the_deadline);
   tcase_add_test (tcase, comments_of_all_upstreams_outlast_the_time_limit);
+  tcase_add_test (tcase,
+                  events_of_many_streams_take_the_memory_of_the_machine);
+  tcase_add_test (tcase,
+                  bodies_of_many_requests_take_the_memory_of_the_machine);
+  tcase_add_test (tcase,
+                  heads_of_many_responses_take_the_memory_of_the_machine);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
