httpc: a fetch ends when its body is over the limit

A fetch whose body was over the limit dropped the rest but read on, and its timeout began again with each byte: a server that sent without an end kept the call for ever.

Change: the call ends with VH_E_TOO_LARGE at the limit, and its connection is closed.

--- a/packages/wire/httpc.c
+++ b/packages/wire/httpc.c
@@ -47,6 +47,7 @@
      connection itself.  */
   bool in_callback;
   bool events_ended;      /* Cancelled, or DONE was delivered.  */
+  bool is_too_large;      /* The body is over the limit of the fetch.  */
   bool is_result_pending; /* The timer only reports RESULT.  */
   vh_code_t result;
   buf_t request_bytes;
@@ -233,6 +234,11 @@
       release_call (call);
       return -1;
     }
+  if (call->is_too_large)
+    {
+      finish_later (call, VH_E_TOO_LARGE);
+      return -1;
+    }
   if (errstr == NULL)
     return 0;
   finish_later (call, is_complete ? VH_OK : VH_E_UPSTREAM_CUT);
@@ -405,7 +411,7 @@
   int status;
   buf_t body;
   size_t limit;
-  bool too_large;
+  httpc_call_t *call;
   httpc_fetch_cb_t cb;
   void *arg;
 } fetch_t;
@@ -434,7 +440,7 @@
   fetch_t *fetch = arg;
 
   if (fetch->body.len + bytes.len > fetch->limit)
-    fetch->too_large = true;
+    fetch->call->is_too_large = true;
   else
     buf_append_str (&fetch->body, bytes);
 }
@@ -444,8 +450,6 @@
 {
   fetch_t *fetch = arg;
 
-  if (code == VH_OK && fetch->too_large)
-    code = VH_E_TOO_LARGE;
   fetch->cb (fetch->arg, code, fetch->status, buf_str (&fetch->body));
   fetch_free (fetch);
 }
@@ -462,7 +466,7 @@
   fetch->limit = limit;
   fetch->cb = cb;
   fetch->arg = arg;
-  httpc_call_t *call = httpc_start (client, request, &fetch_events, fetch);
-  call->on_cancel = fetch_free;
-  return call;
+  fetch->call = httpc_start (client, request, &fetch_events, fetch);
+  fetch->call->on_cancel = fetch_free;
+  return fetch->call;
 }
--- a/packages/wire/httpc.h
+++ b/packages/wire/httpc.h
@@ -58,8 +58,8 @@
 void httpc_resume (httpc_call_t *call);
 
 /* Receives the result of httpc_fetch.  CODE is as in httpc_events_t, or
-   VH_E_TOO_LARGE when the body is larger than the limit.  BODY is valid until
-   the callback returns.  */
+   VH_E_TOO_LARGE as soon as the body is larger than the limit; the connection
+   is closed then.  BODY is valid until the callback returns.  */
 typedef void (*httpc_fetch_cb_t) (void *arg, vh_code_t code, int status,
                                   str_t body);
 /* Start a call whose body, of up to LIMIT bytes, is collected and passed to CB
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -65,6 +65,12 @@
     httpd_reply (req, 200, NULL, 0, httpd_query_param (req, STR ("b")));
   else if (str_eq (path, STR ("/big")))
     send_large_body (req);
+  else if (str_eq (path, STR ("/endless")))
+    {
+      httpd_start_response (req, 200, NULL, 0);
+      httpd_set_callbacks (req, NULL, on_disconnect, f);
+      f->held = req;
+    }
   else if (str_eq (path, STR ("/cut")))
     {
       httpd_start_response (req, 200, NULL, 0);
@@ -203,6 +209,51 @@
 }
 END_TEST
 
+static void
+send_piece (uv_timer_t *timer)
+{
+  static const char bytes[64];
+  fixture_t *f = timer->data;
+
+  if (f->held != NULL)
+    httpd_send (f->held, str_make (bytes, sizeof bytes), false);
+}
+
+static void
+on_fetched (void *arg, vh_code_t code, int status, str_t body)
+{
+  (void)status;
+  (void)body;
+  on_done (arg, code);
+}
+
+/* A body that is larger than the limit of a fetch goes on without an end.  The
+   fetch went on with it for as long as bytes came.  It must end at the limit,
+   and close the connection.  */
+START_TEST (endless_body_keeps_a_fetch)
+{
+  const httpc_request_t request = { .method = STR ("GET"),
+                                    .path = STR ("/endless"),
+                                    .timeout_ms = 2000 };
+  fixture_t f;
+  uv_timer_t timer;
+
+  setup (&f);
+  uv_timer_init (&f.loop, &timer);
+  timer.data = &f;
+  uv_timer_start (&timer, send_piece, 10, 10);
+  uint64_t start_ms = uv_now (&f.loop);
+  httpc_fetch (f.client, &request, 1000, on_fetched, &f);
+  while (!f.done && uv_now (&f.loop) - start_ms < 3000)
+    uv_run (&f.loop, UV_RUN_ONCE);
+  ck_assert (f.done);
+  ck_assert_int_eq (f.code, VH_E_TOO_LARGE);
+  run_until (&f, &f.client_disconnected);
+  uv_close ((uv_handle_t *)&timer, NULL);
+  teardown (&f);
+}
+END_TEST
+
 /* The server starts a chunked response and its connection closes before the
    last chunk.  The client must not report the partial response as complete. */
 START_TEST (truncated_response_is_reported)
@@ -480,6 +531,7 @@
 
   tcase_add_test (tcase, echo_query_and_large_body);
   tcase_add_test (tcase, oversized_body_is_refused);
+  tcase_add_test (tcase, endless_body_keeps_a_fetch);
   tcase_add_test (tcase, truncated_response_is_reported);
   tcase_add_test (tcase, truncation_between_chunks_is_reported);
   tcase_add_test (tcase, abort_before_head_is_reported);
