--- a/tests/gateway_chaos.c
+++ b/tests/gateway_chaos.c
@@ -37,6 +37,8 @@
   WITHIN_S_MIN = 12,
   WITHIN_S_SPAN = 14,
   VERSION_SEED = 0x51, /* Tells the seed's draws for the version apart.  */
+  ENDLESS_SEED = 0x52, /* The same for responses without an end.  */
+  ENDLESS_BYTES_MAX = 32768,
   /* Longest time after the time limit at which a version turns bad.  */
   BAD_AFTER_S_MAX = 4,
   MS_PER_S = 1000
@@ -75,6 +77,8 @@
 {
   gateway_processes_t *processes;
   rng_t rng;
+  rng_t endless_rng; /* Chooses responses without an end, so that the other
+                        draws of a seed do not depend on them.  */
   uint64_t start_ms;
   fault_slot_t slots[FAULT_SLOTS];
   size_t crashing_contents; /* Contents of crashing requests so far.  */
@@ -252,10 +256,43 @@
   script_instances (chaos, slot, ACT_RESET);
 }
 
+/* Return a response without an end, and set *BYTES to the size of its
+   parts.  */
+static fake_action_t
+draw_endless (rng_t *rng, size_t *bytes)
+{
+  static const fake_action_t actions[]
+      = { ACT_ENDLESS_HEADER_LINE, ACT_ENDLESS_HEADER_LINES,
+          ACT_ENDLESS_INTERIM,     ACT_ENDLESS_BODY,
+          ACT_ENDLESS_CHUNK_SIZE,  ACT_ENDLESS_CHUNK_EXTENSION,
+          ACT_ENDLESS_TRAILERS,    ACT_ENDLESS_EVENT,
+          ACT_ENDLESS_EVENT_LATER, ACT_ENDLESS_COMMENT,
+          ACT_ENDLESS_COMMENTS,    ACT_ENDLESS_COMMENTS_LATER };
+
+  *bytes = rng_below (rng, 2) == 0
+               ? 0
+               : (size_t)rng_below (rng, ENDLESS_BYTES_MAX);
+  return actions[rng_below (rng, sizeof actions / sizeof actions[0])];
+}
+
+/* Let the instances send only a part of their responses and close the
+   connection, or, in half of the cases, responses without an end.  */
 static void
 cut_responses (chaos_t *chaos, fault_slot_t *slot)
 {
-  script_instances (chaos, slot, ACT_STREAM_CUT_IN_EVENT);
+  size_t bytes;
+  fake_action_t action = draw_endless (&chaos->endless_rng, &bytes);
+
+  if (rng_below (&chaos->endless_rng, 2) == 0)
+    action = ACT_STREAM_CUT_IN_EVENT;
+  else
+    printf ("responses without an end, action %d in parts of %zu bytes\n",
+            (int)action, bytes);
+  script_instances (chaos, slot, action);
+  for (size_t i = 0;
+       i < gateway_processes_instance_count (chaos->processes, slot->service);
+       i++)
+    fake_upstream_set_endless_bytes (instance_of (chaos, slot, i), bytes);
 }
 
 static void
@@ -681,7 +718,8 @@
 
 START_TEST (bounds_on_repeated_sends_hold)
 {
-  chaos_t chaos = { .rng = rng_make (args.seed) };
+  chaos_t chaos = { .rng = rng_make (args.seed),
+                    .endless_rng = rng_make (args.seed ^ ENDLESS_SEED) };
   gateway_processes_options_t options = chaos_options;
   unsigned violations = 0;
 
--- a/tests/gateway_processes.c
+++ b/tests/gateway_processes.c
@@ -215,7 +215,8 @@
 is_bad_action (fake_action_t action)
 {
   return action != ACT_RESPOND && action != ACT_STREAM
-         && action != ACT_STREAM_PAUSE && action != ACT_REFUSE_NOT_RUN;
+         && action != ACT_STREAM_PAUSE && action != ACT_STREAM_COMMENTED
+         && action != ACT_REFUSE_NOT_RUN;
 }
 
 /* Record an arrival of REQUEST at UPSTREAM, an instance of
