gateway: metrics of responses without an end are tested; chunk sizes without end count

A chunk size of more than 16 digits ended as "garbled" and was not counted; it is "unbounded" now. The memory that counts to the 32 MiB is a gauge.

--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -177,6 +177,10 @@
              (double)crash_records_suspect_count (state->crash_records));
   set_gauge (gateway, "vanillahook_gateway_ready", "",
              "1: the readiness check succeeds.", is_ready (gateway));
+  set_gauge (gateway, "vanillahook_gateway_response_memory_bytes", "",
+             "Memory for incomplete events, buffered bodies and what callers "
+             "have not read.",
+             (double)state->response_memory);
   set_gauge (gateway, "vanillahook_gateway_bills_waiting", "",
              "Bills not yet written.",
              (double)billing_queued_bill_count (state->billing));
@@ -431,6 +435,12 @@
   return httpd_port (gateway->ready_server);
 }
 
+uint16_t
+gateway_admin_port (const gateway_t *gateway)
+{
+  return httpd_port (gateway->admin_server);
+}
+
 bool
 gateway_is_stopped (const gateway_t *gateway)
 {
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -126,6 +126,8 @@
    readiness check.  If the options gave port 0, the kernel chose the port.  */
 uint16_t gateway_port (const gateway_t *gateway);
 uint16_t gateway_ready_port (const gateway_t *gateway);
+/* Return the port of the listener for metrics, which the options name.  */
+uint16_t gateway_admin_port (const gateway_t *gateway);
 /* Begin a planned stop.  A second call has no effect.  */
 void gateway_begin_stop (gateway_t *gateway);
 /* Return whether the planned stop has finished.  */
--- a/packages/wire/http_exchange.c
+++ b/packages/wire/http_exchange.c
@@ -218,8 +218,11 @@
     exchange->events.body (exchange->arg, str_make (bytes, len));
   if (exchange->closed)
     return;
+  /* The decoder refuses a chunk size with more digits than a size_t has.  */
   if (trailing_len == -1)
-    finish (exchange, VH_E_PROTOCOL);
+    finish (exchange, exchange->decoder.hex_count_ == 2 * sizeof (size_t)
+                          ? VH_E_TOO_LARGE
+                          : VH_E_PROTOCOL);
   else if (is_complete)
     finish (exchange, VH_OK);
   else if (exchange->framing_bytes > FRAMING_BYTES_MAX)
--- a/packages/wire/http_exchange.h
+++ b/packages/wire/http_exchange.h
@@ -36,12 +36,13 @@
    VH_E_UPSTREAM_CUT when the connection ended early, VH_E_PROTOCOL when the
    server's response is not valid HTTP and VH_E_TOO_LARGE when its head with
    the interim responses before it is larger than 64 KiB or has more than 100
-   headers, there are more than 16 interim responses, or more than 64 KiB of
-   chunk sizes, chunk extensions and trailers arrive without a byte of the body
-   (up to 64 KiB more of them are read with such bytes).  It is also given for
-   a head of more than 8 KiB while the incomplete heads of all exchanges of the
-   process take more than 8 MiB.  The body itself has
-   no limit, and there is no limit in time: both are up to the caller.  */
+   headers, there are more than 16 interim responses, a chunk size has more
+   than 16 digits, or more than 64 KiB of chunk sizes, chunk extensions and
+   trailers arrive without a byte of the body (up to 64 KiB more of them are
+   read with such bytes).  It is also given for a head of more than 8 KiB while
+   the incomplete heads of all exchanges of the process take more than 8 MiB.
+   The body itself has no limit, and there is no limit in time: both are up to
+   the caller.  */
 typedef struct
 {
   void (*head) (void *arg, const http_exchange_head_t *head);
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -67,6 +67,25 @@
   return status;
 }
 
+double
+gateway_fixture_metric (gateway_fixture_t *f, const char *name)
+{
+  caller_t caller = { 0 };
+  char line[128];
+  double value = -1;
+
+  buf_printf (&caller.request, "GET /metrics HTTP/1.1\r\nHost: a\r\n"
+                               "Connection: close\r\n\r\n");
+  connect_to_port (f, &caller, gateway_admin_port (f->gateway));
+  gateway_fixture_wait (f, caller.closed);
+  snprintf (line, sizeof line, "\n%s ", name);
+  const char *at = strstr (caller.response.ptr, line);
+  if (at != NULL)
+    value = strtod (at + strlen (line), NULL);
+  caller_free (f, &caller);
+  return value;
+}
+
 void
 caller_free (gateway_fixture_t *f, caller_t *caller)
 {
@@ -308,7 +327,7 @@
     .zone = STR ("zone-a"),
     .listen = STR ("127.0.0.1:0"),
     .ready_listen = STR ("127.0.0.1:0"),
-    .admin_listen = STR (""),
+    .admin_listen = STR ("127.0.0.1:0"),
     .seed = seed,
     .drain_grace_ms = 500,
     .drain_timeout_ms = 5000,
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -70,6 +70,9 @@
                                    const char *path, const char *headers);
 /* Close the caller's connection, wait for it and free the strings.  */
 void caller_free (gateway_fixture_t *f, caller_t *caller);
+/* Return the value of the metric NAME, which has no labels, of the gateway; -1
+   if it has none of this name.  */
+double gateway_fixture_metric (gateway_fixture_t *f, const char *name);
 /* Return the status of the readiness check.  */
 int gateway_fixture_ready_status (gateway_fixture_t *f);
 
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -76,6 +76,77 @@
 }
 END_TEST
 
+/* Feed COUNT times TEXT to FILTER, and return the last result.  */
+static vh_code_t
+feed_times (sse_filter_t *filter, str_t text, size_t count, buf_t *out,
+            size_t *event_count)
+{
+  vh_code_t code = VH_OK;
+
+  for (size_t i = 0; i < count && code == VH_OK; i++)
+    code = sse_filter_feed (filter, text, out, event_count);
+  return code;
+}
+
+/* A stream of blocks that are no events must pass, without being counted, but
+   only up to the limit; an event begins the limit anew.  */
+START_TEST (comments_are_bounded_and_no_events)
+{
+  static const char *const blocks[]
+      = { ": c\n\n", "\r\n", "event: ping\n\n", "retry: 1\n\n" };
+  sse_filter_t filter = { 0 };
+  buf_t out = BUF_NULL;
+  size_t count = 0;
+
+  for (size_t i = 0; i < sizeof blocks / sizeof blocks[0]; i++)
+    {
+      str_t block = str_from (blocks[i]);
+      size_t fit_count = SSE_COMMENT_BYTES_MAX / block.len;
+      count = 0;
+      out.len = 0;
+      ck_assert_int_eq (feed_times (&filter, block, fit_count, &out, &count),
+                        VH_OK);
+      ck_assert_uint_eq (out.len, fit_count * block.len);
+      ck_assert_uint_eq (count, 0);
+      ck_assert_int_eq (
+          sse_filter_feed (&filter, STR ("data: x\n\n"), &out, &count), VH_OK);
+      ck_assert_uint_eq (count, fit_count + 1);
+      ck_assert (!filter.is_too_large);
+      ck_assert_int_eq (
+          feed_times (&filter, block, fit_count + 1, &out, &count),
+          VH_E_PROTOCOL);
+      ck_assert_uint_eq (count, fit_count + 1);
+      ck_assert (filter.is_too_large);
+      sse_filter_discard_partial (&filter);
+    }
+  buf_free (&out);
+  sse_filter_free (&filter);
+}
+END_TEST
+
+/* An event that comes in small pieces was searched from its start at each of
+   them, a time that grows with the square of its size: this one took longer
+   than the test may.  */
+START_TEST (event_in_small_pieces_is_searched_once)
+{
+  sse_filter_t filter = { 0 };
+  buf_t out = BUF_NULL;
+  size_t count = 0;
+
+  sse_filter_feed (&filter, STR ("data: "), &out, &count);
+  ck_assert_int_eq (feed_times (&filter, STR ("xxxxxxxx"),
+                                SSE_EVENT_BYTES_MAX / 8 - 1, &out, &count),
+                    VH_OK);
+  ck_assert_int_eq (sse_filter_feed (&filter, STR ("\n\n"), &out, &count),
+                    VH_OK);
+  ck_assert_uint_eq (count, 1);
+  ck_assert_uint_eq (out.len, SSE_EVENT_BYTES_MAX);
+  ck_assert (sse_filter_at_boundary (&filter));
+  buf_free (&out);
+  sse_filter_free (&filter);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -85,6 +156,8 @@
   tcase_add_test (tcase, output_does_not_depend_on_chunking);
   tcase_add_test (tcase, resumed_stream_has_no_partial_or_repeated_event);
   tcase_add_test (tcase, oversized_event_is_an_error);
+  tcase_add_test (tcase, comments_are_bounded_and_no_events);
+  tcase_add_test (tcase, event_in_small_pieces_is_searched_once);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/test_unbounded_responses.c
+++ b/tests/test_unbounded_responses.c
@@ -95,6 +95,21 @@
   ck_assert (caller_response_contains (&run->caller, "\r\n0\r\n\r\n"));
 }
 
+/* Check that one response was counted as left, and that its memory was
+   released.  */
+static void
+check_metrics (run_t *run)
+{
+  ck_assert_double_eq (
+      gateway_fixture_metric (&run->f,
+                              "vanillahook_gateway_unbounded_responses_total"),
+      1);
+  ck_assert_double_eq (
+      gateway_fixture_metric (&run->f,
+                              "vanillahook_gateway_response_memory_bytes"),
+      0);
+}
+
 /* Check that a stream whose first response is ACTION, in parts of BYTES, comes
    whole from a second send, within MAX_MS, and that the first response is
    cancelled.  */
@@ -109,6 +124,7 @@
   ck_assert_uint_eq (fake_upstream_request_count (run.f.upstreams[0]), 2);
   gateway_fixture_wait (&run.f,
                         fake_upstream_abort_count (run.f.upstreams[0]) == 1);
+  check_metrics (&run);
   end_run (&run);
 }
 
@@ -125,6 +141,7 @@
   ck_assert_uint_eq (fake_upstream_request_count (run.f.upstreams[0]), 2);
   gateway_fixture_wait (&run.f,
                         fake_upstream_abort_count (run.f.upstreams[0]) == 1);
+  check_metrics (&run);
   end_run (&run);
 }
 
