--- a/tests/caller.c
+++ b/tests/caller.c
@@ -59,6 +59,13 @@
                    on_caller_read);
 }
 
+void
+caller_begin_reading (caller_t *caller)
+{
+  caller->reads_nothing = false;
+  uv_read_start ((uv_stream_t *)&caller->tcp, on_caller_alloc, on_caller_read);
+}
+
 void
 caller_reset (caller_t *caller)
 {
--- a/tests/caller.h
+++ b/tests/caller.h
@@ -26,6 +26,8 @@
    CALLER must stay valid until caller->closed.  */
 void caller_connect (uv_loop_t *loop, caller_t *caller, const char *host,
                      uint16_t port);
+/* Let CALLER, which is connected and reads nothing, read the response.  */
+void caller_begin_reading (caller_t *caller);
 /* Close the caller's connection with a TCP reset.  */
 void caller_reset (caller_t *caller);
 /* Close the caller's connection.  */
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -176,11 +176,11 @@
 }
 
 static void
-append_big_event (buf_t *out)
+append_big_event (unsigned id, buf_t *out)
 {
   buf_t event = BUF_NULL;
 
-  buf_append_str (&event, STR ("id: 1\ndata: "));
+  buf_printf (&event, "id: %u\ndata: ", id);
   buf_reserve (&event, BIG_EVENT_BYTES);
   memset (event.ptr + event.len, 'x', BIG_EVENT_BYTES);
   event.len += BIG_EVENT_BYTES;
@@ -352,7 +352,10 @@
                      || action == ACT_STREAM_LOW_CONFIDENCE
                      || action == ACT_STREAM_BIG_EVENT;
   if (action == ACT_STREAM_BIG_EVENT)
-    append_big_event (out);
+    append_big_event (1, out);
+  else if (action == ACT_STREAM_BIG_STALL)
+    for (unsigned id = 1; id <= 4; id++)
+      append_big_event (id, out);
   else
     append_events (after, is_complete ? STREAM_EVENTS : 2, out);
   if (is_complete)
@@ -360,8 +363,8 @@
   else if (action == ACT_STREAM_CUT_IN_EVENT)
     append_chunk (out, "id: 3\ndata: ha");
   conn_send (conn, out);
-  conn->has_answered
-      = action != ACT_STREAM_STALL && action != ACT_STREAM_PAUSE;
+  conn->has_answered = action != ACT_STREAM_STALL && action != ACT_STREAM_PAUSE
+                       && action != ACT_STREAM_BIG_STALL;
   if (action == ACT_STREAM_PAUSE)
     uv_timer_start (&conn->timer, on_pause_timer, STREAM_PAUSE_MS, 0);
   if (action == ACT_STREAM_CUT_IN_EVENT)
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -35,6 +35,7 @@
   ACT_STREAM_PAUSE,          /* A complete stream with one pause.  */
   ACT_STREAM_LATE,           /* A complete stream after such a pause.  */
   ACT_STREAM_BIG_EVENT,      /* A stream of one event of BIG_EVENT_BYTES.  */
+  ACT_STREAM_BIG_STALL, /* Four such events; the connection stays open.  */
   /* Responses without an end, which go on at the rate of
      fake_upstream_set_endless_bytes.  */
   ACT_ENDLESS_HEADER_LINE,     /* A response head with a line without end.  */
--- a/tests/test_unbounded_responses.c
+++ b/tests/test_unbounded_responses.c
@@ -205,6 +205,37 @@
 }
 END_TEST
 
+/* A caller reads nothing for longer than an upstream is asked whether it is
+   there, and then goes on; the upstream sends nothing more.  No timeout ran
+   after the caller's pause, and the stream ended at the time limit.  */
+START_TEST (stall_after_a_slow_caller_keeps_the_caller)
+{
+  enum
+  {
+    CALLER_PAUSE_MS = 700
+  };
+  static const fake_action_t acts[] = { ACT_STREAM_BIG_STALL, ACT_STREAM };
+  run_t run;
+
+  gateway_fixture_setup (&run.f, 1);
+  fake_upstream_script (run.f.upstreams[0], acts, 2);
+  uint64_t start_ms = uv_now (&run.f.loop);
+  caller_start_without_reading (&run.f, &run.caller, "/chat/",
+                                REQUEST_HEADERS "Connection: close\r\n");
+  gateway_fixture_wait (&run.f,
+                        uv_now (&run.f.loop) - start_ms >= CALLER_PAUSE_MS);
+  caller_begin_reading (&run.caller);
+  gateway_fixture_wait (&run.f, run.caller.closed);
+  ck_assert (caller_response_contains (&run.caller, "data: e5\n"));
+  ck_assert (caller_response_contains (&run.caller, "\r\n0\r\n\r\n"));
+  ck_assert_uint_ge (uv_now (&run.f.loop) - start_ms,
+                     CALLER_PAUSE_MS + NEXT_EVENT_MS);
+  ck_assert_uint_lt (uv_now (&run.f.loop) - start_ms,
+                     CALLER_PAUSE_MS + NEXT_EVENT_MS + SLACK_MS);
+  end_run (&run);
+}
+END_TEST
+
 /* Response heads.  */
 
 START_TEST (head_a_byte_at_a_time_keeps_the_caller)
@@ -504,6 +535,7 @@
   tcase_add_test (tcase, endless_event_after_two_events_keeps_the_caller);
   tcase_add_test (tcase, fast_endless_event_takes_memory);
   tcase_add_test (tcase, healthy_stream_with_comments_is_left);
+  tcase_add_test (tcase, stall_after_a_slow_caller_keeps_the_caller);
   tcase_add_test (tcase, head_a_byte_at_a_time_keeps_the_caller);
   tcase_add_test (tcase, endless_header_line_takes_memory);
   tcase_add_test (tcase, endless_header_lines_keep_the_caller);
