--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -33,6 +33,8 @@
   X (limited_sends, "Sends to upstreams that announced a rate limit.")        \
   X (loads_ignored, "Load reports, or their time factors, out of range.")     \
   X (resumes, "Interrupted streams resumed by another send.")                 \
+  X (unbounded_responses,                                                     \
+     "Responses left because they went on without an event or an end.")       \
   X (escalations, "Responses discarded to escalate to a larger model.")       \
   X (events, "Events of streams forwarded to callers.")                       \
   X (crashes, "Crashes of instances that ran requests of this process.")      \
@@ -86,6 +88,9 @@
   request_metrics_t *request_metrics;
   billing_t *billing;
   list_t relays;
+  size_t response_memory; /* Bytes of memory that RELAYS have for incomplete
+                             events, for bodies that are not streamed and for
+                             what callers have not read yet.  */
   uint64_t started_ms;
   bool is_initialized;  /* All tables that are needed to process requests were
                            read at least once.  */
