request attributes: length hint of the caller

Callers estimate the number of output tokens in a header that the gateway did not read. It is needed to estimate when a stream ends. A value that cannot be read or is above 2^24 is ignored, and none counts as more than the maximum number of output tokens.

--- a/packages/gateway/header_names.h
+++ b/packages/gateway/header_names.h
@@ -17,6 +17,8 @@
   X (prompt_parts, "vanillahook-prompt-parts")                                \
   /* Prompt tokens and maximum output tokens, as N,N.  */                     \
   X (token_counts, "vanillahook-token-counts")                                \
+  /* Estimate by the caller of the number of output tokens.  */               \
+  X (length_hint, "vanillahook-length-hint")                                  \
   /* Requested model; `*' lets the gateway choose.  */                        \
   X (model, "vanillahook-model")                                              \
   /* Message authentication code of an upstream over its response.  */        \
--- a/packages/gateway/request_attrs.c
+++ b/packages/gateway/request_attrs.c
@@ -86,6 +86,7 @@
 {
   str_t deadline = httpd_header (req, names->deadline_ms);
   str_t token_counts = httpd_header (req, names->token_counts);
+  str_t length_hint = httpd_header (req, names->length_hint);
   str_t last_id = httpd_header (req, STR ("last-event-id"));
   str_t session = httpd_header (req, names->session);
   uint64_t timeout_ms = attrs->route->timeout_ms;
@@ -111,6 +112,13 @@
         attrs->output_tokens_max
             = number < UINT32_MAX ? (uint32_t)number : UINT32_MAX;
     }
+  /* Only a hint: a request with a bad one is as good as one without.  */
+  if (length_hint.ptr != NULL && str_to_u64 (str_trim (length_hint), &number)
+      && number <= LENGTH_HINT_MAX)
+    attrs->output_tokens_hint = (uint32_t)number;
+  if (attrs->output_tokens_max > 0
+      && attrs->output_tokens_hint > attrs->output_tokens_max)
+    attrs->output_tokens_hint = attrs->output_tokens_max;
   attrs->prefix_hash
       = shared_prefix_hash (httpd_header (req, names->prompt_parts));
   attrs->session_hash
--- a/packages/gateway/request_attrsint.h
+++ b/packages/gateway/request_attrsint.h
@@ -11,7 +11,9 @@
 enum
 {
   /* Prompt parts of a request that are looked at, from the first.  */
-  REQUEST_PARTS_MAX = 8
+  REQUEST_PARTS_MAX = 8,
+  /* Largest length hint that counts: far above any context length.  */
+  LENGTH_HINT_MAX = 1 << 24
 };
 
 typedef struct
@@ -35,8 +37,11 @@
   poison_key_t part_keys[REQUEST_PARTS_MAX];
   size_t part_count;
   uint32_t prompt_tokens; /* Number of tokens of the prompt; 0: unknown.  */
-  uint32_t output_tokens_max; /* Maximum number of tokens of the response; 0:
-                                 unknown.  */
+  uint32_t output_tokens_max;  /* Maximum number of tokens of the response; 0:
+                                  unknown.  */
+  uint32_t output_tokens_hint; /* Estimate by the caller of the number of
+                                  tokens of the response, often far off; 0:
+                                  none.  */
   uint32_t priority;  /* Priority of the team if it has one, else of the route;
                          0 is the highest.  */
   bool is_repeatable; /* The request may be run more than once.  */
