relay: late streams move to an instance that ends them in time

A third of the instances turns three times slower, and their streams run into the time limits of their callers. A move cancels the send first and resumes the stream elsewhere after its last event, within the budget of extra sends. It is no failure of the instance and no evidence against a version; while a version is under trial no stream of the service moves, so that a version that stalls still shows. A moved stream that is refused or finds no connection waits, and may go back.

Setting `move-streams': by default only services whose instances report how long work takes. Counters moves and moves_refused, event request.moved.

New: a stream of 20 events at 200 ms with 3 s left ends whole at the other upstream, each event once, and the old connection is closed.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -122,6 +122,8 @@
      "The service has extra sends again")                                     \
   X (EVENT_SENT, "request", "sent", INFO, 40, "Sent to an upstream")          \
   X (EVENT_SEND_FAILED, "request", "send-failed", INFO, 200, "A send failed") \
+  X (EVENT_MOVED, "request", "moved", INFO, 50,                               \
+     "A stream that would be late moves to another upstream")                 \
   X (EVENT_LARGER, "request", "larger-model", INFO, 20,                       \
      "A doubtful answer gives way to a larger model")                         \
   X (EVENT_ANSWERED, "request", "answered", INFO, 20, "Answered")             \
@@ -162,6 +164,11 @@
   X (FIELD_EVENTS, "events", "Events passed on so far")                       \
   X (FIELD_MS, "ms", "Milliseconds since the request arrived")                \
   X (FIELD_LEFT_MS, "left_ms", "Milliseconds left to answer in")              \
+  X (FIELD_TARGET, "target", "Instance id of the upstream it moves to")       \
+  X (FIELD_PACE_MS, "pace_ms", "Milliseconds between its last events")        \
+  X (FIELD_EVENTS_LEFT, "events_left", "Events assumed as left of it")        \
+  X (FIELD_HERE_MS, "here_ms", "Milliseconds to its end where it was")        \
+  X (FIELD_THERE_MS, "there_ms", "Milliseconds to its end at the target")     \
   X (FIELD_RETRY_MS, "retry_ms", "Retry-After told, in milliseconds")         \
   X (FIELD_REVISION, "revision", "Revision of the configuration used")        \
   X (FIELD_BEFORE, "before", "What was in force before")                      \
@@ -250,6 +257,8 @@
                        "no mac, or was coded.")                               \
   X ("silent", "The upstream sent nothing for too long.")                     \
   X ("lost", "The upstream sent nothing and took no connection.")             \
+  X ("slow", "The stream would not have ended in time at the upstream and "   \
+             "moved to another; see `request.moved'.")                        \
   X ("upstream-error", "The upstream answered with a failure of its own.")    \
   X ("resume-failed", "No upstream went on with the stream.")                 \
   X ("events-out-of-order", "An event of the stream was missing.")            \
--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -8,6 +8,9 @@
 
 static const char *const role_names[]
     = { "entry", "sidecar", "standalone", "gateway", NULL };
+/* In the order of settings_move_streams_t.  */
+static const char *const move_streams_names[]
+    = { "reported", "yes", "no", NULL };
 static const char *const platform_names[] = { "http", "memory", NULL };
 static const char *const upstream_kind_names[] = { "engine", "service", NULL };
 static const char *const no_yes_names[] = { "no", "yes", NULL };
@@ -100,7 +103,9 @@
   X ("late-part", VALUE_DOUBLE, false, pub.late_value_share, 0, 1, NULL)      \
   X ("poor-part", VALUE_DOUBLE, false, pub.poor_value_share, 0, 1, NULL)      \
   X ("opinion-width", VALUE_DOUBLE, false, pub.rating_noise_points, 0.1, 100, \
-     NULL)
+     NULL)                                                                    \
+  X ("move-streams", VALUE_ENUM, false, pub.move_streams, 0, 0,               \
+     move_streams_names)
 
 /* Keys that [sidecar] and [upstream NAME] have in common.  */
 #define UPSTREAM_KEYS(X)                                                      \
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -44,6 +44,15 @@
                       upstreams without sidecars.  */
 } role_t;
 
+/* Whether streams that would be late move to another instance.  */
+typedef enum
+{
+  SETTINGS_MOVE_STREAMS_REPORTED, /* Those of services whose instances report
+                                     how long work takes.  */
+  SETTINGS_MOVE_STREAMS_YES,
+  SETTINGS_MOVE_STREAMS_NO
+} settings_move_streams_t;
+
 /* Implementation of the platform's store.  */
 typedef enum
 {
@@ -186,6 +195,7 @@
   /* Standard deviation of the noise in a model's rating of a response, in
      points.  */
   double rating_noise_points;
+  settings_move_streams_t move_streams;
   /* [sidecar], or [upstream NAME] if the role is standalone */
   upstream_settings_t *upstreams;
   size_t upstreams_count;
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -73,6 +73,11 @@
   return seed;
 }
 
+static const move_streams_t move_streams_options[]
+    = { [SETTINGS_MOVE_STREAMS_REPORTED] = MOVE_STREAMS_REPORTED,
+        [SETTINGS_MOVE_STREAMS_YES] = MOVE_STREAMS_YES,
+        [SETTINGS_MOVE_STREAMS_NO] = MOVE_STREAMS_NO };
+
 static gateway_options_t
 make_options (const settings_t *settings)
 {
@@ -101,6 +106,7 @@
     .cold_factor = settings->cold_factor,
     .cold_slack = settings->cold_slack,
     .rollout_share_max = settings->rollout_share_max,
+    .move_streams = move_streams_options[settings->move_streams],
     .escalation = { .value_per_1k_tokens = settings->good_answer_value,
                     .priority_value_ratio = settings->value_factor_per_rank,
                     .late_value_ratio = settings->late_value_share,
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -71,6 +71,18 @@
   return escalation;
 }
 
+finish_time_t *
+gateway_service_finish_time (gateway_state_t *state, str_t service)
+{
+  finish_time_t *finish_time = map_get (state->finish_times, service);
+
+  if (finish_time != NULL)
+    return finish_time;
+  finish_time = finish_time_create ();
+  map_put (state->finish_times, service, finish_time);
+  return finish_time;
+}
+
 uint64_t
 gateway_config_load_elapsed_ms (const gateway_state_t *state)
 {
@@ -351,6 +363,10 @@
   while (map_next (state->escalations, &cursor, &key, &value))
     escalation_destroy (value);
   map_destroy (state->escalations);
+  cursor = 0;
+  while (map_next (state->finish_times, &cursor, &key, &value))
+    finish_time_destroy (value);
+  map_destroy (state->finish_times);
   catalog_unref (state->catalog);
   request_metrics_destroy (state->request_metrics);
   metrics_destroy (state->metrics);
@@ -485,6 +501,7 @@
   state->trials = map_create ();
   state->retry_budgets = map_create ();
   state->escalations = map_create ();
+  state->finish_times = map_create ();
   state->started_ms = clock_ms (clock);
   state->metrics = metrics_create ();
   list_init (&state->relays);
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -70,6 +70,16 @@
                                 buf_t *value);
 } gateway_dialect_t;
 
+/* Whether streams that would be late move to another instance; see
+   policy/stream_move.h.  */
+typedef enum
+{
+  MOVE_STREAMS_REPORTED, /* Those of services whose instances report how long
+                            work takes.  */
+  MOVE_STREAMS_YES,
+  MOVE_STREAMS_NO
+} move_streams_t;
+
 typedef struct
 {
   str_t name;
@@ -114,6 +124,7 @@
   double rollout_share_max; /* Largest part, 0 to 1, of the requests that a
                                service gets within rollout_spec_t.within_ms
                                that may be sent to the new version.  */
+  move_streams_t move_streams;
 } gateway_options_t;
 
 /* Start a gateway on LOOP.  ROWS and DIALECT must outlive the gateway; the
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -17,6 +17,8 @@
 #include "policy/allotment.h"
 #include "policy/sendbudget.h"
 #include "policy/escalation.h"
+#include "policy/finish_time.h"
+#include "policy/stream_move.h"
 #include "policy/trial.h"
 #include "wire/httpd.h"
 
@@ -32,6 +34,8 @@
   X (resends_refused, "Times that an extra send was not in the budget.")      \
   X (limited_sends, "Sends to upstreams that announced a rate limit.")        \
   X (resumes, "Interrupted streams resumed by another send.")                 \
+  X (moves, "Streams moved to another upstream to end in time.")              \
+  X (moves_refused, "Checks of a late stream that moved it nowhere.")         \
   X (escalations, "Responses discarded to escalate to a larger model.")       \
   X (events, "Events of streams forwarded to callers.")                       \
   X (crashes, "Crashes of instances that ran requests of this process.")      \
@@ -72,6 +76,8 @@
   map_t *trials;                   /* Map of service name to trial_t.  */
   map_t *retry_budgets;            /* Map of service name to send_budget_t.  */
   map_t *escalations;              /* Map of service name to escalation_t.  */
+  map_t *finish_times;             /* Map of service name to finish_time_t.  */
+  stream_moves_t stream_moves;     /* Moves of streams in the last second.  */
   /* Registered gateway processes, among which the limits that all gateway
      processes share are divided.  */
   allotment_t *allotment;
@@ -152,6 +158,9 @@
 /* Return the model escalation state of SERVICE, created on first use.  */
 escalation_t *gateway_service_escalation (gateway_state_t *state,
                                           str_t service);
+/* Return the estimate of times of SERVICE, created on first use.  */
+finish_time_t *gateway_service_finish_time (gateway_state_t *state,
+                                            str_t service);
 /* Return whether it is this gateway's turn to do what one gateway at a time
    does for the object with HASH.  The turns have TURN_MS.  */
 bool gateway_has_turn (const gateway_state_t *state, uint64_t hash,
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -164,10 +164,12 @@
   gateway_state_t *state = relay->state;
   uint64_t now_ms = clock_ms (state->clock);
   pool_criteria_t criteria;
+  upstream_t *move_target = relay->move_target;
   buf_t request = BUF_NULL;
   char content[CONTENT_TEXT_SIZE];
   char parts[PARTS_TEXT_SIZE];
 
+  relay->move_target = NULL;
   if (now_ms + RESPONSE_TRANSIT_MS >= relay->attrs.deadline_at_ms)
     {
       relay_fail (relay, VH_E_DEADLINE, "deadline", 0);
@@ -187,7 +189,12 @@
   if (wait_for_suspect (relay))
     return;
   relay_selection_criteria (relay, &criteria);
-  vh_code_t code = pool_select (state->pool, &criteria, &relay->upstream);
+  vh_code_t code = VH_OK;
+  /* The move was decided for this upstream.  */
+  if (move_target != NULL && relay->poison_class != POISON_SUSPECT)
+    relay->upstream = move_target;
+  else
+    code = pool_select (state->pool, &criteria, &relay->upstream);
   if ((code == VH_E_NO_UPSTREAM || code == VH_E_PAUSED)
       && relay->tried_count > 0)
     {
@@ -197,6 +204,15 @@
       if (relay->was_refused)
         {
           relay->upstream = NULL;
+          if (relay->has_moved && relay->has_response_started)
+            {
+              /* The stream left a working upstream, so it waits instead of
+                 being cut, and may go back.  */
+              relay->tried_count = 0;
+              relay->was_refused = false;
+              relay_wait_for_upstream (relay);
+              return;
+            }
           relay_fail (relay, VH_E_FULL, relay->failure_reason,
                       RETRY_AFTER_FULL_MS);
           return;
@@ -259,6 +275,8 @@
   relay->last_activity_ms = now_ms;
   relay->first_event_ms = 0;
   relay->has_survived = false;
+  relay->pace = (stream_pace_t){ 0 };
+  relay->move_checked_ms = now_ms;
   relay->send_event_count = 0;
   relay->upstream_request_count = upstream_running_count (relay->upstream);
   relay->is_upstream_loaded = false;
@@ -408,6 +426,8 @@
       relay_send (relay);
       return;
     }
+  if (relay_check_move (relay, now_ms))
+    return;
   if (now_ms >= silence_check_due_ms (relay))
     {
       if (should_probe (relay, now_ms))
@@ -436,6 +456,10 @@
 {
   uint64_t due_ms = silence_check_due_ms (relay);
 
+  uint64_t move_check_ms = relay_move_check_due_ms (relay);
+
+  if (due_ms > move_check_ms)
+    due_ms = move_check_ms;
   if (due_ms > relay->attrs.deadline_at_ms)
     due_ms = relay->attrs.deadline_at_ms;
   peer_timer_start (&relay->timer, due_ms > now_ms ? due_ms - now_ms : 0);
@@ -451,6 +475,9 @@
   if (relay->is_paused && relay->call != NULL)
     {
       relay->is_paused = false;
+      /* The pause of the caller is not one of the upstream.  */
+      relay->pace = (stream_pace_t){ 0 };
+      stream_pace_record (&relay->pace, 1, clock_ms (relay->state->clock));
       http_exchange_resume (relay->call);
     }
 }
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -60,6 +60,14 @@
              : NULL;
 }
 
+bool
+relay_is_under_trial (const relay_t *relay)
+{
+  const trial_t *trial = relay_trial (relay);
+
+  return trial != NULL && trial_phase (trial) == TRIAL_PHASE_RUNNING;
+}
+
 trial_arm_t
 relay_trial_arm (const relay_t *relay)
 {
@@ -222,10 +230,14 @@
   if (relay->upstream == NULL)
     return;
   relay_count_in_flight (relay, -1);
-  if (outcome == SEND_FAILED || outcome == SEND_CANCELLED)
+  /* A send that ends for a move was neither good nor bad, unless it was found
+     late before.  */
+  if ((outcome == SEND_FAILED || outcome == SEND_CANCELLED)
+      && !relay->is_moving)
     record_unanswered (relay);
   record_trial_outcome (relay, outcome);
-  record_answer (relay, outcome);
+  if (!relay->is_moving || relay->has_bad_answer)
+    record_answer (relay, outcome);
   pool_request_finished (relay->state->pool, relay->upstream,
                          relay->unread_prompt_tokens, outcome);
   relay->upstream = NULL;
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -37,8 +37,8 @@
          && relay->send_count < SENDS_MAX;
 }
 
-static send_budget_t *
-service_retry_budget (const relay_t *relay)
+send_budget_t *
+relay_retry_budget (const relay_t *relay)
 {
   return gateway_service_retry_budget (relay->state,
                                        relay->attrs.service->name);
@@ -47,7 +47,7 @@
 static void
 log_budget (const relay_t *relay, log_event_t event)
 {
-  send_budget_usage_t usage = send_budget_usage (service_retry_budget (relay));
+  send_budget_usage_t usage = send_budget_usage (relay_retry_budget (relay));
 
   log_event (event, log_field_text (FIELD_SERVICE, relay->attrs.service->name),
              log_field_number (FIELD_REQUESTS, usage.requests),
@@ -61,25 +61,23 @@
 count_refused_retry (const relay_t *relay)
 {
   counter_add (relay->state->counters.resends_refused, 1);
-  if (send_budget_count_refusal (service_retry_budget (relay)))
+  if (send_budget_count_refusal (relay_retry_budget (relay)))
     log_budget (relay, EVENT_BUDGET_SPENT);
 }
 
 bool
 relay_check_retry_budget (const relay_t *relay)
 {
-  if (send_budget_remaining (service_retry_budget (relay)) >= 1)
+  if (send_budget_remaining (relay_retry_budget (relay)) >= 1)
     return true;
   count_refused_retry (relay);
   return false;
 }
 
-/* Take one retry from the retry budget of the service.  Return false if none
-   is left.  */
-static bool
-take_retry (relay_t *relay)
+bool
+relay_take_retry (relay_t *relay)
 {
-  send_budget_t *budget = service_retry_budget (relay);
+  send_budget_t *budget = relay_retry_budget (relay);
 
   if (!send_budget_try_take (budget, 0))
     {
@@ -95,7 +93,7 @@
 uint64_t
 relay_retries_left (const relay_t *relay)
 {
-  double remaining = send_budget_remaining (service_retry_budget (relay));
+  double remaining = send_budget_remaining (relay_retry_budget (relay));
 
   return remaining > 0 ? (uint64_t)remaining : 0;
 }
@@ -107,18 +105,34 @@
     relay->tried[relay->tried_count++] = relay->upstream;
 }
 
+void
+relay_leave_upstream (relay_t *relay, send_outcome_t outcome)
+{
+  add_tried_upstream (relay);
+  relay_finish_send (relay, outcome);
+  relay->response_headers.len = 0;
+  relay->response_body.len = 0;
+  sse_filter_discard_partial (&relay->sse);
+}
+
+void
+relay_wait_for_upstream (relay_t *relay)
+{
+  relay->phase = PHASE_AWAITING_UPSTREAM;
+  peer_timer_start (&relay->timer, RESUME_POLL_MS);
+}
+
 void
 relay_resume_stream (relay_t *relay)
 {
   if (relay_check_retry_budget (relay) && relay_has_alternative (relay)
-      && take_retry (relay))
+      && relay_take_retry (relay))
     {
       counter_add (relay->state->counters.resumes, 1);
       relay_send (relay);
       return;
     }
-  relay->phase = PHASE_AWAITING_UPSTREAM;
-  peer_timer_start (&relay->timer, RESUME_POLL_MS);
+  relay_wait_for_upstream (relay);
 }
 
 /* Send the request again after a send that failed for REASON, or fail it.  */
@@ -130,7 +144,7 @@
 
   if (may_resend && relay->has_response_started)
     relay_resume_stream (relay);
-  else if (may_resend && take_retry (relay))
+  else if (may_resend && relay_take_retry (relay))
     relay_send (relay);
   else
     relay_fail (relay, may_have_run ? VH_E_UPSTREAM_CUT : VH_E_FULL, reason,
@@ -170,14 +184,10 @@
   relay->failure_reason = reason;
   if (may_have_run)
     relay->possible_run_count++;
-  add_tried_upstream (relay);
   relay->was_refused = !may_have_run;
   if (may_have_run && relay_trial_arm (relay) == TRIAL_ARM_NEW)
     relay->trial_sends.failed_on_new = true;
-  relay_finish_send (relay, may_have_run ? SEND_FAILED : SEND_REFUSED);
-  relay->response_headers.len = 0;
-  relay->response_body.len = 0;
-  sse_filter_discard_partial (&relay->sse);
+  relay_leave_upstream (relay, may_have_run ? SEND_FAILED : SEND_REFUSED);
   /* A request that crashed the upstream must not reach the next one before
      that is known.  */
   if (may_have_run
@@ -299,7 +309,7 @@
       || (larger_model = relay_choose_larger_model (relay, confidence))
              == relay->model_index
       || relay->possible_run_count + 1 >= relay->attrs.route->possible_runs_max
-      || !take_retry (relay))
+      || !relay_take_retry (relay))
     return false;
   counter_add (relay->state->counters.escalations, 1);
   log_event (EVENT_LARGER,
@@ -399,6 +409,7 @@
           relay->unread_prompt_tokens = 0;
         }
       record_begin (relay);
+      relay_record_pace (relay, count, relay->last_activity_ms);
       relay->event_count += count;
       if (relay->send_event_count <= MEAN_GAP_EVENT_COUNT
           && relay->send_event_count + count > MEAN_GAP_EVENT_COUNT)
@@ -413,12 +424,15 @@
           && httpd_buffered_bytes (relay->req) > CALLER_BUFFER_BYTES_HIGH)
         {
           relay->is_paused = true;
+          relay->pace = (stream_pace_t){ 0 };
           http_exchange_pause (relay->call);
         }
     }
   buf_free (&out);
   if (code != VH_OK)
     relay_send_failed (relay, "events-out-of-order", true);
+  else if (count > 0)
+    relay_check_move (relay, relay->last_activity_ms);
 }
 
 static void
@@ -444,7 +458,11 @@
   add_tried_upstream (relay);
   relay->send_count--;
   relay_finish_send (relay, SEND_FAILED);
-  if (relay->tried_count < POOL_TRIED_MAX)
+  /* A stream that was moved away from a working upstream must not end because
+     the others are full.  */
+  if (relay->has_moved && relay->has_response_started)
+    relay_resume_stream (relay);
+  else if (relay->tried_count < POOL_TRIED_MAX)
     relay_send (relay);
   else
     relay_fail (relay, VH_E_NO_UPSTREAM, reason, RETRY_AFTER_UNAVAILABLE_MS);
@@ -483,6 +501,7 @@
       send_buffered_response (relay);
       return;
     }
+  relay_record_length (relay);
   counter_add (relay->state->counters.answered, 1);
   relay_record_end (relay, EVENT_ANSWERED, relay->response_status,
                     relay->failure_reason, 0);
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -3,6 +3,7 @@
    relay.c           arrival, sending, timers, disconnection of the caller
    relay_select.c    selection of the upstream: version, model and load
    relay_response.c  response of the upstream, retries and escalation
+   relay_move.c      move of a late stream to another upstream
    relay_end.c       response to the caller, log line, metrics and bill
 
    A send is one transmission of the request to an upstream.  Each send starts
@@ -82,9 +83,13 @@
                                 postponed.  */
   uint64_t first_event_ms;   /* Monotonic time of the first event of this send,
                                 in ms; 0 before.  */
-  bool has_survived; /* The answer went on long enough to show that the prompt
-                        does not crash its instance.  */
-  uint64_t send_event_count;       /* Events received by this send.  */
+  bool has_survived;  /* The answer went on long enough to show that the prompt
+                         does not crash its instance.  */
+  stream_pace_t pace; /* Events of this send; restarted when reading from the
+                         upstream was paused.  */
+  uint64_t move_checked_ms;  /* Monotonic time of the last check whether the
+                                stream moves, in ms.  */
+  uint64_t send_event_count; /* Events received by this send.  */
   uint32_t upstream_request_count; /* Requests running or waiting at the
                                       upstream, as reported in its response;
                                       before the response, requests that this
@@ -106,6 +111,9 @@
   size_t send_count;
   size_t possible_run_count;   /* Sends that an upstream may have run.  */
   poison_class_t poison_class; /* At the time of the last send.  */
+  bool has_moved;              /* The stream was moved to another upstream.  */
+  bool is_moving;              /* The current send ends for the move.  */
+  upstream_t *move_target; /* Upstream of the next send, a move; else NULL.  */
   bool is_test_run; /* It is refused, and the last send was a test run.  */
   uint64_t probe_wait_end_ms;   /* Monotonic time, in ms, at which the request
                                    waits no longer in PHASE_AWAITING_PROBE.  */
@@ -180,6 +188,8 @@
 
 /* Return the roll-out of the request's service in any phase, or NULL.  */
 trial_t *relay_trial (const relay_t *relay);
+/* Return whether a version of the request's service is under trial.  */
+bool relay_is_under_trial (const relay_t *relay);
 /* Return TRIAL_ARM_NEW if the upstream of the current send runs the version
    that is being rolled out, else TRIAL_ARM_OLD.  */
 trial_arm_t relay_trial_arm (const relay_t *relay);
@@ -211,6 +221,19 @@
    response.  */
 size_t relay_choose_larger_model (relay_t *relay, uint64_t confidence);
 
+/* Moves of late streams.  */
+
+/* Return the time at which the stream is to be checked, in ms; UINT64_MAX if
+   it may not move.  */
+uint64_t relay_move_check_due_ms (const relay_t *relay);
+/* Move the stream if it is due to be checked and will be late.  Return whether
+   the current send was ended; RELAY may be destroyed then.  */
+bool relay_check_move (relay_t *relay, uint64_t now_ms);
+/* Record COUNT events that arrived at NOW_MS.  */
+void relay_record_pace (relay_t *relay, size_t count, uint64_t now_ms);
+/* Record the length of the response, which is complete.  */
+void relay_record_length (const relay_t *relay);
+
 /* Sending and receiving.  */
 
 /* Send the request to the best upstream, or fail the request.  */
@@ -235,9 +258,19 @@
    wrongly considers a healthy upstream unreachable would abort all streams
    from that upstream whenever the other upstreams are full.  */
 void relay_resume_stream (relay_t *relay);
+/* Let an interrupted stream wait before the next try to resume it.  */
+void relay_wait_for_upstream (relay_t *relay);
 /* Return whether the request may be sent once more although an upstream may
    have run it.  */
 bool relay_may_retry (const relay_t *relay);
+/* Return the retry budget of the service in this process.  */
+send_budget_t *relay_retry_budget (const relay_t *relay);
+/* Take one retry from the retry budget of the service.  Return false if none
+   is left.  */
+bool relay_take_retry (relay_t *relay);
+/* Exclude the current upstream from further sends, and discard what is stored
+   of the response of the current send, which has ended with OUTCOME.  */
+void relay_leave_upstream (relay_t *relay, send_outcome_t outcome);
 /* Return whether the retry budget of the service in this process allows
    another send, and count the refusal if it does not.  */
 bool relay_check_retry_budget (const relay_t *relay);
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -1581,6 +1581,18 @@
   return request_count (upstream, clock_ms (pool->clock));
 }
 
+bool
+upstream_has_time_factor (const upstream_t *upstream)
+{
+  return upstream->group->mean_time_factor > 0;
+}
+
+bool
+upstream_is_ejected (const pool_t *pool, const upstream_t *upstream)
+{
+  return clock_ms (pool->clock) < upstream->ejected_until_ms;
+}
+
 uint32_t
 upstream_slots (const upstream_t *upstream)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -337,6 +337,11 @@
    instances of its service with a known factor if that of UPSTREAM is unknown,
    and 1 if none is known.  */
 double upstream_time_factor (const pool_t *pool, const upstream_t *upstream);
+/* Return whether the time factor of an instance of the service of UPSTREAM is
+   known.  */
+bool upstream_has_time_factor (const upstream_t *upstream);
+/* Return whether UPSTREAM is ejected now.  */
+bool upstream_is_ejected (const pool_t *pool, const upstream_t *upstream);
 /* Return how many requests UPSTREAM runs concurrently, as last reported.  */
 uint32_t upstream_slots (const upstream_t *upstream);
 /* Return the requests of this gateway at UPSTREAM beside which some others do
--- a/packages/policy/sendbudget.c
+++ b/packages/policy/sendbudget.c
@@ -104,30 +104,37 @@
              : 0;
 }
 
-/* Add the tokens for the time since the last call, and drop those that the
-   bucket does not hold.  */
-static void
-update_tokens (send_budget_t *send_budget)
+double
+send_budget_capacity (send_budget_t *send_budget)
 {
   uint64_t now_ms = clock_boottime_ms (send_budget->clock);
-  double windows = (double)(now_ms - send_budget->tokens_ms)
-                   / (double)send_budget->options.window_ms;
-  double fixed = fixed_part (send_budget);
   uint32_t requests = 0;
 
-  send_budget->tokens += windows * fixed * SEND_BUDGET_FIXED_EARNED_SHARE;
-  send_budget->tokens_ms = now_ms;
   advance_window (send_budget);
   for (size_t i = 0; i < SEND_BUDGET_BUCKET_COUNT; i++)
     requests += send_budget->requests[i];
-  double capacity = fixed * SEND_BUDGET_FIXED_HELD_SHARE
+  double capacity = fixed_part (send_budget) * SEND_BUDGET_FIXED_HELD_SHARE
                     + requests * held_per_request (send_budget);
   bool holds_one
       = send_budget->gateways == 0
         || now_ms - send_budget->created_ms < send_budget->options.window_ms
         || send_budget->draw < capacity;
-  if (capacity < 1 && holds_one)
-    capacity = 1;
+  return capacity < 1 && holds_one ? 1 : capacity;
+}
+
+/* Add the tokens for the time since the last call, and drop those that the
+   bucket does not hold.  */
+static void
+update_tokens (send_budget_t *send_budget)
+{
+  uint64_t now_ms = clock_boottime_ms (send_budget->clock);
+  double windows = (double)(now_ms - send_budget->tokens_ms)
+                   / (double)send_budget->options.window_ms;
+
+  send_budget->tokens
+      += windows * fixed_part (send_budget) * SEND_BUDGET_FIXED_EARNED_SHARE;
+  send_budget->tokens_ms = now_ms;
+  double capacity = send_budget_capacity (send_budget);
   if (send_budget->tokens > capacity)
     send_budget->tokens = capacity;
 }
--- a/packages/policy/sendbudget.h
+++ b/packages/policy/sendbudget.h
@@ -84,6 +84,8 @@
 void send_budget_count_request (send_budget_t *send_budget);
 /* Return the number of extra sends that may be made now.  */
 double send_budget_remaining (send_budget_t *send_budget);
+/* Return the number of extra sends that the bucket holds now when full.  */
+double send_budget_capacity (send_budget_t *send_budget);
 /* Count an extra send and return true, or return false with nothing counted if
    fewer than 1 + RESERVE are left.  RESERVE keeps extra sends for more
    important uses.  */
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -58,7 +58,9 @@
   list_t link;
   fake_upstream_t *upstream;
   uv_tcp_t tcp;
-  uv_timer_t timer; /* Ends the pause of ACT_STREAM_PAUSE.  */
+  uv_timer_t timer; /* Ends the pause of ACT_STREAM_PAUSE, or that before the
+                       next event of ACT_STREAM_SLOW.  */
+  uint64_t sent_events; /* Id of the last event of ACT_STREAM_SLOW.  */
   unsigned open_handles;
   buf_t input;
   bool has_answered;
@@ -222,6 +224,24 @@
   buf_free (&out);
 }
 
+/* Send the next event of ACT_STREAM_SLOW.  */
+static void
+on_event_timer (uv_timer_t *timer)
+{
+  conn_t *conn = timer->data;
+  buf_t out = BUF_NULL;
+
+  append_events (conn->sent_events, conn->sent_events + 1, &out);
+  if (++conn->sent_events >= STREAM_LONG_EVENTS)
+    {
+      buf_append_str (&out, STR ("0\r\n\r\n"));
+      conn->has_answered = true;
+      uv_timer_stop (timer);
+    }
+  conn_send (conn, &out);
+  buf_free (&out);
+}
+
 static void
 conn_stream (conn_t *conn, fake_action_t action, buf_t *out)
 {
@@ -234,20 +254,26 @@
     }
   str_to_u64 (request_header (conn, "last-event-id"), &after);
   append_stream_head (conn, action, out);
-  bool is_complete = action == ACT_STREAM
-                     || action == ACT_STREAM_LOW_CONFIDENCE
-                     || action == ACT_STREAM_BIG_EVENT;
+  bool is_complete
+      = action == ACT_STREAM || action == ACT_STREAM_LOW_CONFIDENCE
+        || action == ACT_STREAM_BIG_EVENT || action == ACT_STREAM_LONG;
   if (action == ACT_STREAM_BIG_EVENT)
     append_big_event (out);
-  else
+  else if (action == ACT_STREAM_LONG)
+    append_events (after, STREAM_LONG_EVENTS, out);
+  else if (action != ACT_STREAM_SLOW)
     append_events (after, is_complete ? STREAM_EVENTS : 2, out);
   if (is_complete)
     buf_append_str (out, STR ("0\r\n\r\n"));
   else if (action == ACT_STREAM_CUT_IN_EVENT)
     append_chunk (out, "id: 3\ndata: ha");
   conn_send (conn, out);
-  conn->has_answered
-      = action != ACT_STREAM_STALL && action != ACT_STREAM_PAUSE;
+  conn->has_answered = action != ACT_STREAM_STALL && action != ACT_STREAM_PAUSE
+                       && action != ACT_STREAM_SLOW;
+  conn->sent_events = after;
+  if (action == ACT_STREAM_SLOW)
+    uv_timer_start (&conn->timer, on_event_timer, STREAM_SLOW_GAP_MS,
+                    STREAM_SLOW_GAP_MS);
   if (action == ACT_STREAM_PAUSE)
     uv_timer_start (&conn->timer, on_pause_timer, STREAM_PAUSE_MS, 0);
   if (action == ACT_STREAM_CUT_IN_EVENT)
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -12,7 +12,9 @@
 enum
 {
   BIG_EVENT_BYTES = 900000,
-  STREAM_PAUSE_MS = 900 /* Pause of ACT_STREAM_PAUSE.  */
+  STREAM_PAUSE_MS = 900, /* Pause of ACT_STREAM_PAUSE.  */
+  STREAM_LONG_EVENTS = 20,
+  STREAM_SLOW_GAP_MS = 200
 };
 
 /* Reaction of a fake upstream to one request.  */
@@ -32,7 +34,9 @@
   ACT_STREAM_STALL,          /* Two events; the connection stays open.  */
   ACT_STREAM_PAUSE,          /* A complete stream with one pause.  */
   ACT_STREAM_LATE,           /* A complete stream after such a pause.  */
-  ACT_STREAM_BIG_EVENT       /* A stream of one event of BIG_EVENT_BYTES.  */
+  ACT_STREAM_BIG_EVENT,      /* A stream of one event of BIG_EVENT_BYTES.  */
+  ACT_STREAM_LONG,           /* A complete stream of STREAM_LONG_EVENTS.  */
+  ACT_STREAM_SLOW            /* The same, an event each STREAM_SLOW_GAP_MS.  */
 } fake_action_t;
 
 typedef struct fake_upstream fake_upstream_t;
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -326,6 +326,7 @@
                     .late_value_ratio = 0.3,
                     .poor_value_ratio = 0.05,
                     .confidence_stddev = 5 },
+    .move_streams = f->move_streams,
   };
   gateway_t *gateway;
 
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -27,7 +27,8 @@
   /* Interface through which gateways that are started use the store; NULL:
      that of ROWS.  */
   rows_t *store_client;
-  gateway_t *gateway; /* Gateway to which callers connect.  */
+  gateway_t *gateway;          /* Gateway to which callers connect.  */
+  move_streams_t move_streams; /* Of the gateways that are started.  */
   fake_upstream_t *upstreams[4];
   size_t lifetimes[4]; /* Restarts of each upstream.  */
   size_t upstream_count;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -256,6 +256,194 @@
 }
 END_TEST
 
+/* Replace the gateway by one with MOVE_STREAMS.  */
+static void
+restart_gateway (gateway_fixture_t *f, move_streams_t move_streams)
+{
+  gateway_destroy (f->gateway);
+  f->move_streams = move_streams;
+  f->gateway = gateway_fixture_start_gateway (f, "gateway-1", 1);
+  gateway_fixture_wait (f, gateway_fixture_ready_status (f) == 200);
+}
+
+/* Send a stream request with HEADERS while both upstreams react with ACT, and
+   return the index of the upstream that gets it.  The other one reacts with
+   ACT_STREAM_LONG afterwards.  */
+static size_t
+start_stream_at_slow_upstream (gateway_fixture_t *f, caller_t *caller,
+                               const char *headers, fake_action_t act)
+{
+  static const fake_action_t quick[] = { ACT_STREAM_LONG };
+
+  script_all (f, act);
+  caller_start (f, caller, "POST", "/chat/", headers, "{}");
+  gateway_fixture_wait (f, count_upstream_requests (f) == 1);
+  size_t slow = fake_upstream_request_count (f->upstreams[0]) == 1 ? 0 : 1;
+  fake_upstream_script (f->upstreams[1 - slow], quick, 1);
+  return slow;
+}
+
+/* Check that CALLER got events 1 to STREAM_LONG_EVENTS, once each, and the end
+   of the stream.  */
+static void
+check_whole_stream (const caller_t *caller)
+{
+  ck_assert_int_eq (caller_status (caller), 200);
+  for (int id = 1; id <= STREAM_LONG_EVENTS; id++)
+    {
+      char event[32];
+      snprintf (event, sizeof event, "data: e%d\n", id);
+      const char *at = strstr (caller->response.ptr, event);
+      ck_assert_ptr_nonnull (at);
+      ck_assert_ptr_null (strstr (at + 1, event));
+    }
+  ck_assert (caller_response_contains (caller, "\r\n0\r\n\r\n"));
+}
+
+/* An upstream turned slow: a stream of 20 events would take 4 s there, and the
+   caller waits for 3 s.  The stream must end at the other upstream, the caller
+   must receive each event once, and the slow call must be cancelled, so that
+   the request does not run twice.  The slow upstream has not failed and must
+   get requests again.  */
+START_TEST (late_stream_moves_to_other_upstream)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  size_t slow = start_stream_at_slow_upstream (
+      &f, &caller, REQUEST_HEADERS "vanillahook-length-hint: 180\r\n",
+      ACT_STREAM_SLOW);
+  gateway_fixture_wait (&f, caller.closed);
+  check_whole_stream (&caller);
+  ck_assert_ptr_nonnull (
+      strstr (fake_upstream_last_request (f.upstreams[1 - slow]),
+              "\r\nLast-Event-Id: "));
+  ck_assert_uint_eq (count_upstream_requests (&f), 2);
+  gateway_fixture_wait (&f,
+                        fake_upstream_abort_count (f.upstreams[slow]) == 1);
+  caller_free (&f, &caller);
+  script_all (&f, ACT_STREAM);
+  for (int i = 0; i < 20; i++)
+    {
+      gateway_fixture_request (&f, &caller, "POST", "/chat/", REQUEST_HEADERS,
+                               "{}");
+      caller_free (&f, &caller);
+    }
+  ck_assert_uint_gt (fake_upstream_request_count (f.upstreams[slow]), 1);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* A stream has stalled, and no event will come to be checked at.  The timer
+   must find that it will be late, long before the timeout for a stall.  */
+START_TEST (stalled_stream_moves_before_its_timeout)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  size_t slow = start_stream_at_slow_upstream (
+      &f, &caller,
+      REQUEST_HEADERS "vanillahook-length-hint: 90\r\n"
+                      "vanillahook-deadline-ms: 1450\r\n",
+      ACT_STREAM_STALL);
+  gateway_fixture_wait (&f, caller.closed);
+  check_whole_stream (&caller);
+  gateway_fixture_wait (&f,
+                        fake_upstream_abort_count (f.upstreams[slow]) == 1);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* Streams must stay where they are if moves are switched off, if no instance
+   reports how long work takes, and without a hint that can be read.  A bad
+   hint must not fail the request.  */
+START_TEST (late_stream_stays)
+{
+  static const struct
+  {
+    move_streams_t move_streams;
+    const char *headers;
+  } cases[] = {
+    { MOVE_STREAMS_NO, REQUEST_HEADERS "vanillahook-length-hint: 180\r\n" },
+    { MOVE_STREAMS_REPORTED,
+      REQUEST_HEADERS "vanillahook-length-hint: 180\r\n" },
+    { MOVE_STREAMS_YES, REQUEST_HEADERS },
+    { MOVE_STREAMS_YES, REQUEST_HEADERS "vanillahook-length-hint: long\r\n" },
+    { MOVE_STREAMS_YES, REQUEST_HEADERS "vanillahook-length-hint: -4\r\n" },
+    { MOVE_STREAMS_YES,
+      REQUEST_HEADERS "vanillahook-length-hint: 99999999999999999999\r\n" },
+    { MOVE_STREAMS_YES,
+      REQUEST_HEADERS "vanillahook-length-hint: 4000000000\r\n" },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      gateway_fixture_t f;
+      caller_t caller;
+      gateway_fixture_setup (&f, 2);
+      restart_gateway (&f, cases[i].move_streams);
+      start_stream_at_slow_upstream (&f, &caller, cases[i].headers,
+                                     ACT_STREAM_SLOW);
+      gateway_fixture_wait (&f, caller.closed);
+      ck_assert_int_eq (caller_status (&caller), 200);
+      ck_assert (caller_response_contains (&caller, "data: e10\n"));
+      ck_assert (!caller_response_contains (&caller, "data: e20\n"));
+      ck_assert_uint_eq (count_upstream_requests (&f), 1);
+      caller_free (&f, &caller);
+      gateway_fixture_teardown (&f);
+    }
+}
+END_TEST
+
+/* The stream would end in time where it is: 20 events at 200 ms take 4 s, and
+   10 of them 2 s.  */
+START_TEST (stream_in_time_stays)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  start_stream_at_slow_upstream (&f, &caller,
+                                 REQUEST_HEADERS
+                                 "vanillahook-length-hint: 45\r\n"
+                                 "vanillahook-token-counts: 100,90\r\n",
+                                 ACT_STREAM_SLOW);
+  run_loop_for (&f, 1800);
+  ck_assert_uint_eq (count_upstream_requests (&f), 1);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* The other upstream refuses the moved stream.  The stream must wait and go
+   on, and not be cut: it was in progress at a working upstream.  */
+START_TEST (moved_stream_waits_for_upstream)
+{
+  static const fake_action_t full[] = { ACT_REFUSE_NOT_RUN, ACT_STREAM_LONG };
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  size_t slow = start_stream_at_slow_upstream (
+      &f, &caller, REQUEST_HEADERS "vanillahook-length-hint: 180\r\n",
+      ACT_STREAM_SLOW);
+  fake_upstream_script (f.upstreams[1 - slow], full, 2);
+  static const fake_action_t quick[] = { ACT_STREAM_LONG };
+  fake_upstream_script (f.upstreams[slow], quick, 1);
+  gateway_fixture_wait (&f, caller.closed);
+  check_whole_stream (&caller);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* An engine that is busy with prompts from other gateway processes sends
    nothing for most of a second and then continues.  The stream must stay
    there, because another engine would have to repeat the work.  */
@@ -984,6 +1172,11 @@
   tcase_add_test (tcase, idempotent_request_is_retried);
   tcase_add_test (tcase, interrupted_stream_is_resumed);
   tcase_add_test (tcase, stalled_stream_is_resumed);
+  tcase_add_test (tcase, late_stream_moves_to_other_upstream);
+  tcase_add_test (tcase, stalled_stream_moves_before_its_timeout);
+  tcase_add_test (tcase, late_stream_stays);
+  tcase_add_test (tcase, stream_in_time_stays);
+  tcase_add_test (tcase, moved_stream_waits_for_upstream);
   tcase_add_test (tcase, stream_stays_at_busy_engine);
   tcase_add_test (tcase, stream_leaves_unreachable_engine);
   tcase_add_test (tcase, interrupted_stream_waits_for_free_slot);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -142,6 +142,40 @@
 }
 END_TEST
 
+START_TEST (gateway_stores_whether_streams_move)
+{
+  static const struct
+  {
+    const char *line;
+    settings_move_streams_t value;
+  } cases[] = {
+    { "", SETTINGS_MOVE_STREAMS_REPORTED },
+    { "move-streams = reported\n", SETTINGS_MOVE_STREAMS_REPORTED },
+    { "move-streams = yes\n", SETTINGS_MOVE_STREAMS_YES },
+    { "move-streams = no\n", SETTINGS_MOVE_STREAMS_NO },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      settings_t *settings;
+      conf_errors_t errors = { 0 };
+      buf_t text = BUF_NULL;
+      buf_printf (&text,
+                  "[process]\nname = g-1\nrole = gateway\n"
+                  "availability-zone = z-1\nadmin = 127.0.0.1:1\n"
+                  "[gateway]\nlisten = 127.0.0.1:2\n"
+                  "ready = 127.0.0.1:3\n%s"
+                  "[platform]\naddress = 127.0.0.1:4\n",
+                  cases[i].line);
+      settings_parse (buf_str (&text), &settings, &errors);
+      check_no_errors (&errors);
+      ck_assert_int_eq (settings->move_streams, cases[i].value);
+      settings_destroy (settings);
+      buf_free (&text);
+    }
+}
+END_TEST
+
 /* A faulty text and the error that it must give.  */
 typedef struct
 {
@@ -451,6 +485,7 @@
   tcase_add_test (tcase, standalone_has_defaults);
   tcase_add_test (tcase, every_key_is_stored);
   tcase_add_test (tcase, entry_stores_load_keys);
+  tcase_add_test (tcase, gateway_stores_whether_streams_move);
   tcase_add_loop_test (tcase, errors_name_line_and_hint, 0,
                        sizeof error_cases / sizeof error_cases[0]);
   tcase_add_test (tcase, all_errors_are_reported_in_order);
