--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -256,6 +256,32 @@
 }
 END_TEST
 
+static size_t failed_request_count;
+
+/* Send requests until the status row of the engine is WANTED.  */
+static void
+request_until_status (gateway_fixture_t *f, const char *wanted)
+{
+  for (int i = 0; i < 1200; i++)
+    {
+      const char *status = fake_rows_get (f->rows, ROWS_STATUS, "llm");
+      char headers[96];
+      caller_t caller;
+      if (status != NULL && strcmp (status, wanted) == 0)
+        return;
+      snprintf (headers, sizeof headers,
+                KEY_HEADER "vanillahook-attempt-id: n%d\r\n", i);
+      gateway_fixture_request (f, &caller, "POST", "/chat/", headers, "{}");
+      failed_request_count += caller_status (&caller) != 200;
+      caller_free (f, &caller);
+      fake_rows_advance_clock (f->rows, 15);
+      /* At most 50 requests a second: one upstream can take 63, and further
+         requests are refused.  */
+      run_loop_for (f, 20);
+    }
+  ck_abort_msg ("the status did not become %s", wanted);
+}
+
 /* Replace the gateway by one with MOVE_STREAMS.  */
 static void
 restart_gateway (gateway_fixture_t *f, move_streams_t move_streams)
@@ -266,23 +292,48 @@
   gateway_fixture_wait (f, gateway_fixture_ready_status (f) == 200);
 }
 
-/* Send a stream request with HEADERS while both upstreams react with ACT, and
-   return the index of the upstream that gets it.  The other one reacts with
+/* Send a stream request with HEADERS while all upstreams react with ACT, and
+   return the index of the upstream that gets it.  The others react with
    ACT_STREAM_LONG afterwards.  */
 static size_t
 start_stream_at_slow_upstream (gateway_fixture_t *f, caller_t *caller,
                                const char *headers, fake_action_t act)
 {
   static const fake_action_t quick[] = { ACT_STREAM_LONG };
+  size_t counts[4];
+  size_t sum = count_upstream_requests (f);
+  size_t slow = 0;
 
+  for (size_t i = 0; i < f->upstream_count; i++)
+    counts[i] = fake_upstream_request_count (f->upstreams[i]);
   script_all (f, act);
   caller_start (f, caller, "POST", "/chat/", headers, "{}");
-  gateway_fixture_wait (f, count_upstream_requests (f) == 1);
-  size_t slow = fake_upstream_request_count (f->upstreams[0]) == 1 ? 0 : 1;
-  fake_upstream_script (f->upstreams[1 - slow], quick, 1);
+  gateway_fixture_wait (f, count_upstream_requests (f) == sum + 1);
+  for (size_t i = 0; i < f->upstream_count; i++)
+    if (fake_upstream_request_count (f->upstreams[i]) > counts[i])
+      slow = i;
+    else
+      fake_upstream_script (f->upstreams[i], quick, 1);
   return slow;
 }
 
+/* Send requests until both upstreams got one and the gateway knows what their
+   responses announce.  */
+static void
+request_from_both (gateway_fixture_t *f)
+{
+  caller_t caller;
+
+  script_all (f, ACT_STREAM);
+  while (fake_upstream_request_count (f->upstreams[0]) == 0
+         || fake_upstream_request_count (f->upstreams[1]) == 0)
+    {
+      gateway_fixture_request (f, &caller, "POST", "/chat/", REQUEST_HEADERS,
+                               "{}");
+      caller_free (f, &caller);
+    }
+}
+
 /* Check that CALLER got events 1 to STREAM_LONG_EVENTS, once each, and the end
    of the stream.  */
 static void
@@ -303,8 +354,7 @@
 /* An upstream turned slow: a stream of 20 events would take 4 s there, and the
    caller waits for 3 s.  The stream must end at the other upstream, the caller
    must receive each event once, and the slow call must be cancelled, so that
-   the request does not run twice.  The slow upstream has not failed and must
-   get requests again.  */
+   the request does not run twice.  */
 START_TEST (late_stream_moves_to_other_upstream)
 {
   gateway_fixture_t f;
@@ -324,14 +374,6 @@
   gateway_fixture_wait (&f,
                         fake_upstream_abort_count (f.upstreams[slow]) == 1);
   caller_free (&f, &caller);
-  script_all (&f, ACT_STREAM);
-  for (int i = 0; i < 20; i++)
-    {
-      gateway_fixture_request (&f, &caller, "POST", "/chat/", REQUEST_HEADERS,
-                               "{}");
-      caller_free (&f, &caller);
-    }
-  ck_assert_uint_gt (fake_upstream_request_count (f.upstreams[slow]), 1);
   gateway_fixture_teardown (&f);
 }
 END_TEST
@@ -400,6 +442,159 @@
 }
 END_TEST
 
+#define HINT_HEADER "vanillahook-length-hint: 180\r\n"
+
+/* Send a stream to a slow upstream and check whether it MOVES.  */
+static void
+check_late_stream (gateway_fixture_t *f, bool moves)
+{
+  size_t before = count_upstream_requests (f);
+  caller_t caller;
+
+  start_stream_at_slow_upstream (f, &caller, REQUEST_HEADERS HINT_HEADER,
+                                 ACT_STREAM_SLOW);
+  gateway_fixture_wait (f, caller.closed);
+  if (moves)
+    check_whole_stream (&caller);
+  else
+    ck_assert (!caller_response_contains (&caller, "data: e20\n"));
+  ck_assert_uint_eq (count_upstream_requests (f) - before, moves ? 2 : 1);
+  caller_free (f, &caller);
+}
+
+/* By default streams move where instances report how long work takes.  If the
+   other upstream reports that it is as slow, the stream would only lose its
+   progress.  */
+START_TEST (reported_times_decide_on_moves)
+{
+  static const struct
+  {
+    const char *load;
+    bool moves;
+  } cases[] = {
+    { "vanillahook-load: 1,0,32,100\r\n", true },
+    { "vanillahook-load: 1,0,32,400\r\n", false },
+    { "vanillahook-load: 1,0,32\r\n", false },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      gateway_fixture_t f;
+      gateway_fixture_setup (&f, 2);
+      for (size_t j = 0; j < 2; j++)
+        fake_upstream_set_headers (f.upstreams[j], cases[i].load);
+      request_from_both (&f);
+      check_late_stream (&f, cases[i].moves);
+      gateway_fixture_teardown (&f);
+    }
+}
+END_TEST
+
+/* The other upstream has announced a rate limit, which is for first sends.  */
+START_TEST (late_stream_stays_if_other_upstream_is_limited)
+{
+  gateway_fixture_t f;
+
+  gateway_fixture_setup (&f, 2);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  for (size_t i = 0; i < 2; i++)
+    fake_upstream_set_rate_limit (f.upstreams[i], "50");
+  request_from_both (&f);
+  run_loop_for (&f, 200);
+  check_late_stream (&f, false);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* Three streams in a row move away from an upstream, as many as the failures
+   that eject one.  It is slow, but has not failed, and must get requests
+   again.  */
+START_TEST (moves_eject_no_upstream)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+  char row[96];
+
+  gateway_fixture_setup (&f, 2);
+  /* The first send goes to the upstream in the gateway's zone.  */
+  snprintf (row, sizeof row, "llm 127.0.0.1:%u zone-b v1 ready",
+            fake_upstream_port (f.upstreams[1]));
+  fake_rows_put (f.rows, ROWS_INSTANCES, "llm-1", row);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  for (size_t i = 1; i <= 3; i++)
+    {
+      check_late_stream (&f, true);
+      ck_assert_uint_eq (fake_upstream_request_count (f.upstreams[0]), i);
+    }
+  script_all (&f, ACT_STREAM);
+  gateway_fixture_request (&f, &caller, "POST", "/chat/", REQUEST_HEADERS,
+                           "{}");
+  ck_assert_uint_eq (fake_upstream_request_count (f.upstreams[0]), 4);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* The other upstream is ejected after failures.  */
+START_TEST (late_stream_stays_if_other_upstream_is_ejected)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 2);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  /* Requests for a budget that the failures do not use up.  */
+  script_all (&f, ACT_STREAM);
+  for (int i = 0; i < 20; i++)
+    {
+      gateway_fixture_request (&f, &caller, "POST", "/chat/", REQUEST_HEADERS,
+                               "{}");
+      caller_free (&f, &caller);
+    }
+  size_t slow = start_stream_at_slow_upstream (
+      &f, &caller, REQUEST_HEADERS HINT_HEADER, ACT_STREAM_SLOW);
+  static const fake_action_t failing[] = { ACT_RESET };
+  fake_upstream_script (f.upstreams[1 - slow], failing, 1);
+  fake_upstream_script (f.upstreams[slow], failing, 1);
+  run_loop_for (&f, 400);
+  /* Each of these fails at both upstreams, so that both are ejected for longer
+     than it takes until the stream is found late.  */
+  for (int i = 0; i < 4; i++)
+    {
+      caller_t other;
+      gateway_fixture_request (&f, &other, "POST", "/chat/", REQUEST_HEADERS,
+                               "{}");
+      caller_free (&f, &other);
+    }
+  size_t before = count_upstream_requests (&f);
+  static const fake_action_t quick[] = { ACT_STREAM_LONG };
+  fake_upstream_script (f.upstreams[1 - slow], quick, 1);
+  run_loop_for (&f, 900);
+  ck_assert_uint_eq (count_upstream_requests (&f), before);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* A version is under trial, and what it does to streams is the evidence.  Each
+   version has another instance to which its stream could move.  */
+START_TEST (late_stream_stays_during_trial)
+{
+  gateway_fixture_t f;
+
+  gateway_fixture_setup (&f, 4);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  script_all (&f, ACT_STREAM);
+  for (size_t i = 2; i < 4; i++)
+    gateway_fixture_register (&f, i, "v2", "ready");
+  fake_rows_put (f.rows, ROWS_OPERATOR, "rollout/llm", "llm v2 12000");
+  run_loop_for (&f, 100);
+  request_until_status (&f, "v2 running");
+  check_late_stream (&f, false);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* The stream would end in time where it is: 20 events at 200 ms take 4 s, and
    10 of them 2 s.  */
 START_TEST (stream_in_time_stays)
@@ -1033,32 +1228,6 @@
 }
 END_TEST
 
-static size_t failed_request_count;
-
-/* Send requests until the status row of the engine is WANTED.  */
-static void
-request_until_status (gateway_fixture_t *f, const char *wanted)
-{
-  for (int i = 0; i < 1200; i++)
-    {
-      const char *status = fake_rows_get (f->rows, ROWS_STATUS, "llm");
-      char headers[96];
-      caller_t caller;
-      if (status != NULL && strcmp (status, wanted) == 0)
-        return;
-      snprintf (headers, sizeof headers,
-                KEY_HEADER "vanillahook-attempt-id: n%d\r\n", i);
-      gateway_fixture_request (f, &caller, "POST", "/chat/", headers, "{}");
-      failed_request_count += caller_status (&caller) != 200;
-      caller_free (f, &caller);
-      fake_rows_advance_clock (f->rows, 15);
-      /* At most 50 requests a second: one upstream can take 63, and further
-         requests are refused.  */
-      run_loop_for (f, 20);
-    }
-  ck_abort_msg ("the status did not become %s", wanted);
-}
-
 /* A working version is rolled out.  It must receive requests, which begins
    after the first half of the time limit, and the roll-out must finish.  */
 START_TEST (working_version_is_rolled_out)
@@ -1175,6 +1344,11 @@
   tcase_add_test (tcase, late_stream_moves_to_other_upstream);
   tcase_add_test (tcase, stalled_stream_moves_before_its_timeout);
   tcase_add_test (tcase, late_stream_stays);
+  tcase_add_test (tcase, reported_times_decide_on_moves);
+  tcase_add_test (tcase, late_stream_stays_if_other_upstream_is_limited);
+  tcase_add_test (tcase, late_stream_stays_if_other_upstream_is_ejected);
+  tcase_add_test (tcase, late_stream_stays_during_trial);
+  tcase_add_test (tcase, moves_eject_no_upstream);
   tcase_add_test (tcase, stream_in_time_stays);
   tcase_add_test (tcase, moved_stream_waits_for_upstream);
   tcase_add_test (tcase, stream_stays_at_busy_engine);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -208,6 +208,8 @@
 static const error_case_t error_cases[] = {
   { "", 0, "[process] is missing", "role" },
   { STANDALONE "[entri]\nx = 1\n", 11, "unknown section `entri'", "`entry'" },
+  { GATEWAY "move-streams = maybe\n" GATEWAY_PLATFORM, 9,
+    "`move-streams' cannot be `maybe'", "one of reported, yes, no" },
   { GATEWAY "instance-speed = measured\n" GATEWAY_PLATFORM, 9,
     "`instance-speed' cannot be `measured'", "off, reported" },
   { GATEWAY "instance-speed =\n" GATEWAY_PLATFORM, 9,
