--- a/packages/policy/stream_move.c
+++ b/packages/policy/stream_move.c
@@ -143,7 +143,8 @@
     return STREAM_MOVE_IN_TIME;
   if (option->there.last_event_ms * option->common_slowdown
           > time_left_ms (stream) * STREAM_MOVE_IN_TIME_PART
-      || option->there.gap_ms * option->common_slowdown > gap_here_ms * STREAM_MOVE_GAP_PART_MAX)
+      || option->there.gap_ms * option->common_slowdown
+             > gap_here_ms * STREAM_MOVE_GAP_PART_MAX)
     return STREAM_MOVE_NOT_FASTER;
   if (option->budget_left < 1
       || option->budget_left
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -300,7 +300,7 @@
                                const char *headers, fake_action_t act)
 {
   static const fake_action_t quick[] = { ACT_STREAM_LONG };
-  size_t counts[4];
+  size_t counts[4] = { 0 };
   size_t sum = count_upstream_requests (f);
   size_t slow = 0;
 
