--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -311,7 +311,7 @@
     .admin_listen = STR (""),
     .seed = seed,
     .drain_grace_ms = 500,
-    .drain_timeout_ms = 5000,
+    .drain_timeout_ms = f->drain_timeout_ms > 0 ? f->drain_timeout_ms : 5000,
     .config_max_age_ms = 3500,
     .expired_registration_grace_ms = 2000,
     /* The budget of a gateway that has just started is empty; this allows the
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -27,8 +27,10 @@
   /* Interface through which gateways that are started use the store; NULL:
      that of ROWS.  */
   rows_t *store_client;
-  gateway_t *gateway;          /* Gateway to which callers connect.  */
-  move_streams_t move_streams; /* Of the gateways that are started.  */
+  gateway_t *gateway; /* Gateway to which callers connect.  */
+  /* Options of the gateways that are started.  */
+  move_streams_t move_streams;
+  uint64_t drain_timeout_ms; /* 0: 5000.  */
   fake_upstream_t *upstreams[4];
   size_t lifetimes[4]; /* Restarts of each upstream.  */
   size_t upstream_count;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -595,6 +595,32 @@
 }
 END_TEST
 
+/* In the last part of a planned stop a moved stream would be aborted with the
+   others.  The stream is found late after 1 s, and the stop ends after
+   1.5 s.  */
+START_TEST (late_stream_stays_at_end_of_stop)
+{
+  static const bool is_stopping[] = { false, true };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      gateway_fixture_t f;
+      caller_t caller;
+      gateway_fixture_setup (&f, 2);
+      f.drain_timeout_ms = 1500;
+      restart_gateway (&f, MOVE_STREAMS_YES);
+      if (is_stopping[i])
+        gateway_begin_stop (f.gateway);
+      start_stream_at_slow_upstream (&f, &caller, REQUEST_HEADERS HINT_HEADER,
+                                     ACT_STREAM_SLOW);
+      gateway_fixture_wait (&f, caller.closed);
+      ck_assert_uint_eq (count_upstream_requests (&f), is_stopping[i] ? 1 : 2);
+      caller_free (&f, &caller);
+      gateway_fixture_teardown (&f);
+    }
+}
+END_TEST
+
 /* The stream would end in time where it is: 20 events at 200 ms take 4 s, and
    10 of them 2 s.  */
 START_TEST (stream_in_time_stays)
@@ -1349,6 +1375,7 @@
   tcase_add_test (tcase, late_stream_stays_if_other_upstream_is_ejected);
   tcase_add_test (tcase, late_stream_stays_during_trial);
   tcase_add_test (tcase, moves_eject_no_upstream);
+  tcase_add_test (tcase, late_stream_stays_at_end_of_stop);
   tcase_add_test (tcase, stream_in_time_stays);
   tcase_add_test (tcase, moved_stream_waits_for_upstream);
   tcase_add_test (tcase, stream_stays_at_busy_engine);
