--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -506,6 +506,20 @@
 }
 END_TEST
 
+/* Register the engine at upstream INDEX in another zone than the gateway, so
+   that it gets no first send while one in its zone is idle.  */
+static void
+move_to_other_zone (gateway_fixture_t *f, size_t index)
+{
+  char key[16];
+  char row[96];
+
+  snprintf (key, sizeof key, "llm-%zu", index);
+  snprintf (row, sizeof row, "llm 127.0.0.1:%u zone-b v1 ready",
+            fake_upstream_port (f->upstreams[index]));
+  fake_rows_put (f->rows, ROWS_INSTANCES, key, row);
+}
+
 /* Three streams in a row move away from an upstream, as many as the failures
    that eject one.  It is slow, but has not failed, and must get requests
    again.  */
@@ -513,13 +527,9 @@
 {
   gateway_fixture_t f;
   caller_t caller;
-  char row[96];
 
   gateway_fixture_setup (&f, 2);
-  /* The first send goes to the upstream in the gateway's zone.  */
-  snprintf (row, sizeof row, "llm 127.0.0.1:%u zone-b v1 ready",
-            fake_upstream_port (f.upstreams[1]));
-  fake_rows_put (f.rows, ROWS_INSTANCES, "llm-1", row);
+  move_to_other_zone (&f, 1);
   restart_gateway (&f, MOVE_STREAMS_YES);
   for (size_t i = 1; i <= 3; i++)
     {
@@ -535,6 +545,41 @@
 }
 END_TEST
 
+/* The request is suspected of a crash.  Where it runs now it may be slow
+   because it is about to crash the upstream, and it must not go to a third
+   one.  */
+START_TEST (suspected_stream_stays)
+{
+  static const fake_action_t quick[] = { ACT_STREAM_LONG };
+  gateway_fixture_t f;
+  caller_t caller;
+  size_t counts[4];
+
+  gateway_fixture_setup (&f, 4);
+  for (size_t i = 1; i < 4; i++)
+    move_to_other_zone (&f, i);
+  restart_gateway (&f, MOVE_STREAMS_YES);
+  script_all (&f, ACT_STREAM_SLOW);
+  fake_upstream_crash_on (f.upstreams[0], "crashing", 10);
+  caller_start (&f, &caller, "POST", "/chat/", REQUEST_HEADERS HINT_HEADER,
+                "crashing");
+  gateway_fixture_wait (&f, count_upstream_requests (&f) == 2);
+  ck_assert (fake_upstream_has_crashed (f.upstreams[0]));
+  for (size_t i = 1; i < 4; i++)
+    {
+      counts[i] = fake_upstream_request_count (f.upstreams[i]);
+      if (counts[i] == 0)
+        fake_upstream_script (f.upstreams[i], quick, 1);
+    }
+  gateway_fixture_wait (&f, caller.closed);
+  for (size_t i = 1; i < 4; i++)
+    ck_assert_uint_eq (fake_upstream_request_count (f.upstreams[i]),
+                       counts[i]);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* The other upstream is ejected after failures.  */
 START_TEST (late_stream_stays_if_other_upstream_is_ejected)
 {
@@ -1376,6 +1421,7 @@
   tcase_add_test (tcase, late_stream_stays_during_trial);
   tcase_add_test (tcase, moves_eject_no_upstream);
   tcase_add_test (tcase, late_stream_stays_at_end_of_stop);
+  tcase_add_test (tcase, suspected_stream_stays);
   tcase_add_test (tcase, stream_in_time_stays);
   tcase_add_test (tcase, moved_stream_waits_for_upstream);
   tcase_add_test (tcase, stream_stays_at_busy_engine);
