--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -14,7 +14,9 @@
   BIG_EVENT_BYTES = 900000,
   STREAM_PAUSE_MS = 900, /* Pause of ACT_STREAM_PAUSE.  */
   /* Interval at which an endless response goes on, in ms.  */
-  ENDLESS_INTERVAL_MS = 10
+  ENDLESS_INTERVAL_MS = 10,
+  STREAM_LONG_EVENTS = 20,
+  STREAM_SLOW_GAP_MS = 200
 };
 
 /* Reaction of a fake upstream to one request.  */
@@ -36,8 +38,11 @@
   ACT_STREAM_LATE,           /* A complete stream after such a pause.  */
   ACT_STREAM_BIG_EVENT,      /* A stream of one event of BIG_EVENT_BYTES.  */
   ACT_STREAM_BIG_STALL, /* Four such events; the connection stays open.  */
+  ACT_STREAM_LONG,      /* A complete stream of STREAM_LONG_EVENTS.  */
+  ACT_STREAM_SLOW,      /* The same, an event each STREAM_SLOW_GAP_MS.  */
   /* Responses without an end, which go on at the rate of
-     fake_upstream_set_endless_bytes.  */
+     fake_upstream_set_endless_bytes.  Those from here on are told apart by
+     their order.  */
   ACT_ENDLESS_HEADER_LINE,     /* A response head with a line without end.  */
   ACT_ENDLESS_HEADER_LINES,    /* A response head without end.  */
   ACT_ENDLESS_INTERIM,         /* Interim responses.  */
--- a/tests/gateway_fixture.c
+++ b/tests/gateway_fixture.c
@@ -330,7 +330,7 @@
     .admin_listen = STR ("127.0.0.1:0"),
     .seed = seed,
     .drain_grace_ms = 500,
-    .drain_timeout_ms = 5000,
+    .drain_timeout_ms = f->drain_timeout_ms > 0 ? f->drain_timeout_ms : 5000,
     .config_max_age_ms = 3500,
     .expired_registration_grace_ms = 2000,
     /* The budget of a gateway that has just started is empty; this allows the
@@ -345,6 +345,7 @@
                     .late_value_ratio = 0.3,
                     .poor_value_ratio = 0.05,
                     .confidence_stddev = 5 },
+    .move_streams = f->move_streams,
   };
   gateway_t *gateway;
 
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -28,6 +28,9 @@
      that of ROWS.  */
   rows_t *store_client;
   gateway_t *gateway; /* Gateway to which callers connect.  */
+  /* Options of the gateways that are started.  */
+  move_streams_t move_streams;
+  uint64_t drain_timeout_ms; /* 0: 5000.  */
   fake_upstream_t *upstreams[4];
   size_t lifetimes[4]; /* Restarts of each upstream.  */
   size_t upstream_count;
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -171,6 +171,31 @@
 }
 END_TEST
 
+START_TEST (gateway_stores_whether_streams_move)
+{
+  static const struct
+  {
+    const char *text;
+    settings_move_streams_t value;
+  } cases[] = {
+    { GATEWAY GATEWAY_PLATFORM, SETTINGS_MOVE_STREAMS_REPORTED },
+    { GATEWAY "move-streams = reported\n" GATEWAY_PLATFORM,
+      SETTINGS_MOVE_STREAMS_REPORTED },
+    { GATEWAY "move-streams = yes\n" GATEWAY_PLATFORM,
+      SETTINGS_MOVE_STREAMS_YES },
+    { GATEWAY "move-streams = no\n" GATEWAY_PLATFORM,
+      SETTINGS_MOVE_STREAMS_NO },
+  };
+  settings_t *settings;
+  conf_errors_t errors = { 0 };
+
+  settings_parse (str_from (cases[_i].text), &settings, &errors);
+  check_no_errors (&errors);
+  ck_assert_int_eq (settings->move_streams, cases[_i].value);
+  settings_destroy (settings);
+}
+END_TEST
+
 /* A faulty text and the error that it must give.  */
 typedef struct
 {
@@ -183,6 +208,8 @@
 static const error_case_t error_cases[] = {
   { "", 0, "[process] is missing", "role" },
   { STANDALONE "[entri]\nx = 1\n", 11, "unknown section `entri'", "`entry'" },
+  { GATEWAY "move-streams = maybe\n" GATEWAY_PLATFORM, 9,
+    "`move-streams' cannot be `maybe'", "one of reported, yes, no" },
   { GATEWAY "instance-speed = measured\n" GATEWAY_PLATFORM, 9,
     "`instance-speed' cannot be `measured'", "off, reported" },
   { GATEWAY "instance-speed =\n" GATEWAY_PLATFORM, 9,
@@ -485,6 +512,7 @@
   tcase_add_test (tcase, every_key_is_stored);
   tcase_add_test (tcase, entry_stores_load_keys);
   tcase_add_loop_test (tcase, gateway_stores_use_of_instance_speed, 0, 3);
+  tcase_add_loop_test (tcase, gateway_stores_whether_streams_move, 0, 4);
   tcase_add_loop_test (tcase, errors_name_line_and_hint, 0,
                        sizeof error_cases / sizeof error_cases[0]);
   tcase_add_test (tcase, all_errors_are_reported_in_order);
