pool: affinity is limited by the lowest load where time factors are known

Prompt prefixes were spread in proportion to the speed of the instances, and kept at an instance up to 1.5 times the mean load. A stream then ran at an instance on which each event took up to twice as long as on another, for a shared prefix whose second prefill costs as much as about four requests.

Now the affinity instance of a prefix is the one with the highest hash among those whose load, as compared, exceeds the lowest one by at most 4. The weights by speed are gone, as the limit does their work.

--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -42,12 +42,11 @@
 /* Weight of a load report in the mean load of the instances.  */
 static const double mean_load_weight = 1.0 / 16;
 
-/* Affinity factors are rounded to powers of 2^(1/AFFINITY_STEPS_PER_OCTAVE),
-   and change when the factor is AFFINITY_STEP_HYSTERESIS steps off.  Gateways
-   with slightly different factors thus choose the same instances, which have
-   the prompt prefixes in their caches.  */
-static const double affinity_steps_per_octave = 2;
-static const double affinity_step_hysteresis = 0.75;
+/* Load, as compared, by which the instance of affinity may exceed the lowest
+   one where time factors are known.  A shared prompt prefix that is read again
+   delays the streams at an instance about as much as this many requests more
+   do.  */
+static const double affinity_load_margin = 4;
 
 /* Multiple of its share of the rate limit that this gateway may use at a warm
    instance.  Above one, because the load of callers is uneven and the gateways
@@ -102,8 +101,9 @@
   double time_factor;
   double expected_requests; /* Of other gateways, where no report is recent.
                              */
-  double affinity_factor;   /* Rounded lasting factor; 0 before the first
-                               use.  */
+  double candidate_load;    /* Load, as compared, with the cost of another
+                               zone, in the selection in progress; INFINITY
+                               if the instance may not be selected.  */
   uint64_t cold_until_ms;
   uint64_t rank_generation; /* Generation of the gateway list from which RANK
                                was computed.  */
@@ -779,16 +779,14 @@
                 < upstream->slots;
 }
 
-/* Return the load, as compared, up to which an instance of GROUP may be used
-   for affinity, by the mean of the instances that are eligible for
-   CRITERIA.  */
+/* Return the mean load of the instances in GROUP that are eligible for
+   CRITERIA; 0 if there are none.  */
 static double
-affinity_load_limit (const service_group_t *group,
-                     const pool_criteria_t *criteria, uint64_t now_ms)
+mean_eligible_load (const service_group_t *group,
+                    const pool_criteria_t *criteria, uint64_t now_ms)
 {
   uint64_t version_hash = str_hash (criteria->version, 0);
   double sum = 0;
-  double factor_sum = 0;
   unsigned count = 0;
 
   for (size_t i = 0; i < group->count; i++)
@@ -796,41 +794,42 @@
       const upstream_t *upstream = group->upstreams[i];
       if (!is_eligible (upstream, criteria, version_hash, now_ms))
         continue;
-      sum += compared_load (group, upstream, now_ms);
-      factor_sum += upstream->time_factor;
+      sum += load_of (upstream, now_ms);
       count++;
     }
-  double mean = count > 0 ? sum / count : 0;
-  if (group->mean_time_factor == 0 || count == 0)
-    return mean * POOL_HOT_LOAD_FACTOR + POOL_HOT_LOAD_MIN;
-  /* The limit for requests at an instance with the mean time factor.  */
-  double mean_factor = factor_sum / count;
-  double idle_load = mean_factor * idle_requests;
-  return (mean - idle_load) * POOL_HOT_LOAD_FACTOR + idle_load
-         + mean_factor * POOL_HOT_LOAD_MIN;
-}
-
-/* Return the load of UPSTREAM, of GROUP, plus the cost of crossing to another
-   zone, expressed in requests.  Where time factors are known, add a random
-   cost: an exponential variate in proportion to the factor, so that among
-   instances of equal load each is selected in proportion to its speed.  The
-   result may be any value above LIMIT if it is above LIMIT.  */
+  return count > 0 ? sum / count : 0;
+}
+
+/* Return the load of UPSTREAM, of GROUP, as compared, plus the cost of
+   crossing to another zone, expressed in requests.  */
 static double
-selection_cost (pool_t *pool, const service_group_t *group,
-                const upstream_t *upstream, double limit, uint64_t now_ms)
+selection_load (const service_group_t *group, const upstream_t *upstream,
+                uint64_t now_ms)
 {
   static const double zone_cost = 2;
-  double cost = compared_load (group, upstream, now_ms);
+  double load = compared_load (group, upstream, now_ms);
 
   if (!upstream->is_own_zone)
-    cost += zone_cost;
+    load += zone_cost;
+  return load;
+}
+
+/* Return LOAD, the selection_load of UPSTREAM, of GROUP.  Where time factors
+   are known, add a random cost: an exponential variate in proportion to the
+   factor, so that among instances of equal load each is selected in proportion
+   to its speed.  The result may be any value above LIMIT if it is above
+   LIMIT.  */
+static double
+selection_cost (pool_t *pool, const service_group_t *group,
+                const upstream_t *upstream, double load, double limit)
+{
   if (group->mean_time_factor == 0)
-    return cost;
+    return load;
   double part = 1 - rng_double (&pool->rng);
   double scale = group->random_cost * upstream->time_factor;
   /* A lower bound of the cost, which spares most logarithms.  */
-  double least_cost = cost + scale * (1 - part);
-  return least_cost > limit ? least_cost : cost - scale * log (part);
+  double least_cost = load + scale * (1 - part);
+  return least_cost > limit ? least_cost : load - scale * log (part);
 }
 
 /* The instances with the highest rendezvous hashes for an affinity key among
@@ -844,68 +843,20 @@
   /* Instance with the highest hash in all zones; NULL for none.  */
   upstream_t *highest;
   uint64_t highest_hash;
-  /* Where time factors are known, the times of the two above take the place of
-     their hashes.  */
-  double least_time_in_own_zone;
-  double least_time;
 } affinity_choice_t;
 
-/* Update AFFINITY if the time of UPSTREAM, an exponential variate with a rate
-   in proportion to its speed, is less than that of the others: each instance
-   is then the affinity instance of a part of the keys in proportion to its
-   speed, and a change of one speed moves only keys to or from that
-   instance.  */
+/* Update AFFINITY if UPSTREAM has a higher rendezvous hash for the affinity
+   key of CRITERIA.  Each zone has an affinity instance of its own, because
+   traffic between zones costs more than a second prefill of the shared prompt
+   prefix.  */
 static void
-update_affinity_by_time (upstream_t *upstream, uint64_t hash,
-                         affinity_choice_t *affinity)
-{
-  /* The most significant bits, in (0, 1).  */
-  double part = ((double)(hash >> 12) + 0.5) * 0x1.0p-52;
-  bool is_first = affinity->highest == NULL;
-  bool is_first_in_own_zone
-      = upstream->is_own_zone && affinity->highest_in_own_zone == NULL;
-  double bound = is_first || is_first_in_own_zone ? INFINITY
-                 : upstream->is_own_zone ? affinity->least_time_in_own_zone
-                                         : affinity->least_time;
-
-  /* A lower bound of the time, which spares most logarithms.  */
-  if ((1 - part) * upstream->affinity_factor > bound)
-    return;
-  double time = -log (part) * upstream->affinity_factor;
-  if (is_first || time < affinity->least_time)
-    {
-      affinity->highest = upstream;
-      affinity->least_time = time;
-    }
-  if (is_first_in_own_zone
-      || (upstream->is_own_zone && time < affinity->least_time_in_own_zone))
-    {
-      affinity->highest_in_own_zone = upstream;
-      affinity->least_time_in_own_zone = time;
-    }
-}
-
-/* Update AFFINITY if UPSTREAM, of GROUP, has a higher rendezvous hash for the
-   affinity key of CRITERIA and a compared load of at most MAX_LOAD.  Each zone
-   has an affinity instance of its own, because traffic between zones costs
-   more than a second prefill of the shared prompt prefix.  */
-static void
-update_affinity_choice (const service_group_t *group, upstream_t *upstream,
-                        const pool_criteria_t *criteria, double max_load,
-                        uint64_t now_ms, affinity_choice_t *affinity)
+update_affinity_choice (upstream_t *upstream, const pool_criteria_t *criteria,
+                        affinity_choice_t *affinity)
 {
   bool is_own_zone = upstream->is_own_zone;
   uint64_t hash
       = rendezvous_weight (upstream->id_hash, criteria->affinity_key);
 
-  if (criteria->affinity_key == 0
-      || compared_load (group, upstream, now_ms) > max_load)
-    return;
-  if (group->mean_time_factor > 0)
-    {
-      update_affinity_by_time (upstream, hash, affinity);
-      return;
-    }
   if (affinity->highest == NULL || hash > affinity->highest_hash)
     {
       affinity->highest = upstream;
@@ -920,6 +871,17 @@
     }
 }
 
+/* Set AFFINITY to the affinity instances of GROUP for CRITERIA among those
+   whose candidate_load is at most MAX_LOAD.  */
+static void
+choose_affinity (const service_group_t *group, const pool_criteria_t *criteria,
+                 double max_load, affinity_choice_t *affinity)
+{
+  for (size_t i = 0; i < group->count; i++)
+    if (group->upstreams[i]->candidate_load <= max_load)
+      update_affinity_choice (group->upstreams[i], criteria, affinity);
+}
+
 /* Return the lasting time factor of UPSTREAM, or the mean of its service if it
    is unknown.  */
 static double
@@ -953,13 +915,6 @@
     }
   upstream->expected_requests = fmax (
       0, group->mean_compared_load / upstream->time_factor - idle_requests);
-  double step = log2 (upstream->time_factor) * affinity_steps_per_octave;
-  if (upstream->affinity_factor == 0
-      || fabs (step
-               - log2 (upstream->affinity_factor) * affinity_steps_per_octave)
-             > affinity_step_hysteresis)
-    upstream->affinity_factor
-        = exp2 (round (step) / affinity_steps_per_octave);
 }
 
 /* Update the time factors of GROUP.  */
@@ -1061,15 +1016,22 @@
   uint64_t max_id_hash = id_hash_limit (group, criteria, version_hash, now_ms);
   if (group->mean_time_factor > 0 && now_ms >= group->time_factors_due_ms)
     update_time_factors (group, now_ms);
-  double max_load = affinity_load_limit (group, criteria, now_ms);
+  bool has_time_factors = group->mean_time_factor > 0;
+  double max_load = has_time_factors
+                        ? 0
+                        : mean_eligible_load (group, criteria, now_ms)
+                                  * POOL_HOT_LOAD_FACTOR
+                              + POOL_HOT_LOAD_MIN;
   affinity_choice_t affinity = { 0 };
   upstream_t *least_loaded = NULL;
   double lowest_cost = 0;
+  double lowest_load = INFINITY;
   unsigned ties = 0;
 
   for (size_t i = 0; i < group->count; i++)
     {
       upstream_t *upstream = group->upstreams[i];
+      upstream->candidate_load = INFINITY;
       if (now_ms < upstream->excluded_until_ms)
         {
           eligible->paused_count
@@ -1100,11 +1062,15 @@
           eligible->limited_count++;
           continue;
         }
-      update_affinity_choice (group, upstream, criteria, max_load, now_ms,
-                              &affinity);
-      double cost = selection_cost (
-          pool, group, upstream, least_loaded != NULL ? lowest_cost : INFINITY,
-          now_ms);
+      double load = selection_load (group, upstream, now_ms);
+      upstream->candidate_load = load;
+      lowest_load = fmin (lowest_load, load);
+      if (!has_time_factors && criteria->affinity_key != 0
+          && load_of (upstream, now_ms) <= max_load)
+        update_affinity_choice (upstream, criteria, &affinity);
+      double cost
+          = selection_cost (pool, group, upstream, load,
+                            least_loaded != NULL ? lowest_cost : INFINITY);
       if (least_loaded != NULL && cost > lowest_cost)
         continue;
       ties = least_loaded != NULL && cost == lowest_cost ? ties + 1 : 1;
@@ -1112,6 +1078,9 @@
         least_loaded = upstream;
       lowest_cost = cost;
     }
+  if (has_time_factors && criteria->affinity_key != 0)
+    choose_affinity (group, criteria, lowest_load + affinity_load_margin,
+                     &affinity);
   if (affinity.highest_in_own_zone != NULL)
     return affinity.highest_in_own_zone;
   return affinity.highest != NULL ? affinity.highest : least_loaded;
