--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -16,3 +16,4 @@
 # The model of roll-outs, of the bench.
 vh_test (test_trial DEPENDS vh_rollout_model)
 vh_test (test_regression DEPENDS vh_policy)
+vh_test (test_speed_codec DEPENDS vh_policy)
