peer_rows: several users of the data piggybacked on calls

The items on calls to the reader had one user, the roll-outs. Time factors of instances are to be sent the same way.

Users now register for a prefix of the keys. Each lists its items in turn, and room for one item is left for each later user, so that one with much to send does not keep the others' data back. Items of an unknown prefix are ignored.

--- a/packages/gateway/peerrows.c
+++ b/packages/gateway/peerrows.c
@@ -8,6 +8,7 @@
 #include "wire/deflate.h"
 #include "wire/rpc.h"
 
+#include <assert.h>
 #include <stdlib.h>
 
 enum
@@ -105,6 +106,14 @@
                           changes, in ms.  */
 } watch_request_t;
 
+/* A user of the calls for ROWS_SHARED.  */
+typedef struct
+{
+  str_t prefix;
+  peer_rows_piggyback_t functions;
+  void *arg;
+} piggyback_user_t;
+
 struct peer_rows
 {
   rows_t base;
@@ -115,8 +124,8 @@
   rpc_server_t *server;
   fanout_t *readers;
   map_t *gateways; /* Map of name to gateway_peer_t, without this gateway.  */
-  peer_rows_piggyback_t piggyback;
-  void *piggyback_arg;
+  piggyback_user_t users[PEER_ROWS_PIGGYBACK_MAX];
+  size_t user_count;
   rowcache_t *caches[TABLE_COUNT]; /* Cached copies of the tables, indexed by
                                       rows_table_t.  */
   list_t pending;                  /* Pending calls of this gateway; list of
@@ -246,18 +255,43 @@
   return false;
 }
 
-/* Pass the items piggybacked on CALL to the piggyback receiver.  */
+/* Pass the items piggybacked on CALL to the users by the prefixes of their
+   keys.  Items of a prefix without a user, as those of a later version of this
+   program, are ignored.  */
 static void
 receive_piggyback (const peer_rows_t *peer_rows, const wire_rows_args_t *call)
 {
-  for (u_int i = 0;
-       i < call->news.news_len && peer_rows->piggyback.receive != NULL; i++)
+  for (u_int i = 0; i < call->news.news_len; i++)
     {
       const wire_news_t *item = &call->news.news_val[i];
-      peer_rows->piggyback.receive (
-          peer_rows->piggyback_arg, str_from (item->key),
-          str_make (item->value.value_val, item->value.value_len));
+      str_t key = str_from (item->key);
+      for (size_t j = 0; j < peer_rows->user_count; j++)
+        {
+          const piggyback_user_t *user = &peer_rows->users[j];
+          if (str_starts_with (key, user->prefix))
+            user->functions.receive (
+                user->arg, key,
+                str_make (item->value.value_val, item->value.value_len));
+        }
+    }
+}
+
+/* Let the users list at most ITEMS_MAX ITEMS, with room for one item of each.
+   Return their number.  */
+static size_t
+list_piggyback (const peer_rows_t *peer_rows, bool is_intermediate,
+                peer_rows_item_t *items, size_t items_max)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < peer_rows->user_count; i++)
+    {
+      const piggyback_user_t *user = &peer_rows->users[i];
+      size_t later_users = peer_rows->user_count - i - 1;
+      count += user->functions.list (user->arg, is_intermediate, items + count,
+                                     items_max - count - later_users);
     }
+  return count;
 }
 
 static void
@@ -745,9 +779,8 @@
       call_store (pending, STR (""));
       return;
     }
-  if (pending->table == ROWS_SHARED && peer_rows->piggyback.list != NULL)
-    count = peer_rows->piggyback.list (peer_rows->piggyback_arg,
-                                       is_intermediate, items, WIRE_NEWS_MAX);
+  if (pending->table == ROWS_SHARED)
+    count = list_piggyback (peer_rows, is_intermediate, items, WIRE_NEWS_MAX);
   for (size_t i = 0; i < count; i++)
     {
       buf_append_char (&items[i].key, '\0');
@@ -930,11 +963,12 @@
 }
 
 void
-peer_rows_set_piggyback (peer_rows_t *peer_rows,
+peer_rows_add_piggyback (peer_rows_t *peer_rows, str_t prefix,
                          const peer_rows_piggyback_t *piggyback, void *arg)
 {
-  peer_rows->piggyback = *piggyback;
-  peer_rows->piggyback_arg = arg;
+  assert (peer_rows->user_count < PEER_ROWS_PIGGYBACK_MAX);
+  peer_rows->users[peer_rows->user_count++]
+      = (piggyback_user_t){ prefix, *piggyback, arg };
 }
 
 rows_t *
--- a/packages/gateway/peerrows.h
+++ b/packages/gateway/peerrows.h
@@ -52,7 +52,9 @@
   PEER_ROWS_INTERMEDIATE_MAX_AGE_MS = 1100,
   /* Longest time that the store may hold a watch call of a reader.  Limits the
      age of the confirmation that the reader's callers get.  */
-  PEER_ROWS_STORE_WAIT_MS = 800
+  PEER_ROWS_STORE_WAIT_MS = 800,
+  /* Users of the piggyback.  */
+  PEER_ROWS_PIGGYBACK_MAX = 4
 };
 
 typedef struct
@@ -80,7 +82,8 @@
      gateways, so the items include the data that those sent.  */
   size_t (*list) (void *arg, bool is_intermediate, peer_rows_item_t *items,
                   size_t items_max);
-  /* Called when another gateway sent KEY with VALUE; both are borrowed.  */
+  /* Called when another gateway sent KEY, which starts with the prefix of this
+     user, with VALUE; both are borrowed.  */
   void (*receive) (void *arg, str_t key, str_t value);
 } peer_rows_piggyback_t;
 
@@ -105,9 +108,12 @@
 void peer_rows_add_gateway (peer_rows_t *peer_rows, str_t name, str_t zone,
                             str_t address, uint32_t link_mbps);
 void peer_rows_remove_gateway (peer_rows_t *peer_rows, str_t name);
-/* Set the functions that list and receive the items piggybacked on calls for
-   table ROWS_SHARED.  PIGGYBACK is copied.  */
-void peer_rows_set_piggyback (peer_rows_t *peer_rows,
+/* Add a user of the calls for table ROWS_SHARED, whose functions list and
+   receive the piggybacked items with keys that start with PREFIX.  PIGGYBACK
+   is copied; PREFIX is borrowed and differs from that of any other user.  A
+   call has room for at least one item of each user, and users that were added
+   earlier list theirs first.  At most PEER_ROWS_PIGGYBACK_MAX users.  */
+void peer_rows_add_piggyback (peer_rows_t *peer_rows, str_t prefix,
                               const peer_rows_piggyback_t *piggyback,
                               void *arg);
 /* Stop serving other gateways, because a planned stop began.  */
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -600,7 +600,8 @@
   rollouts->state_rows = map_create ();
   rollouts->evidence_rows = map_create ();
   if (peer_rows != NULL)
-    peer_rows_set_piggyback (peer_rows, &piggyback, rollouts);
+    peer_rows_add_piggyback (peer_rows, STR ("evidence/"), &piggyback,
+                             rollouts);
   return rollouts;
 }
 
--- a/tests/test_share_fleet.c
+++ b/tests/test_share_fleet.c
@@ -42,6 +42,7 @@
   uint32_t number; /* Number that this gateway adds to the sum.  */
   uint32_t received_sums[GATEWAYS]; /* Last sum from each gateway.  */
   uint64_t received_ms[GATEWAYS];   /* Time at which the sum was received.  */
+  uint64_t fillers;                 /* Items received by another user.  */
   uv_loop_t *loop;
   /* The sync whose calls carry the piggybacked sums.  */
   table_sync_t *shared_sync;
@@ -162,13 +163,37 @@
   gateway->received_ms[index] = uv_now (gateway->loop);
 }
 
+/* Fill all the room for items, as a user with much to send would.  */
+static size_t
+list_fillers (void *arg, bool is_intermediate, peer_rows_item_t *items,
+              size_t items_max)
+{
+  (void)arg;
+  (void)is_intermediate;
+  for (size_t i = 0; i < items_max; i++)
+    buf_printf (&items[i].key, "filler/%zu", i);
+  return items_max;
+}
+
+static void
+receive_filler (void *arg, str_t key, str_t value)
+{
+  fleet_gateway_t *gateway = arg;
+
+  ck_assert (str_starts_with (key, STR ("filler/")));
+  ck_assert_uint_eq (value.len, 0);
+  gateway->fillers++;
+}
+
 static void
 fleet_gateway_start (fixture_t *f, int index)
 {
   static const char *const zones[ZONES] = { "a", "b", "c", "d" };
   static const rows_ops_t ops
       = { refusing_read, refusing_watch, NULL, refusing_cancel, NULL };
-  static const peer_rows_piggyback_t piggyback = { list_sums, receive_sum };
+  static const peer_rows_piggyback_t fillers
+      = { list_fillers, receive_filler };
+  static const peer_rows_piggyback_t sums = { list_sums, receive_sum };
   fleet_gateway_t *gateway = &f->gateways[index];
 
   gateway->refusing_store
@@ -190,7 +215,9 @@
                                       &gateway->refusing_store.base, &options,
                                       &gateway->peer_rows),
                     VH_OK);
-  peer_rows_set_piggyback (gateway->peer_rows, &piggyback, gateway);
+  peer_rows_add_piggyback (gateway->peer_rows, STR ("filler/"), &fillers,
+                           gateway);
+  peer_rows_add_piggyback (gateway->peer_rows, STR ("entry-"), &sums, gateway);
 }
 
 static void
@@ -400,13 +427,16 @@
 }
 
 /* Piggybacked data must reach the root, aggregated by the readers on the way,
-   and after a crash of the root the gateways that read the store then.  */
+   and after a crash of the root the gateways that read the store then. Another
+   user of the calls, which fills all the room that it gets, must neither keep
+   the data back nor get it.  */
 START_TEST (piggybacked_data_reaches_the_root)
 {
   fixture_t f;
 
   setup (&f);
   LOOP_WAIT (&f.wait, sum_at (&f.gateways[0]) == GATEWAYS);
+  LOOP_WAIT (&f.wait, f.gateways[0].fillers > 0);
   fleet_gateway_stop (&f.gateways[0]);
   propagate (&f, "two");
   LOOP_WAIT (&f.wait, sum_at_readers (&f) == GATEWAYS - 1);
