--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -1572,6 +1572,15 @@
   return rate_limit_end (&upstream->rate_limit, clock_ms (pool->clock));
 }
 
+const upstream_t *
+pool_next (const pool_t *pool, size_t *cursor)
+{
+  str_t id;
+  void *value;
+
+  return map_next (pool->by_id, cursor, &id, &value) ? value : NULL;
+}
+
 size_t
 pool_count_rate_limits (const pool_t *pool)
 {
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -341,6 +341,9 @@
 void pool_set_gateway_list_stale (pool_t *pool, bool is_stale);
 /* Return the instance ID, or NULL if there is none.  */
 upstream_t *pool_find (const pool_t *pool, str_t id);
+/* Return the next instance, and update *CURSOR, which is 0 at first.  Return
+   NULL after the last one.  No instance may be added or removed meanwhile.  */
+const upstream_t *pool_next (const pool_t *pool, size_t *cursor);
 /* Return the number of instances that announce a rate limit.  */
 size_t pool_count_rate_limits (const pool_t *pool);
 /* Return the monotonic time of the pool's clock, in ms.  */
