--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -15,7 +15,8 @@
 {
   rows_table_t table;
   char *key;
-  char *value;
+  char *value; /* Followed by a NUL.  */
+  size_t value_len;
   uint64_t version;
   bool deleted;
 } stored_row_t;
@@ -124,10 +125,10 @@
           || row->version > version_max
           || (call->kind == CALL_READ && row->deleted))
         continue;
-      rows[result.count++]
-          = (rows_row_t){ str_from (row->key), str_from (row->value),
-                          rows_version_make (fake->era, row->version),
-                          row->deleted };
+      rows[result.count++] = (rows_row_t){
+        str_from (row->key), str_make (row->value, row->value_len),
+        rows_version_make (fake->era, row->version), row->deleted
+      };
     }
   call_end (call);
   cb (arg, code, code == VH_OK ? &result : NULL);
@@ -218,6 +219,7 @@
     }
   free (row->value);
   row->value = str_dup (value);
+  row->value_len = value.len;
   row->deleted = deleted;
   row->version = fake->version;
   reply_to_watches (fake, table);
@@ -283,7 +285,7 @@
     {
       to[i] = from[i];
       to[i].key = str_dup (str_from (from[i].key));
-      to[i].value = str_dup (str_from (from[i].value));
+      to[i].value = str_dup (str_make (from[i].value, from[i].value_len));
     }
 }
 
@@ -328,12 +330,19 @@
   return &fake->base;
 }
 
+void
+fake_rows_put_bytes (fake_rows_t *fake, rows_table_t table, const char *key,
+                     str_t value)
+{
+  fake->version++;
+  store_row (fake, table, str_from (key), value, false);
+}
+
 void
 fake_rows_put (fake_rows_t *fake, rows_table_t table, const char *key,
                const char *value)
 {
-  fake->version++;
-  store_row (fake, table, str_from (key), str_from (value), false);
+  fake_rows_put_bytes (fake, table, key, str_from (value));
 }
 
 void
@@ -343,6 +352,16 @@
   store_row (fake, table, str_from (key), STR (""), true);
 }
 
+str_t
+fake_rows_get_bytes (const fake_rows_t *fake, rows_table_t table,
+                     const char *key)
+{
+  const stored_row_t *row = find_row (fake, table, str_from (key));
+
+  return row == NULL || row->deleted ? STR_NULL
+                                     : str_make (row->value, row->value_len);
+}
+
 const char *
 fake_rows_get (const fake_rows_t *fake, rows_table_t table, const char *key)
 {
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -15,10 +15,16 @@
 /* Write a row as an operator or another process would.  */
 void fake_rows_put (fake_rows_t *fake, rows_table_t table, const char *key,
                     const char *value);
+/* The same with a value that may have NUL bytes.  */
+void fake_rows_put_bytes (fake_rows_t *fake, rows_table_t table,
+                          const char *key, str_t value);
 void fake_rows_remove (fake_rows_t *fake, rows_table_t table, const char *key);
 /* Return the value under KEY, or NULL if there is no such row.  */
 const char *fake_rows_get (const fake_rows_t *fake, rows_table_t table,
                            const char *key);
+/* The same with a value that may have NUL bytes, or STR_NULL.  */
+str_t fake_rows_get_bytes (const fake_rows_t *fake, rows_table_t table,
+                           const char *key);
 /* Set whether all calls fail with VH_E_STORE_DOWN.  */
 void fake_rows_set_down (fake_rows_t *fake, bool is_down);
 /* Set whether all writes fail with VH_E_STORE_DOWN.  */
