gateway: gateways exchange the time factors of instances

A gateway knew the time factor of an instance from its own reports only.

Each gateway now sends the factors that it found with its calls to its reader, the gateway that reads the store averages them into the row speed/0 of the shared table, and each gateway applies the row.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -79,6 +79,10 @@
      "An announced rate limit cannot be read and is ignored")                 \
   X (EVENT_LIMIT_WRITE, "pool", "limit-write-failed", WARNING, 5,             \
      "A rate limit could not be written for the other entries")               \
+  X (EVENT_SPEED_BAD, "pool", "factors-unreadable", WARNING, 5,               \
+     "Time factors of another entry cannot be read and are ignored")          \
+  X (EVENT_SPEED_WRITE, "pool", "factors-write-failed", WARNING, 5,           \
+     "Time factors could not be written for the other entries")               \
   X (EVENT_LEAVING, "pool", "leaving", NOTICE, 50,                            \
      "An instance says that it is leaving")                                   \
   X (EVENT_PAUSE, "pool", "paused", NOTICE, 50,                               \
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -36,7 +36,12 @@
   X (escalations, "Responses discarded to escalate to a larger model.")       \
   X (events, "Events of streams forwarded to callers.")                       \
   X (crashes, "Crashes of instances that ran requests of this process.")      \
-  X (suspects_refused, "Requests refused because their runs crashed.")
+  X (suspects_refused, "Requests refused because their runs crashed.")        \
+  X (speed_bytes_sent, "Bytes of time factors sent to the reader.")           \
+  X (speed_rows_written, "Rows of time factors written to the store.")        \
+  X (speed_entries_applied, "Time factors taken over from other processes.")  \
+  X (speed_rows_unreadable,                                                   \
+     "Rows and messages of time factors that could not be read.")
 
 typedef struct
 {
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -10,6 +10,7 @@
 #include "gateway/crash_recordsint.h"
 #include "gateway/loader.h"
 #include "gateway/rolloutsint.h"
+#include "gateway/speed_rows.h"
 
 #include <stdlib.h>
 
@@ -101,6 +102,7 @@
      CONFIRMATION_AGED_MS or more.  */
   bool is_confirmation_aged;
   rollouts_t *rollouts;
+  speed_rows_t *speed_rows;
   /* The rows of the table that are read now are from the copy from which the
      store came back.  */
   bool is_operator_copy;
@@ -115,6 +117,15 @@
   uint64_t until_ms; /* Monotonic time at which the exclusion ends.  */
 } kept_zone_t;
 
+/* Return the time of the store's clock, or 0 if it is unknown.  */
+static uint64_t
+store_now_ms (const store_sync_t *sync)
+{
+  return sync->state->operator_rows_sync != NULL
+             ? table_sync_store_now_ms (sync->state->operator_rows_sync)
+             : 0;
+}
+
 /* Rows written by operators (ROWS_OPERATOR).  */
 
 /* Put CATALOG in force if its revision is newer than the one in force.  CODE
@@ -284,6 +295,7 @@
   crash_records_apply_registration (state->crash_records, &info);
   pool_put (state->pool, &info);
   announced_limits_apply_registration (state->announced_limits, info.id);
+  speed_rows_apply_registration (sync->speed_rows, info.id);
   state->dialect->free_holder (holder);
 }
 
@@ -423,6 +435,8 @@
     rollouts_apply_evidence (sync->rollouts, row->key, false, row->value);
   else if (str_eq (kind, STR ("limit")) && rest.len > 0)
     announced_limits_apply_row (sync->state->announced_limits, rest, row);
+  else if (str_eq (row->key, STR (SPEED_ROWS_KEY)))
+    speed_rows_apply_row (sync->speed_rows, row, store_now_ms (sync));
   else if (str_eq (kind, STR ("crash")))
     crash_records_apply_row (sync->state->crash_records, row);
   else if (str_eq (kind, STR ("entry")) && rest.len > 0)
@@ -446,6 +460,8 @@
 
   if (str_eq (kind, STR ("limit")))
     announced_limits_remove_row (sync->state->announced_limits, rest);
+  else if (str_eq (key, STR (SPEED_ROWS_KEY)))
+    speed_rows_remove_row (sync->speed_rows);
   else if (str_eq (kind, STR ("crash")))
     crash_records_remove_row (sync->state->crash_records, key,
                               sync->is_shared_copy);
@@ -510,6 +526,7 @@
   sync->is_shared_copy = true;
   sync->has_own_row = false;
   announced_limits_set_copy (sync->state->announced_limits, true);
+  speed_rows_set_copy (sync->speed_rows, true);
 }
 
 static void
@@ -521,6 +538,7 @@
     {
       sync->is_shared_copy = false;
       announced_limits_set_copy (sync->state->announced_limits, false);
+      speed_rows_set_copy (sync->speed_rows, false);
       sync->is_registered = sync->has_own_row;
     }
   sync->has_read_shared_rows = true;
@@ -590,15 +608,15 @@
   store_sync_t *sync = timer->data;
   gateway_state_t *state = sync->state;
   bool has_second_elapsed = ++sync->tick_count % TICKS_PER_S == 0;
-  uint64_t store_now_ms = table_sync_store_now_ms (state->operator_rows_sync);
+  uint64_t shared_now_ms = store_now_ms (sync);
+  bool is_store_down = table_sync_is_down (state->operator_rows_sync)
+                       || table_sync_is_down (sync->shared_rows_sync);
 
   log_confirmation_age (sync);
   release_kept_zones (sync);
-  if (store_now_ms != 0)
-    pool_set_shared_time (state->pool, store_now_ms);
-  pool_set_gateway_list_stale (
-      state->pool, table_sync_is_down (state->operator_rows_sync)
-                       || table_sync_is_down (sync->shared_rows_sync));
+  if (shared_now_ms != 0)
+    pool_set_shared_time (state->pool, shared_now_ms);
+  pool_set_gateway_list_stale (state->pool, is_store_down);
   if (state->stopping_ms != 0 || !sync->has_read_shared_rows)
     return;
   if (!sync->is_registered && !sync->is_registration_pending
@@ -608,6 +626,7 @@
     divide_limits (sync);
   announced_limits_tick (state->announced_limits);
   crash_records_tick (state->crash_records);
+  speed_rows_tick (sync->speed_rows, shared_now_ms, !is_store_down);
   rollouts_tick (sync->rollouts, has_second_elapsed);
 }
 
@@ -650,6 +669,25 @@
     table_sync_retry_now (sync->instances_sync);
 }
 
+static speed_rows_t *
+create_speed_rows (const store_sync_t *sync)
+{
+  const gateway_state_t *state = sync->state;
+  const speed_rows_options_t options
+      = { .clock = state->clock,
+          .pool = state->pool,
+          .gateways = state->allotment,
+          .rows = sync->rows,
+          .peer_rows = sync->peer_rows,
+          .seed = str_hash (state->options.name, 0),
+          .bytes_sent = state->counters.speed_bytes_sent,
+          .rows_written = state->counters.speed_rows_written,
+          .entries_applied = state->counters.speed_entries_applied,
+          .rows_unreadable = state->counters.speed_rows_unreadable };
+
+  return speed_rows_create (&options);
+}
+
 store_sync_t *
 store_sync_create (gateway_state_t *state, rows_t *rows,
                    peer_rows_t *peer_rows)
@@ -681,6 +719,7 @@
   sync->rollouts = rollouts_create (state, rows, peer_rows);
   state->announced_limits = announced_limits_create (state, rows);
   state->crash_records = crash_records_create (state, rows);
+  sync->speed_rows = create_speed_rows (sync);
   sync->loader = loader_create (state->loop, state->dialect->read_catalog,
                                 on_catalog, sync);
   state->operator_rows_sync = table_sync_create (
@@ -732,6 +771,7 @@
   table_sync_destroy (sync->instances_sync);
   table_sync_destroy (sync->shared_rows_sync);
   rollouts_destroy (sync->rollouts);
+  speed_rows_destroy (sync->speed_rows);
   announced_limits_destroy (sync->state->announced_limits);
   sync->state->announced_limits = NULL;
   crash_records_destroy (sync->state->crash_records);
