tests: a started gateway uses the time factors that another one wrote

Guards the way from a response's load report through the row to the choices of another gateway. With the row not applied, the test fails.

--- a/tests/test_instance_notices.c
+++ b/tests/test_instance_notices.c
@@ -3,6 +3,7 @@
    while.  */
 
 #include "base/mem.h"
+#include "gateway/speed_rows.h"
 #include "gateway_fixture.h"
 #include "suite.h"
 #include "virtual_time.h"
@@ -334,6 +335,47 @@
 }
 END_TEST
 
+/* A gateway that starts has no reports.  It would send to the slow instances
+   as to the others, and all gateways do after a roll-out of theirs.  */
+START_TEST (started_gateway_does_not_know_the_fast_instance)
+{
+  load_t load;
+
+  load_setup (&load, "/read/a");
+  script (&load, ACT_RESPOND, "vanillahook-load: 1,0,32,55\r\n");
+  for (size_t i = 1; i < UPSTREAMS; i++)
+    fake_upstream_set_headers (load.fixture.upstreams[i],
+                               "vanillahook-load: 1,0,32,220\r\n");
+  load_start (&load);
+  load_run_for (&load, 6000);
+  uv_timer_stop (&load.timer);
+  ck_assert_uint_gt (
+      fake_rows_get_bytes (load.fixture.rows, ROWS_SHARED, SPEED_ROWS_KEY).len,
+      0);
+  /* Only the other gateway can tell the next one.  */
+  for (size_t i = 0; i < UPSTREAMS; i++)
+    fake_upstream_set_headers (load.fixture.upstreams[i],
+                               "vanillahook-load: 1,0,32\r\n");
+  gateway_destroy (load.fixture.gateway);
+  load.fixture.gateway
+      = gateway_fixture_start_gateway (&load.fixture, "gateway-2", 2);
+  gateway_fixture_wait (&load.fixture,
+                        gateway_fixture_ready_status (&load.fixture) == 200);
+  size_t before = request_count (&load);
+  size_t others_before = 0;
+  size_t others = 0;
+  for (size_t i = 1; i < UPSTREAMS; i++)
+    others_before += fake_upstream_request_count (load.fixture.upstreams[i]);
+  load_start (&load);
+  load_run_for (&load, 2000);
+  for (size_t i = 1; i < UPSTREAMS; i++)
+    others += fake_upstream_request_count (load.fixture.upstreams[i]);
+  ck_assert_uint_gt (request_count (&load) - before,
+                     2 * (others - others_before));
+  load_teardown (&load);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -352,6 +394,7 @@
   tcase_add_loop_test (tcase, unreadable_pause_is_applied, 0, 6);
   tcase_add_test (tcase, caller_returns_before_a_pause_ends);
   tcase_add_test (tcase, fast_instance_gets_no_more_requests);
+  tcase_add_test (tcase, started_gateway_does_not_know_the_fast_instance);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
