test: a bad version stays beside an old version that fails more

Cause: not mended here. A version that resets 0.17 of its connections beside an old version that resets a third from 10 s on, or cuts 0.25 of its streams beside two thirds, is declared good and stays.

Change: bad_version_stays_beside_an_old_one_that_fails_as_well with real processes (test_bad_version), the same in the model (test_trial_masked), and troubles of the old version alone in rollout_model.

--- a/bench/rollout_model.c
+++ b/bench/rollout_model.c
@@ -37,7 +37,8 @@
 
   trial_count_request (trial, (uint64_t)route);
   if ((double)ms < trouble_from_part * limit_ms
-      || (double)ms > limit_ms + TROUBLE_AFTER_MS)
+      || (double)ms > limit_ms + TROUBLE_AFTER_MS
+      || (trouble->is_of_old_version && arm == TRIAL_ARM_NEW))
     trouble = &calm;
   if (!is_bad)
     badness = &good;
--- a/bench/rollout_model.h
+++ b/bench/rollout_model.h
@@ -7,16 +7,17 @@
 
 #include "policy/trial.h"
 
-/* A trouble that both versions have, in the last part of the time limit and
-   shortly after it.  */
+/* A trouble that both versions have, or the old one alone, in the last part of
+   the time limit and shortly after it.  */
 typedef struct
 {
   const char *name;
-  double failure_share; /* Share of the answers that fail.  */
-  double lost_share;    /* Share of the connections that are lost.  */
-  double unseen_share;  /* Share of the requests that have no outcome: their
-                           callers leave early, or there is no instance.  */
-  double wait_factor;   /* Factor on the time to the first event.  */
+  double failure_share;   /* Share of the answers that fail.  */
+  double lost_share;      /* Share of the connections that are lost.  */
+  double unseen_share;    /* Share of the requests that have no outcome: their
+                             callers leave early, or there is no instance.  */
+  double wait_factor;     /* Factor on the time to the first event.  */
+  bool is_of_old_version; /* The new version does not have it.  */
 } rollout_trouble_t;
 
 /* How a version is bad.  */
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -52,7 +52,9 @@
 if (NOT SANITIZE)
 foreach (case "a third of the answers fail" "most answers fail"
     "connections are reset" "streams break off" "good version"
-    "streams break off in one of six" "answers fail after the decision")
+    "streams break off in one of six" "answers fail after the decision"
+    "resets beside an old version that resets more"
+    "cut streams beside an old version that cuts more")
   string (REPLACE " " "_" name "bad_version_${case}")
   add_test (NAME ${name} COMMAND test_bad_version
     WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -13,4 +13,5 @@
 target_sources (test_sendbudget PRIVATE budget_fleet.c budget_window.c)
 # The model of roll-outs, of the bench.
 vh_test (test_trial DEPENDS vh_rollout_model)
+vh_test (test_trial_masked DEPENDS vh_rollout_model)
 vh_test (test_regression DEPENDS vh_policy)
--- a/tests/test_bad_version.c
+++ b/tests/test_bad_version.c
@@ -19,7 +19,10 @@
   SHORT_WITHIN_S = 8,
   /* Time in which a version that is bad a little gives 50 bad answers, and the
      operators' bound passes.  */
-  EXPOSED_MS = 12000
+  EXPOSED_MS = 12000,
+  MASKED_WITHIN_S = 24,
+  MASKED_RATE = 60,
+  OLD_FAILS_FROM_MS = 10000
 };
 
 static const gateway_processes_options_t options
@@ -138,6 +141,44 @@
 }
 END_TEST
 
+typedef struct
+{
+  const char *name;
+  fake_action_t action;
+  double old_share; /* Part of the requests that get ACTION from the old
+                       version, from OLD_FAILS_FROM_MS on.  */
+  double new_share; /* The same from the new version, from the order on.  */
+} masked_badness_t;
+
+static const masked_badness_t masked_badnesses[] = {
+  { "resets beside an old version that resets more", ACT_RESET, 1.0 / 3,
+    0.17 },
+  { "cut streams beside an old version that cuts more",
+    ACT_STREAM_CUT_IN_EVENT, 2.0 / 3, 0.25 },
+};
+
+/* Failure: a bad version is declared good, and keeps getting requests after
+   its 50th bad answer, since the old version fails in the same way and more
+   often.  */
+START_TEST (bad_version_stays_beside_an_old_one_that_fails_as_well)
+{
+  const masked_badness_t *badness = &masked_badnesses[_i];
+  gateway_processes_t *processes = gateway_processes_create (&options);
+
+  gateway_processes_set_rate (processes, SERVICE_ENGINE, MASKED_RATE);
+  gateway_processes_run (processes, CALM_MS);
+  gateway_processes_order_version (processes, MASKED_WITHIN_S, badness->action,
+                                   badness->new_share);
+  run (processes, OLD_FAILS_FROM_MS);
+  for (size_t i = 0; i < options.instances[SERVICE_ENGINE]; i++)
+    fake_upstream_set_share (
+        gateway_processes_instance (processes, SERVICE_ENGINE, i),
+        badness->action, badness->old_share);
+  run (processes, MASKED_WITHIN_S * 1000 - OLD_FAILS_FROM_MS + EXPOSED_MS);
+  finish_reverted (processes, badness->name);
+}
+END_TEST
+
 /* Failure: a good version is rolled back on a calm day.  */
 START_TEST (good_version_is_rolled_back)
 {
@@ -175,6 +216,16 @@
                            i, i + 1);
       suite_add_tcase (suite, tcase);
     }
+  for (int i = 0;
+       i < (int)(sizeof masked_badnesses / sizeof masked_badnesses[0]); i++)
+    {
+      TCase *tcase = tcase_create (masked_badnesses[i].name);
+      tcase_set_timeout (tcase, 90);
+      tcase_add_loop_test (
+          tcase, bad_version_stays_beside_an_old_one_that_fails_as_well, i,
+          i + 1);
+      suite_add_tcase (suite, tcase);
+    }
   tcase_set_timeout (good, 90);
   tcase_add_test (good, good_version_is_rolled_back);
   suite_add_tcase (suite, good);
