trial: an old version in trouble is no yardstick for one without the trouble

Cause: a version was compared with the old version's share of failures, trouble included. 0.17 beside a third gave a log ratio of 14.1 for it at the decision (2 suffice), and in service it was bad only from the old version's share since the start (0.20) plus 0.05 on.

Change: each process keeps the old version's smallest share of failures of a few seconds, and its answers since the share has been above it. A new version that fails clearly less often than these does not have the trouble and is held to the smaller share: at the decision, and from 40 bad answers on, if it lasts 1.5 s.

--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -245,11 +245,29 @@
   if (trial->bad_answers_sum < TRIAL_BAD_ANSWERS_MAX
       || now_ms < trial->acceptable_ms
       || (trial_is_shown_good (counts)
-          && !trial_is_bad_at_most_instances (counts, NULL)))
+          && !trial_is_bad_at_most_instances (counts, NULL)
+          && !trial_is_bad_in_trouble (trial, counts, NULL)))
     trial->acceptable_ms = now_ms;
   return now_ms - trial->acceptable_ms >= TRIAL_BAD_ANSWERS_WAIT_MS;
 }
 
+/* Return whether the version in service must go; if so, append the reason to
+   REASON.  While a trouble of both versions ends, the new one may for a moment
+   seem to be without it.  */
+static bool
+must_be_withdrawn (trial_t *trial, const trial_counts_t *counts,
+                   uint64_t now_ms, buf_t *reason)
+{
+  if (trial->acceptable_ms == 0
+      || !trial_is_bad_in_trouble (trial, counts, NULL))
+    trial->acceptable_ms = now_ms;
+  if (trial->bad_answers_sum < TRIAL_BAD_ANSWERS_MAX)
+    return false;
+  return trial_is_bad_at_most_instances (counts, reason)
+         || (now_ms - trial->acceptable_ms >= TRIAL_BAD_ANSWERS_WAIT_MS
+             && trial_is_bad_in_trouble (trial, counts, reason));
+}
+
 trial_decision_t
 trial_decide (trial_t *trial, uint64_t now_ms, bool is_store_down,
               buf_t *reason)
@@ -260,8 +278,7 @@
   bool has_inconclusive_cell = false;
 
   if (trial_is_watched (trial, now_ms))
-    return !is_store_down && trial->bad_answers_sum >= TRIAL_BAD_ANSWERS_MAX
-                   && trial_is_bad_at_most_instances (&all, reason)
+    return !is_store_down && must_be_withdrawn (trial, &all, now_ms, reason)
                ? TRIAL_DECISION_WITHDRAW
                : TRIAL_DECISION_WAIT;
   if (trial->phase != TRIAL_PHASE_RUNNING || trial->start_ms == 0)
@@ -306,7 +323,9 @@
      because further answers may still bring it.  */
   bool is_held_back
       = (is_due && has_inconclusive_cell)
-        || (is_due && is_last_step && trial_lacks_evidence_of_good (&all))
+        || (is_due && is_last_step
+            && (trial_lacks_evidence_of_good (&all)
+                || trial_is_rather_bad_in_trouble (trial, &all)))
         || !trial_is_ready_to_advance (&old, &new, in_step_ms, step_min_ms,
                                        is_due ? TRIAL_FINAL_HOLD_STDERRS
                                               : TRIAL_HOLD_STDERRS);
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -65,6 +65,15 @@
      its answers show that it is good.  Each process counts its own bad
      answers; the counts of all processes, also of those that ended, are
      kept by every process that heard of them.
+   - An old version that is in trouble is no yardstick for a version without
+     that trouble: one that fails a sixth beside a third would look good.  Each
+     process keeps the smallest share of failures that the old version had
+     over a few seconds, and counts the old version's answers since its share
+     has been above it.  If the new version fails clearly less often than the
+     old one since then, the trouble is the old version's own.  The new
+     version then is held to the smaller share, before it is declared good,
+     and once it has given TRIAL_BAD_ANSWERS_MAX bad answers.  If both fail
+     alike, the trouble may be common, and the comparisons above hold.
    - A version is bad when in one cell the share of its answers that failed
      exceeds the old version's by TRIAL_FAILURE_EXCESS of the old version's
      good ones and by TRIAL_FAILURE_STDERRS standard errors, over
@@ -205,6 +214,16 @@
    small difference between the versions adds up.  */
 #define TRIAL_WATCH_LOG_RATIO_PER_TIME 0.15
 
+/* Standard errors by which the new version's share of failures must be below
+   that of the old version in a trouble, so that the trouble is the old
+   version's own.  With 3, in the model a version that fails 0.17 beside a
+   third, at 30 requests per second, stays too long in a fifth of the
+   roll-outs.  */
+#define TRIAL_TROUBLE_STDERRS 2.0
+/* Number of recent answers of the old version from which their share of
+   failures is known.  */
+#define TRIAL_CALM_ANSWERS_MIN 50.0
+
 /* X (symbol, minimum length of the step as a part of the time limit).  */
 #define TRIAL_STEPS(X)                                                        \
   X (TRIAL_STEP_NO_TRAFFIC, 0.50)                                             \
--- a/packages/policy/trial_evidence.c
+++ b/packages/policy/trial_evidence.c
@@ -231,6 +231,8 @@
   void *value;
   bool is_running = trial->phase == TRIAL_PHASE_RUNNING;
 
+  trial_counts_t all = trial_total_counts (trial, false);
+  trial_track_trouble (trial, &all);
   counts_decay (&trial->own_counts, is_running);
   for (size_t timing = 0; timing < TRIAL_TIMING_COUNT && is_running; timing++)
     for (size_t model = 0; model < TRIAL_MODELS; model++)
@@ -241,6 +243,8 @@
       counts_decay (value, is_running);
       ((trial_counts_t *)value)->age_s++;
     }
+  all = trial_total_counts (trial, false);
+  trial_track_decayed (trial, &all);
 }
 
 trial_counts_t
@@ -251,12 +255,14 @@
   str_t key;
   void *value;
 
+  all.processes = 1;
   while (map_next (trial->peers, &cursor, &key, &value))
     {
       const trial_counts_t *peer = value;
       if (peer->age_s > TRIAL_PEER_EXPIRY_S
           || (sent_only && !peer->was_sent_by_peer))
         continue;
+      all.processes++;
       for (size_t arm = 0; arm < TRIAL_ARM_COUNT; arm++)
         for (size_t cell = 0; cell < TRIAL_CELL_COUNT; cell++)
           sums_add (&all.sums[arm][cell], &peer->sums[arm][cell]);
--- a/packages/policy/trial_watch.c
+++ b/packages/policy/trial_watch.c
@@ -31,8 +31,8 @@
          && now_ms < trial->start_ms + trial->time_limit_ms + TRIAL_WATCH_MS;
 }
 
-static void
-tally_add (trial_tally_t *to, const trial_tally_t *from)
+void
+trial_tally_add (trial_tally_t *to, const trial_tally_t *from)
 {
   to->answers += from->answers;
   for (size_t flaw = 0; flaw < TRIAL_FLAW_COUNT; flaw++)
@@ -44,7 +44,7 @@
 {
   for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
     for (size_t group = 0; group < TRIAL_TALLIES; group++)
-      tally_add (&to->tallies[cell][group], &from->tallies[cell][group]);
+      trial_tally_add (&to->tallies[cell][group], &from->tallies[cell][group]);
 }
 
 void
@@ -99,6 +99,24 @@
   return sum;
 }
 
+/* Return whether the answers in NEW have the flaw more often than a good
+   version beside an old one that has it in OLD_SHARE, with a logarithm of the
+   likelihood ratio of at least LOG_RATIO_MIN.  */
+static bool
+exceeds_share (const flaws_t *new, double old_share, double log_ratio_min)
+{
+  double good_share = old_share + (1 - old_share) * TRIAL_WATCH_GOOD_EXCESS;
+
+  if (new->answers <= 0
+      || flawed_share (new) < old_share + (1 - old_share) * TRIAL_WATCH_EXCESS)
+    return false;
+  double share = fmin (flawed_share (new), 1 - 1 / (new->answers + 1));
+  double log_ratio
+      = new->flawed *log (share / good_share)
+        + (new->answers - new->flawed) * log ((1 - share) / (1 - good_share));
+  return log_ratio >= log_ratio_min;
+}
+
 /* Return whether in TALLIES most instances of the new version have FLAW more
    often than the old version had, with a logarithm of the likelihood ratio of
    at least LOG_RATIO_MIN; if so, append the reason to REASON, unless it is
@@ -110,18 +128,10 @@
   static const char *const flaw_names[] = { "failed", "late" };
   const trial_tally_t *old = &tallies[TRIAL_TALLY_OLD];
   flaws_t new = flaws_of_most_groups (tallies, flaw);
-  double old_share = trial_old_failure_share (old->flawed[flaw], old->answers);
-  double good_share = old_share + (1 - old_share) * TRIAL_WATCH_GOOD_EXCESS;
 
-  if (new.answers <= 0
-      || flawed_share (&new)
-             < old_share + (1 - old_share) * TRIAL_WATCH_EXCESS)
-    return false;
-  double share = fmin (flawed_share (&new), 1 - 1 / (new.answers + 1));
-  double log_ratio
-      = new.flawed *log (share / good_share)
-        + (new.answers - new.flawed) * log ((1 - share) / (1 - good_share));
-  if (log_ratio < log_ratio_min)
+  if (!exceeds_share (
+          &new, trial_old_failure_share (old->flawed[flaw], old->answers),
+          log_ratio_min))
     return false;
   if (reason != NULL)
     buf_printf (reason,
@@ -132,19 +142,35 @@
   return true;
 }
 
+static void
+sum_routes (const trial_counts_t *counts, trial_tally_t all[TRIAL_TALLIES])
+{
+  for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
+    for (size_t group = 0; group < TRIAL_TALLIES; group++)
+      trial_tally_add (&all[group], &counts->tallies[cell][group]);
+}
+
+bool
+trial_exceeds_share_at_most_instances (const trial_counts_t *counts,
+                                       double old_share)
+{
+  trial_tally_t all[TRIAL_TALLIES] = { { 0 } };
+
+  sum_routes (counts, all);
+  flaws_t new = flaws_of_most_groups (all, TRIAL_FLAW_FAILED);
+  return exceeds_share (&new, old_share, TRIAL_WATCH_LOG_RATIO);
+}
+
 bool
 trial_is_bad_at_most_instances (const trial_counts_t *counts, buf_t *reason)
 {
   trial_tally_t all[TRIAL_TALLIES] = { { 0 } };
 
   for (size_t cell = 0; cell < TRIAL_ROUTE_CELLS; cell++)
-    {
-      if (have_most_instances (counts->tallies[cell], TRIAL_FLAW_FAILED,
-                               TRIAL_WATCH_ROUTE_LOG_RATIO, reason))
-        return true;
-      for (size_t group = 0; group < TRIAL_TALLIES; group++)
-        tally_add (&all[group], &counts->tallies[cell][group]);
-    }
+    if (have_most_instances (counts->tallies[cell], TRIAL_FLAW_FAILED,
+                             TRIAL_WATCH_ROUTE_LOG_RATIO, reason))
+      return true;
+  sum_routes (counts, all);
   return have_most_instances (all, TRIAL_FLAW_FAILED, TRIAL_WATCH_LOG_RATIO,
                               reason)
          || (trial_is_slow_in_service (counts)
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -4,6 +4,7 @@
    trial_evidence.c  counts of answers, and their weights
    trial_times.c     counts of times, and whether they show a slow version
    trial_watch.c     answers of a version that was declared good
+   trial_trouble.c   the old version's failures in a trouble of its own
    trial_verdict.c   what the counts say of the new version
    trial_message.c   counts in messages between processes  */
 
@@ -41,8 +42,27 @@
   bool was_sent_by_peer; /* Whether a peer sent the counts; otherwise they were
                             read from the store.  */
   unsigned age_s;
+  unsigned processes; /* Number of processes that counted, in a sum.  */
 } trial_counts_t;
 
+/* What this process saw of the old version's failures, while the roll-out
+   runs.  A process that ends loses it, and its successor then knows of no
+   trouble that began before.  */
+typedef struct
+{
+  bool has_calm_share;
+  double calm_share; /* Smallest share of the old version's answers of a few
+                        seconds that failed.  */
+  trial_tally_t old; /* Answers of the old version since its share has been
+                        above CALM_SHARE.  */
+  trial_tally_t last_old;   /* Answers since the start, a second ago.  */
+  unsigned last_processes;  /* Processes that counted them.  */
+  trial_tally_t last_new;   /* Answers of the new version after the last
+                               decay.  */
+  trial_tally_t second_new; /* Answers of the new version in the second before
+                               the last decay.  */
+} trial_trouble_t;
+
 struct trial
 {
   char *service;
@@ -59,6 +79,7 @@
   bool is_final_phase_stored; /* Whether the row in the store holds a final
                                  phase.  */
   trial_counts_t own_counts;
+  trial_trouble_t trouble;
   /* Logarithms of the old version's times at this process.  */
   regression_t usual_times[TRIAL_TIMING_COUNT][TRIAL_MODELS];
   map_t *peers; /* Maps the name of a process to its trial_counts_t.  */
@@ -123,6 +144,7 @@
 bool trial_is_cell_inconclusive (const trial_sums_t *old,
                                  const trial_sums_t *new);
 /* Add FROM to TO.  */
+void trial_tally_add (trial_tally_t *to, const trial_tally_t *from);
 void trial_tallies_add (trial_counts_t *to, const trial_counts_t *from);
 /* Let a second pass for the tallies of the new version.  */
 void trial_tallies_decay (trial_counts_t *counts);
@@ -131,6 +153,26 @@
    which may be NULL.  */
 bool trial_is_bad_at_most_instances (const trial_counts_t *counts,
                                      buf_t *reason);
+/* Return whether COUNTS show that most instances of the new version fail more
+   often than a good version beside an old one that fails OLD_SHARE.  */
+bool trial_exceeds_share_at_most_instances (const trial_counts_t *counts,
+                                            double old_share);
+/* Keep track of the old version's failures.  COUNTS are those of all processes
+   before the decay of each second.  */
+void trial_track_trouble (trial_t *trial, const trial_counts_t *counts);
+/* The same after the decay.  */
+void trial_track_decayed (trial_t *trial, const trial_counts_t *counts);
+/* Return whether the new version does not have the old one's trouble, and its
+   answers speak rather for a bad version, beside the old one before its
+   trouble, than for a good one.  */
+bool trial_is_rather_bad_in_trouble (const trial_t *trial,
+                                     const trial_counts_t *counts);
+/* Return whether the new version does not have the old one's trouble, and most
+   of its instances fail, also in the last seconds, more often than the old
+   version did before the trouble; if so, append the reason to REASON, which
+   may be NULL.  */
+bool trial_is_bad_in_trouble (const trial_t *trial,
+                              const trial_counts_t *counts, buf_t *reason);
 /* Return whether a step that has lasted IN_STEP_MS, with a minimum length of
    STEP_MIN_MS, may advance.  An excess of late answers of at least STDERRS
    standard errors prevents the advance.  */
