trial: a good version in a common trouble is held back less often

Change: 2.5 at the decision. The 1.5 s for which a version in service must be bad begin anew after an outage of the store.

--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -256,12 +256,12 @@
    seem to be without it.  */
 static bool
 must_be_withdrawn (trial_t *trial, const trial_counts_t *counts,
-                   uint64_t now_ms, buf_t *reason)
+                   uint64_t now_ms, bool is_store_down, buf_t *reason)
 {
-  if (trial->acceptable_ms == 0
+  if (trial->acceptable_ms == 0 || is_store_down
       || !trial_is_bad_in_trouble (trial, counts, NULL))
     trial->acceptable_ms = now_ms;
-  if (trial->bad_answers_sum < TRIAL_BAD_ANSWERS_MAX)
+  if (is_store_down || trial->bad_answers_sum < TRIAL_BAD_ANSWERS_MAX)
     return false;
   return trial_is_bad_at_most_instances (counts, reason)
          || (now_ms - trial->acceptable_ms >= TRIAL_BAD_ANSWERS_WAIT_MS
@@ -278,7 +278,7 @@
   bool has_inconclusive_cell = false;
 
   if (trial_is_watched (trial, now_ms))
-    return !is_store_down && must_be_withdrawn (trial, &all, now_ms, reason)
+    return must_be_withdrawn (trial, &all, now_ms, is_store_down, reason)
                ? TRIAL_DECISION_WITHDRAW
                : TRIAL_DECISION_WAIT;
   if (trial->phase != TRIAL_PHASE_RUNNING || trial->start_ms == 0)
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -220,6 +220,10 @@
    third, at 30 requests per second, stays too long in a fifth of the
    roll-outs.  */
 #define TRIAL_TROUBLE_STDERRS 2.0
+/* Replaces TRIAL_TROUBLE_STDERRS when the version is to be declared good.  It
+   is larger, since with 2 a few good versions in a trouble of both versions
+   would be rolled back by chance.  */
+#define TRIAL_TROUBLE_HOLD_STDERRS 2.5
 /* Number of recent answers of the old version from which their share of
    failures is known.  */
 #define TRIAL_CALM_ANSWERS_MIN 50.0
--- a/packages/policy/trial_trouble.c
+++ b/packages/policy/trial_trouble.c
@@ -95,9 +95,11 @@
 }
 
 /* Return whether the new version fails clearly less often than the old version
-   has since its trouble began, so that it does not have that trouble.  */
+   has since its trouble began, by STDERRS standard errors, so that it does not
+   have that trouble.  */
 static bool
-is_without_trouble (const trial_trouble_t *trouble, const trial_tally_t *new)
+is_without_trouble (const trial_trouble_t *trouble, const trial_tally_t *new,
+                    double stderrs)
 {
   const trial_tally_t *old = &trouble->old;
 
@@ -109,8 +111,8 @@
       = (old_failed + new_failed + 1) / (old->answers + new->answers + 2);
   double std_error
       = sqrt (pooled * (1 - pooled) * (1 / old->answers + 1 / new->answers));
-  return old_failed / old->answers - new_failed / new->answers
-         > TRIAL_TROUBLE_STDERRS *std_error;
+  double difference = old_failed / old->answers - new_failed / new->answers;
+  return difference > stderrs * std_error;
 }
 
 /* Return whether the RECENT answers of the new version fail about as often as
@@ -137,7 +139,7 @@
   double good = share_above (trial->trouble.calm_share, TRIAL_GOOD_SHARE);
   double bad = share_above (trial->trouble.calm_share, TRIAL_BAD_SHARE);
 
-  return is_without_trouble (&trial->trouble, &new)
+  return is_without_trouble (&trial->trouble, &new, TRIAL_TROUBLE_HOLD_STDERRS)
          && failed * log (bad / good)
                 > (new.answers - failed) * log ((1 - good) / (1 - bad));
 }
@@ -151,7 +153,8 @@
   trial_tally_t recent = tally_growth (&new, &trouble->last_new);
 
   trial_tally_add (&recent, &trouble->second_new);
-  if (!is_without_trouble (trouble, &new) || !is_steady (&recent, &new)
+  if (!is_without_trouble (trouble, &new, TRIAL_TROUBLE_STDERRS)
+      || !is_steady (&recent, &new)
       || !trial_exceeds_share_at_most_instances (counts, trouble->calm_share))
     return false;
   if (reason != NULL)
