--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -30,10 +30,10 @@
    - Instances of different speed (policy/instance_speed.h): compared by the
      number of requests, the fast ones are idle while the others are crowded.
      As soon as one instance of a service has a known time factor, instances
-     are compared by the time that their requests take, and each is the
-     affinity instance of a part of the keys in proportion to its speed.  The
-     lasting factor counts, not the momentary one, which gains nothing as it
-     is over before a response ends.  Gateways that agree on the factors but
+     are compared by the time that their requests take, and the affinity
+     instance is one whose load is about the lowest.  The lasting factor
+     counts, not the momentary one, which gains nothing as it is over before a
+     response ends.  Gateways that agree on the factors but
      do not know each other's sends would all send to the fast instances, so
      an instance without a recent report counts as loaded like the others, and
      among instances of equal load each is selected in proportion to its
--- a/packages/policy/stream_move.c
+++ b/packages/policy/stream_move.c
@@ -72,7 +72,7 @@
                          uint64_t events)
 {
   double so_far = (double)events;
-  double left = STREAM_MOVE_HINT_FACTOR * (hint_events - so_far);
+  double left = hint_events - so_far;
 
   if (left < so_far * outrun_part)
     left = so_far * outrun_part;
--- a/packages/policy/stream_move.h
+++ b/packages/policy/stream_move.h
@@ -20,8 +20,8 @@
      the last second, or none.  Many gateways see a slow instance at the same
      time, and their loads at the other instances reach each other late.
 
-   The number of events left is uncertain, so it counts STREAM_MOVE_HINT_FACTOR
-   times in both times.  */
+   The number of events left follows from the caller's hint, which is accurate
+   at the median.  */
 
 #ifndef POLICY_STREAM_MOVE_H
 #define POLICY_STREAM_MOVE_H
@@ -37,7 +37,6 @@
 #define STREAM_MOVE_GAP_PART_MAX (2.0 / 3)
 #define STREAM_MOVE_BUDGET_PART 0.5
 #define STREAM_MOVE_SHARE_PER_S 0.1
-#define STREAM_MOVE_HINT_FACTOR 2.0
 
 enum
 {
