--- a/packages/gateway/speed_rows.c
+++ b/packages/gateway/speed_rows.c
@@ -78,7 +78,7 @@
 {
   double factor; /* 0: never.  */
   uint64_t at_ms;
-} told_t;
+} sent_factor_t;
 
 /* What is known of one process of an instance.  Times are monotonic, and
    factors are 0 if there is none.  */
@@ -87,14 +87,14 @@
   uint64_t process;
   double own; /* From the reports to this gateway.  */
   uint64_t own_ms;
-  told_t own_told; /* OWN as sent, or merged here.  */
-  double merged;   /* Mean over the gateways.  */
+  sent_factor_t own_sent; /* OWN as sent, or merged here.  */
+  double merged;          /* Mean over the gateways.  */
   uint64_t merged_ms;
   uint32_t merge_count;
-  told_t merged_told; /* MERGED as sent on.  */
-  double row;         /* Factor in the row.  */
-  uint64_t seen_ms;   /* Time at which the instance was last registered, or
-                         this entry was created.  */
+  sent_factor_t merged_sent; /* MERGED as sent on.  */
+  double row;                /* Factor in the row.  */
+  uint64_t seen_ms; /* Time at which the instance was last registered, or
+                       this entry was created.  */
 } entry_t;
 
 struct speed_rows
@@ -210,11 +210,11 @@
   speed_rows->is_changed = true;
 }
 
-/* Return whether FACTOR of ENTRY, found at FOUND_MS and last told as TOLD, is
-   to be told.  */
+/* Return whether FACTOR of ENTRY, found at FOUND_MS and last sent as SENT, is
+   to be sent.  */
 static bool
 is_due (const speed_rows_t *speed_rows, const entry_t *entry, double factor,
-        uint64_t found_ms, const told_t *told, uint64_t now_ms)
+        uint64_t found_ms, const sent_factor_t *sent, uint64_t now_ms)
 {
   if (factor == 0 || elapsed_ms (now_ms, found_ms) > FACTOR_AGE_MAX_MS)
     return false;
@@ -224,9 +224,9 @@
       && distance_from_1 (factor)
              < speed_rows->row_least + log (written_ratio))
     return false;
-  if (told->factor == 0 || differs (factor, told->factor, sent_ratio))
+  if (sent->factor == 0 || differs (factor, sent->factor, sent_ratio))
     return true;
-  return now_ms - told->at_ms >= RESEND_INTERVAL_MS
+  return now_ms - sent->at_ms >= RESEND_INTERVAL_MS
          && (entry->row == 0 || differs (factor, entry->row, written_ratio));
 }
 
@@ -234,10 +234,10 @@
 static void
 merge_own_if_due (speed_rows_t *speed_rows, entry_t *entry, uint64_t now_ms)
 {
-  if (!is_due (speed_rows, entry, entry->own, entry->own_ms, &entry->own_told,
+  if (!is_due (speed_rows, entry, entry->own, entry->own_ms, &entry->own_sent,
                now_ms))
     return;
-  entry->own_told = (told_t){ entry->own, now_ms };
+  entry->own_sent = (sent_factor_t){ entry->own, now_ms };
   merge (speed_rows, entry, entry->own, entry->own_ms);
 }
 
@@ -267,15 +267,16 @@
 list_if_due (speed_rows_t *speed_rows, entry_t *entry, bool is_intermediate,
              uint64_t now_ms)
 {
-  told_t *told = is_intermediate ? &entry->merged_told : &entry->own_told;
+  sent_factor_t *sent
+      = is_intermediate ? &entry->merged_sent : &entry->own_sent;
 
   if (is_intermediate)
     merge_own_if_due (speed_rows, entry, now_ms);
   double factor = is_intermediate ? entry->merged : entry->own;
   uint64_t found_ms = is_intermediate ? entry->merged_ms : entry->own_ms;
-  if (!is_due (speed_rows, entry, factor, found_ms, told, now_ms))
+  if (!is_due (speed_rows, entry, factor, found_ms, sent, now_ms))
     return;
-  *told = (told_t){ factor, now_ms };
+  *sent = (sent_factor_t){ factor, now_ms };
   speed_rows->list->entries[speed_rows->list->count++]
       = (speed_codec_entry_t){ entry->process, factor,
                                elapsed_ms (now_ms, found_ms) };
--- a/packages/policy/finish_time.h
+++ b/packages/policy/finish_time.h
@@ -22,8 +22,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Measured at engines with time factors of 0.55 to 3: 27 ms between two events
-   plus 2.6 ms for each request, and 92.1 prompt tokens a ms.  */
+/* Priors for an instance of usual speed.  */
 #define FINISH_TIME_GAP_MS 27.0
 #define FINISH_TIME_GAP_PER_REQUEST_MS 2.6
 #define FINISH_TIME_PROMPT_TOKENS_PER_MS 92.1
