--- a/review/1/case.c
+++ b/review/1/case.c
@@ -14,7 +14,7 @@
 
 enum
 {
-  CONSUMERS = 2,
+  GATEWAYS = 3, /* Each has one consumer.  */
   RUNNERS = 2,
   TRAFFIC_MS = 5000,
   BODY_BYTES = 4000000, /* Within maxBodyBytes, 4,194,304.  */
@@ -24,7 +24,26 @@
   FAULTY_INTERVAL = 20 /* One answer in so many is broken off.  */
 };
 
-static lab_gateway_t gateway;
+enum
+{
+  REQUESTS_MAX = 20000
+};
+
+typedef struct
+{
+  double sent_ms;
+  double run_ms;
+  double answered_ms;
+  const char *runner;
+  bool is_broken_off;
+  int status; /* 0: no answer.  */
+  bool is_complete;
+  size_t bytes;
+} attempt_t;
+
+static attempt_t attempts[REQUESTS_MAX];
+static lab_gateway_t gateways[GATEWAYS];
+static char *body;
 static lab_runner_t runners[RUNNERS];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static unsigned last_id;
@@ -63,6 +82,13 @@
   bool breaks_off = lab_trouble () && runner == &runners[0]
                     && ++faulty_runs % FAULTY_INTERVAL == 0;
   broken_off += breaks_off;
+  unsigned long index = strtoul (id, NULL, 16);
+  if (index < REQUESTS_MAX)
+    {
+      attempts[index].run_ms = lab_ms ();
+      attempts[index].runner = runner->id;
+      attempts[index].is_broken_off = breaks_off;
+    }
   pthread_mutex_unlock (&lock);
   int head_len
       = snprintf (answer, sizeof answer,
@@ -76,9 +102,6 @@
   if (breaks_off)
     {
       lab_abort_channel (fd);
-      lab_record ("runner %s breaks off its answer to %s after %d of %d "
-                  "bytes: reset",
-                  runner->id, id, FIRST_BYTES, ANSWER_BYTES);
       return;
     }
   read_rest (fd);
@@ -88,38 +111,61 @@
 static void
 judge (unsigned id, bool is_answered, const lab_message_t *response)
 {
+  attempt_t *attempt = &attempts[id];
+
   pthread_mutex_lock (&lock);
-  if (!is_answered || response->status != 200 || !response->is_complete)
+  attempt->answered_ms = lab_ms ();
+  if (is_answered)
     {
-      failed++;
-      lab_record ("request %016x: %s%d", id,
-                  is_answered ? "answered " : "no answer ",
-                  is_answered ? response->status : 0);
+      attempt->status = response->status;
+      attempt->is_complete = response->is_complete;
+      attempt->bytes = response->body_len;
     }
-  else if (response->body_len == ANSWER_BYTES)
+  if (attempt->status != 200 || !attempt->is_complete)
+    failed++;
+  else if (attempt->bytes == ANSWER_BYTES)
     whole++;
   else
+    cut++;
+  pthread_mutex_unlock (&lock);
+}
+
+static void
+record_attempts (void)
+{
+  for (unsigned id = 1; id <= last_id; id++)
     {
-      cut++;
-      lab_record ("BROKEN: request %016x: answered 200, complete, with %zu of "
-                  "%d bytes",
-                  id, response->body_len, ANSWER_BYTES);
+      const attempt_t *attempt = &attempts[id];
+      bool is_cut = attempt->status == 200 && attempt->is_complete
+                    && attempt->bytes != ANSWER_BYTES;
+      lab_record ("%srequest %016x: sent at %.1f; run by %s at %.1f%s; "
+                  "answered %d at %.1f, %zu bytes, %s",
+                  is_cut ? "BROKEN: " : "", id, attempt->sent_ms,
+                  attempt->runner != NULL ? attempt->runner : "none",
+                  attempt->run_ms,
+                  attempt->is_broken_off ? ", which broke off its answer "
+                                           "after 9000 of 30000 bytes (reset)"
+                                         : "",
+                  attempt->status, attempt->answered_ms, attempt->bytes,
+                  attempt->is_complete ? "complete" : "not complete");
     }
-  pthread_mutex_unlock (&lock);
 }
 
 static void *
 run_consumer (void *arg)
 {
-  const char *body = arg;
+  const lab_gateway_t *gateway = arg;
 
   while (lab_ms () < TRAFFIC_MS + 1000)
     {
       lab_message_t response;
       char head[512];
-      int fd = lab_connect (gateway.front);
+      int fd = lab_connect (gateway->front);
       pthread_mutex_lock (&lock);
       unsigned id = ++last_id;
+      if (id == REQUESTS_MAX)
+        lab_exit (EXIT_COULD_NOT_RUN);
+      attempts[id].sent_ms = lab_ms ();
       pthread_mutex_unlock (&lock);
       int len = snprintf (head, sizeof head,
                           "POST /tag/1 HTTP/1.1\r\nHost: desk.example\r\n"
@@ -151,7 +197,7 @@
 int
 main (int argc, char **argv)
 {
-  pthread_t threads[CONSUMERS];
+  pthread_t threads[GATEWAYS];
 
   if (argc != 3)
     return EXIT_COULD_NOT_RUN;
@@ -169,15 +215,23 @@
       runner->handler = answer_early;
       lab_runner_start (runner);
     }
-  lab_gateway_start (&gateway, "front-a-1", lab_store_open ("front-a-1"));
-  lab_gateway_wait_ready (&gateway);
+  for (int i = 0; i < GATEWAYS; i++)
+    {
+      char name[LAB_ID_MAX];
+      snprintf (name, sizeof name, "front-a-%d", i + 1);
+      lab_gateway_start (&gateways[i], name, lab_store_open (name));
+    }
+  for (int i = 0; i < GATEWAYS; i++)
+    lab_gateway_wait_ready (&gateways[i]);
   lab_sleep_ms (1000 - lab_ms ());
-  char *body = malloc (BODY_BYTES);
+  body = malloc (BODY_BYTES);
   memset (body, 'x', BODY_BYTES);
-  for (int i = 0; i < CONSUMERS; i++)
-    pthread_create (&threads[i], NULL, run_consumer, body);
-  for (int i = 0; i < CONSUMERS; i++)
+  for (int i = 0; i < GATEWAYS; i++)
+    pthread_create (&threads[i], NULL, run_consumer,
+                    &gateways[i]);
+  for (int i = 0; i < GATEWAYS; i++)
     pthread_join (threads[i], NULL);
+  record_attempts ();
   lab_record ("requests sent %u, runs %zu, answers broken off by a runner "
               "%zu; consumers got: whole %zu, failures %zu, cut but complete "
               "by their framing %zu",
