--- a/review/1/case.c
+++ b/review/1/case.c
@@ -5,6 +5,7 @@
 
 #include "../lab/lab.h"
 
+#include <math.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -16,7 +17,10 @@
 {
   GATEWAYS = 3, /* Each has one consumer.  */
   RUNNERS = 2,
-  TRAFFIC_MS = 5000,
+  START_MS = 1000,
+  PERIODS = 3, /* Of traffic, each of PERIOD_MS, one each INTERVAL_MS.  */
+  PERIOD_MS = 5000,
+  INTERVAL_MS = 8000,
   BODY_BYTES = 4000000, /* Within maxBodyBytes, 4,194,304.  */
   ANSWER_BYTES = 30000,
   WINDOW_BYTES = 16384,
@@ -156,8 +160,14 @@
 {
   const lab_gateway_t *gateway = arg;
 
-  while (lab_ms () < TRAFFIC_MS + 1000)
+  while (lab_ms () < START_MS + (PERIODS - 1) * INTERVAL_MS + PERIOD_MS)
     {
+      double in_interval_ms = fmod (lab_ms () - START_MS, INTERVAL_MS);
+      if (in_interval_ms > PERIOD_MS)
+        {
+          lab_sleep_ms (INTERVAL_MS - in_interval_ms);
+          continue;
+        }
       lab_message_t response;
       char head[512];
       int fd = lab_connect (gateway->front);
@@ -223,7 +233,7 @@
     }
   for (int i = 0; i < GATEWAYS; i++)
     lab_gateway_wait_ready (&gateways[i]);
-  lab_sleep_ms (1000 - lab_ms ());
+  lab_sleep_ms (START_MS - lab_ms ());
   body = malloc (BODY_BYTES);
   memset (body, 'x', BODY_BYTES);
   for (int i = 0; i < GATEWAYS; i++)
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 for case in review/*/case.c; do
   name=$(basename "$(dirname "$case")")
   cc -std=gnu11 -O2 -g -Wall -Wextra -pthread -o "target/review/case-$name" \
-    "$case" review/lab/lab.c -ljansson
+    "$case" review/lab/lab.c -ljansson -lm
 done
