http_exchange: a reset that the write of the request met cuts the response

Cause: the kernel gives the error of a socket to the first call that meets it. Only the read and the pending error (SO_ERROR) were asked for it; on_written dropped the status of the write. In a failing exchange (system calls, in this order): epoll_wait gives IN, OUT and ERR; read gives the 9115 bytes; write gives ECONNRESET; epoll_wait gives IN and HUP; read gives 0; SO_ERROR is 0. In one that held, with ERR only in the next epoll_wait, the read takes ECONNRESET.

Why this works: libuv delivers the status of a failed write in the turn of the loop in which it fails, so before any read after it. A write that failed now counts as a reset. Responses with a length or with chunks prove themselves that they are complete, and the half-closed and the late close of a sound server give no failed write.

--- a/packages/wire/http_exchange.c
+++ b/packages/wire/http_exchange.c
@@ -59,7 +59,9 @@
   bool has_response_head;
   bool no_body;
   bool paused;
-  bool closed; /* No further events are delivered.  */
+  bool has_write_failed; /* The server reset the connection, or closed it
+                            while the request was being written.  */
+  bool closed;           /* No further events are delivered.  */
   body_framing_t body_framing;
   /* Bytes of the body not received yet; used with BODY_LENGTH only.  */
   uint64_t body_bytes_left;
@@ -310,9 +312,10 @@
 }
 
 /* Return whether the connection was reset although the read reported its end.
-   A reset that arrives before the end is read is reported as a normal end, and
-   only the socket's pending error shows the reset.  Without this check the
-   first part of a response without a length is taken for a complete one.  */
+   The kernel reports an error of a connection only once, to the first call
+   that meets it.  If libuv infers the end without a read, the error is still
+   pending.  If the rest of the request was being written, the write took the
+   error, and the read and the pending error show a normal end.  */
 static bool
 was_reset (const http_exchange_t *exchange)
 {
@@ -320,6 +323,8 @@
   int error = 0;
   socklen_t len = sizeof error;
 
+  if (exchange->has_write_failed)
+    return true;
   if (uv_fileno ((const uv_handle_t *)&exchange->tcp, &fd) != 0
       || getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
     return true;
@@ -371,10 +376,10 @@
 {
   http_exchange_t *exchange = write->data;
 
-  (void)status;
-  /* A failed write is not reported here: the read fails too and ends the
-     exchange.  A server that responds early may close the connection before it
-     has read the whole request.  */
+  /* A failed write does not end the exchange: a server that responds early may
+     close the connection before it has read the whole request, and bytes of
+     its response may still wait to be read.  */
+  exchange->has_write_failed = status != 0;
   buf_free (&exchange->request);
 }
 
