httpc: a reset ends a response without a length as an incomplete one

What callers saw: on the path of entry and sidecar a response without a length that an upstream broke off by a reset arrived as a complete one; the same from the store and the operators' port.

Cause: h2o's client reports any end of the connection as the end of such a response, and libuv's read has taken the error off the socket by then.

Why this works: after a reset the connection is in the state CLOSE, after an end in order in CLOSE_WAIT, whoever took the error. Where the state can't be read the response is taken as before.

Test: reset_response_without_length_is_reported.

--- a/packages/wire/httpc.c
+++ b/packages/wire/httpc.c
@@ -4,6 +4,7 @@
 #include "wire/addr.h"
 
 #include <h2o.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 
 enum
@@ -42,7 +43,8 @@
   h2o_http1client_t *http;
   call_state_t state;
   bool is_head_request;
-  bool chunked; /* The response uses chunked transfer coding.  */
+  bool chunked;    /* The response uses chunked transfer coding.  */
+  bool has_length; /* The response has a Content-Length.  */
   /* h2o is the caller of the current event callback and must close the
      connection itself.  */
   bool in_callback;
@@ -206,6 +208,21 @@
   return !call->events_ended;
 }
 
+/* Return whether the connection of HTTP was reset.  h2o reports a reset as an
+   end and has taken the error off the socket, but the state of the connection
+   still tells it from a close in order.  */
+static bool
+was_reset (const h2o_http1client_t *http)
+{
+  struct tcp_info info;
+  socklen_t len = sizeof info;
+
+  return getsockopt (h2o_socket_get_fd (http->sock), IPPROTO_TCP, TCP_INFO,
+                     &info, &len)
+             == 0
+         && info.tcpi_state == TCP_CLOSE;
+}
+
 /* Return whether the end of the response that h2o reports in ERRSTR is the end
    of a complete response.  Like browsers, h2o accepts a connection that closes
    between two chunks as the end of the response, so that a partial response
@@ -215,8 +232,11 @@
 is_complete_response (const httpc_call_t *call, const h2o_http1client_t *http,
                       const char *errstr)
 {
-  return errstr == h2o_http1client_error_is_eos
-         && (!call->chunked || http->sock->bytes_read > 0);
+  if (errstr != h2o_http1client_error_is_eos)
+    return false;
+  if (call->chunked)
+    return http->sock->bytes_read > 0;
+  return call->has_length || !was_reset (http);
 }
 
 static int
@@ -261,6 +281,8 @@
       list[i].value = str_make (headers[i].value.base, headers[i].value.len);
       if (str_eq_nocase (list[i].name, STR ("transfer-encoding")))
         call->chunked = true;
+      if (str_eq_nocase (list[i].name, STR ("content-length")))
+        call->has_length = true;
     }
   call->in_callback = true;
   if (call->events->head != NULL)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,5 +1,6 @@
 /* Tests of the HTTP client and server against each other.  */
 
+#include "loopback.h"
 #include "wire/httpc.h"
 #include "wire/httpd.h"
 
@@ -520,6 +521,112 @@
 }
 END_TEST
 
+/* A raw server.  */
+typedef struct
+{
+  fixture_t *f;
+  uv_tcp_t listener;
+  uv_tcp_t conn;
+  uv_write_t write;
+  uv_timer_t timer;
+  const char *text; /* Sent in response to a request.  */
+  bool resets;
+} raw_peer_t;
+
+static void
+raw_write (raw_peer_t *raw)
+{
+  uv_buf_t buf = uv_buf_init ((char *)raw->text, strlen (raw->text));
+
+  uv_write (&raw->write, (uv_stream_t *)&raw->conn, &buf, 1, NULL);
+}
+
+static void
+raw_on_timer (uv_timer_t *timer)
+{
+  raw_peer_t *raw = timer->data;
+
+  if (raw->resets)
+    uv_tcp_close_reset (&raw->conn, NULL);
+  else
+    uv_close ((uv_handle_t *)&raw->conn, NULL);
+}
+
+static void
+raw_on_request (uv_stream_t *stream, ssize_t read_len, const uv_buf_t *buf)
+{
+  raw_peer_t *raw = stream->data;
+
+  (void)buf;
+  if (read_len <= 0)
+    return;
+  raw_write (raw);
+  uv_timer_start (&raw->timer, raw_on_timer, 20, 0);
+}
+
+static void
+raw_on_accept (uv_stream_t *listener, int status)
+{
+  raw_peer_t *raw = listener->data;
+
+  ck_assert_int_eq (status, 0);
+  uv_tcp_init (&raw->f->loop, &raw->conn);
+  raw->conn.data = raw;
+  uv_accept (listener, (uv_stream_t *)&raw->conn);
+  uv_read_start ((uv_stream_t *)&raw->conn, on_client_alloc, raw_on_request);
+}
+
+/* Return the result of a request to a server that responds with RESPONSE, and
+   then closes or, with RESETS, resets the connection.  */
+static vh_code_t
+fetch_from_raw_server (const char *response, bool resets)
+{
+  const httpc_request_t request = { .method = STR ("GET"), .path = STR ("/") };
+  fixture_t f;
+  raw_peer_t raw = { .f = &f, .text = response, .resets = resets };
+  char address[32];
+
+  setup (&f);
+  uv_timer_init (&f.loop, &raw.timer);
+  raw.timer.data = &raw;
+  snprintf (address, sizeof address, "127.0.0.1:%u",
+            loopback_listen (&f.loop, &raw.listener, &raw, raw_on_accept));
+  httpc_t *client = httpc_create (&f.loop, str_from (address), 0);
+  httpc_start (client, &request, &events, &f);
+  run_until (&f, &f.done);
+  uv_close ((uv_handle_t *)&raw.listener, NULL);
+  uv_close ((uv_handle_t *)&raw.timer, NULL);
+  if (!uv_is_closing ((uv_handle_t *)&raw.conn))
+    uv_close ((uv_handle_t *)&raw.conn, NULL);
+  httpc_destroy (client);
+  teardown (&f);
+  return f.code;
+}
+
+/* h2o's client reports a reset as the end of a response without a length.  */
+START_TEST (reset_response_without_length_is_reported)
+{
+  static const struct
+  {
+    const char *response;
+    bool resets;
+    vh_code_t code;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\n\r\nhalf", true, VH_E_UPSTREAM_CUT },
+    { "HTTP/1.1 200 OK\r\n\r\n", true, VH_E_UPSTREAM_CUT },
+    { "HTTP/1.1 200 OK\r\n\r\nwhole", false, VH_OK },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", true, VH_OK },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      vh_code_t code
+          = fetch_from_raw_server (cases[i].response, cases[i].resets);
+      ck_assert_msg (code == cases[i].code, "case %zu: code %d", i, code);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -534,6 +641,7 @@
   tcase_add_test (tcase, endless_body_keeps_a_fetch);
   tcase_add_test (tcase, truncated_response_is_reported);
   tcase_add_test (tcase, truncation_between_chunks_is_reported);
+  tcase_add_test (tcase, reset_response_without_length_is_reported);
   tcase_add_test (tcase, abort_before_head_is_reported);
   tcase_add_test (tcase, client_disconnect_is_detected);
   tcase_add_test (tcase, clients_disconnect_during_stream);
