httpd: an aborted response without a length resets the connection

What callers saw: a caller of HTTP/1.0 took a response without a length that was aborted, as its instance broke off, for a complete one.

Cause: httpd_abort shuts the socket down, which sends the end of the connection. With chunks or a length this shows that the response is not complete; for HTTP/1.0 without a length it is the mark of the end.

Why this works: such a connection is dissolved instead, and the kernel sends a reset. All others are shut down as before.

Test: aborted_response_looks_complete_to_http_1_0.

--- a/packages/wire/httpd.c
+++ b/packages/wire/httpd.c
@@ -851,6 +851,22 @@
   httpd_reply (req, status, &json, 1, body);
 }
 
+/* Shut the connection of SOCK down, so that the client takes the response of
+   REQ for incomplete.  A client of HTTP/1.0 takes the end of the connection
+   for that of a response without a length, and needs a reset.  */
+static void
+cut_connection (const httpd_req_t *req, h2o_socket_t *sock)
+{
+  const struct sockaddr unspecified = { .sa_family = AF_UNSPEC };
+  int fd = h2o_socket_get_fd (sock);
+  bool is_end_delimited
+      = req->h2o->version < 0x101 && req->h2o->res.content_length == SIZE_MAX;
+
+  /* Linux resets a TCP connection that is dissolved.  */
+  if (!is_end_delimited || connect (fd, &unspecified, sizeof unspecified) != 0)
+    shutdown (fd, SHUT_RDWR);
+}
+
 void
 httpd_abort (httpd_req_t *req)
 {
@@ -880,7 +896,7 @@
                            ? conn->callbacks->get_socket (conn)
                            : NULL;
   if (sock != NULL)
-    shutdown (h2o_socket_get_fd (sock), SHUT_RDWR);
+    cut_connection (req, sock);
   if (req->is_writing)
     {
       req->aborted = true;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -521,16 +521,19 @@
 }
 END_TEST
 
-/* A raw server.  */
+/* A raw peer of the client or the server under test.  */
 typedef struct
 {
   fixture_t *f;
   uv_tcp_t listener;
   uv_tcp_t conn;
+  uv_connect_t connect;
   uv_write_t write;
   uv_timer_t timer;
-  const char *text; /* Sent in response to a request.  */
+  const char *text; /* Sent once connected, or in response to a request.  */
   bool resets;
+  ssize_t end; /* Status of the last read.  */
+  bool is_ended;
 } raw_peer_t;
 
 static void
@@ -627,6 +630,69 @@
 }
 END_TEST
 
+static void
+raw_on_response (uv_stream_t *stream, ssize_t read_len, const uv_buf_t *buf)
+{
+  raw_peer_t *raw = stream->data;
+
+  (void)buf;
+  if (read_len > 0 && raw->f->held != NULL)
+    {
+      httpd_req_t *held = raw->f->held;
+      raw->f->held = NULL;
+      httpd_abort (held);
+    }
+  if (read_len >= 0)
+    return;
+  raw->end = read_len;
+  raw->is_ended = true;
+  uv_close ((uv_handle_t *)stream, NULL);
+}
+
+static void
+raw_on_connected (uv_connect_t *connect, int status)
+{
+  raw_peer_t *raw = connect->data;
+
+  ck_assert_int_eq (status, 0);
+  raw_write (raw);
+  uv_read_start ((uv_stream_t *)&raw->conn, on_client_alloc, raw_on_response);
+}
+
+/* A client of HTTP/1.0 takes the end of the connection for the end of a
+   response without a length, so an aborted one must end with a reset.  */
+START_TEST (aborted_response_looks_complete_to_http_1_0)
+{
+  static const struct
+  {
+    const char *request;
+    ssize_t end;
+  } cases[] = {
+    { "GET /cut HTTP/1.0\r\n\r\n", UV_ECONNRESET },
+    { "GET /big HTTP/1.0\r\n\r\n", UV_EOF },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      fixture_t f;
+      struct sockaddr_in addr;
+      raw_peer_t raw = { .f = &f, .text = cases[i].request };
+
+      setup (&f);
+      uv_ip4_addr ("127.0.0.1", httpd_port (f.server), &addr);
+      uv_tcp_init (&f.loop, &raw.conn);
+      raw.conn.data = &raw;
+      raw.connect.data = &raw;
+      uv_tcp_connect (&raw.connect, &raw.conn, (struct sockaddr *)&addr,
+                      raw_on_connected);
+      run_until (&f, &raw.is_ended);
+      ck_assert_msg (raw.end == cases[i].end, "case %zu: %s", i,
+                     uv_strerror ((int)raw.end));
+      teardown (&f);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -642,6 +708,7 @@
   tcase_add_test (tcase, truncated_response_is_reported);
   tcase_add_test (tcase, truncation_between_chunks_is_reported);
   tcase_add_test (tcase, reset_response_without_length_is_reported);
+  tcase_add_test (tcase, aborted_response_looks_complete_to_http_1_0);
   tcase_add_test (tcase, abort_before_head_is_reported);
   tcase_add_test (tcase, client_disconnect_is_detected);
   tcase_add_test (tcase, clients_disconnect_during_stream);
