trial: usual times are those of the route, not of its group of routes

Cause: one group of routes held requests of 2 ms and of 30 ms.

Why this works: each route's own mean takes the place of the group's.

--- a/packages/policy/regression.c
+++ b/packages/policy/regression.c
@@ -51,13 +51,11 @@
       }
 }
 
-double
-regression_predict (const regression_t *regression,
-                    const double factors[REGRESSION_FACTORS])
+void
+regression_solve (const regression_t *regression,
+                  double coefficients[REGRESSION_FACTORS])
 {
   double lower[REGRESSION_FACTORS][REGRESSION_FACTORS];
-  double coefficients[REGRESSION_FACTORS] = { 0 };
-  double value = 0;
 
   factorize (regression, lower);
   for (size_t i = 0; i < REGRESSION_FACTORS; i++)
@@ -74,6 +72,16 @@
         sum -= lower[k][i] * coefficients[k];
       coefficients[i] = sum / lower[i][i];
     }
+}
+
+double
+regression_predict (const regression_t *regression,
+                    const double factors[REGRESSION_FACTORS])
+{
+  double coefficients[REGRESSION_FACTORS] = { 0 };
+  double value = 0;
+
+  regression_solve (regression, coefficients);
   for (size_t i = 0; i < REGRESSION_FACTORS; i++)
     value += coefficients[i] * factors[i];
   return value;
--- a/packages/policy/regression.h
+++ b/packages/policy/regression.h
@@ -28,6 +28,10 @@
 void regression_decay (regression_t *regression, double factor);
 /* Return the total weight of the samples.  */
 double regression_weight (const regression_t *regression);
+/* Set COEFFICIENTS to those of the factors.  The total weight must be above
+   0.  */
+void regression_solve (const regression_t *regression,
+                       double coefficients[REGRESSION_FACTORS]);
 /* Return the expected value at FACTORS.  The total weight must be above
    0.  */
 double regression_predict (const regression_t *regression,
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -84,7 +84,10 @@
      with the old version's times for the same model, a prompt as long and
      an instance with the same load, by a regression of their logarithms; if
      load were ignored, a version eight times as slow would pass, since its
-     instances are nearly empty.  A time that is a fixed multiple of the
+     instances are nearly empty.  The mean of each route's own times takes the
+     place of the regression's constant: where one group holds routes of 2 ms
+     and of 30 ms, half of the good answers would be as late as those of a
+     slow version.  A time that is a fixed multiple of the
      usual one is late, and late answers are tested as failures are.
    - A fixed multiple shows little of a version that makes all times
      somewhat longer, or a few of them much longer while those of the old
@@ -461,7 +464,8 @@
 typedef struct
 {
   trial_timing_t timing;
-  uint64_t route;         /* Hash of the route.  */
+  uint64_t route;         /* Group of the route.  */
+  uint64_t route_name;    /* Hash of the route's name.  */
   size_t model;           /* Index of the model in the route's list.  */
   uint32_t prompt_tokens; /* Number of tokens of the prompt; 0: unknown.  */
   uint32_t load; /* Number of requests of all processes at the instance.  */
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -28,6 +28,11 @@
 static const double usual_log_prompt = 7;
 static const double usual_log_load = 2;
 
+/* Weight of a route's times from which they are known.  */
+static const double route_samples_min = 1.5;
+/* Weight of the group's mean in that of a route, in samples.  */
+static const double group_weight = 0.5;
+
 const trial_timing_properties_t trial_timings[TRIAL_TIMING_COUNT] = {
 #define X(symbol, late, samples, stderrs, independence, name)                 \
   [symbol] = { late, samples, stderrs, independence, name },
@@ -51,15 +56,6 @@
   SLOW_VERSIONS = sizeof slow_versions / sizeof slow_versions[0]
 };
 
-/* Return the logarithm of TIME by the usual time of the old version under the
-   same conditions.  The usual time must be known.  */
-static double
-log_ratio_to_usual (const regression_t *usual_times,
-                    const double factors[REGRESSION_FACTORS], double ms)
-{
-  return log (ms) - regression_predict (usual_times, factors);
-}
-
 static void
 set_factors (const trial_time_t *time, double factors[REGRESSION_FACTORS])
 {
@@ -110,27 +106,65 @@
   trial->has_unwritten_counts |= trial->phase == TRIAL_PHASE_RUNNING;
 }
 
-/* Set *LOG_RATIO to the logarithm of TIME by the usual time.  Return false if
-   the usual time is not known.  */
+/* Set *BASE to the logarithm of the usual time in the group of routes of TIME,
+   and return what its prompt and load add to it.  The usual time must have a
+   sample.  */
+static double
+effect_of_conditions (trial_t *trial, const trial_time_t *time, double *base)
+{
+  double factors[REGRESSION_FACTORS];
+  double coefficients[REGRESSION_FACTORS] = { 0 };
+  size_t group = FACTOR_ROUTE + time->route % TRIAL_ROUTE_CELLS;
+
+  set_factors (time, factors);
+  regression_solve (usual_times (trial, time), coefficients);
+  *base = coefficients[0] + coefficients[group];
+  return coefficients[FACTOR_PROMPT] * factors[FACTOR_PROMPT]
+         + coefficients[FACTOR_LOAD] * factors[FACTOR_LOAD];
+}
+
+/* Compare TIME with the usual time, and set *LOG_RATIO to the logarithm of
+   their ratio.  Return false if the usual time is not known.  */
 static bool
 compare_time (trial_t *trial, const trial_time_t *time, double *log_ratio)
 {
-  const regression_t *usual = usual_times (trial, time);
-  double factors[REGRESSION_FACTORS];
+  double weight = regression_weight (usual_times (trial, time));
+  const route_level_t *level = route_levels_find (
+      &trial->usual_levels[time->timing], time->route_name);
+  double base;
 
-  if (regression_weight (usual) < TRIAL_ANSWERS_MIN)
+  if (weight < TRIAL_ANSWERS_MIN || level == NULL
+      || level->weight < route_samples_min)
     return false;
-  set_factors (time, factors);
-  *log_ratio = log_ratio_to_usual (usual, factors, time->ms);
+  double effect = effect_of_conditions (trial, time, &base);
+  double usual
+      = (level->sum + base * group_weight) / (level->weight + group_weight);
+  *log_ratio = log (time->ms) - usual - effect;
   return true;
 }
 
+/* Add TIME of the old version to its usual times.  */
+static void
+add_usual_time (trial_t *trial, const trial_time_t *time)
+{
+  regression_t *usual = usual_times (trial, time);
+  double factors[REGRESSION_FACTORS];
+  double base;
+  double effect = regression_weight (usual) > 0
+                      ? effect_of_conditions (trial, time, &base)
+                      : 0;
+
+  route_levels_add (&trial->usual_levels[time->timing], time->route_name,
+                    log (time->ms) - effect);
+  set_factors (time, factors);
+  regression_add (usual, factors, log (time->ms));
+}
+
 bool
 trial_observe_timing (trial_t *trial, trial_arm_t arm,
                       const trial_time_t *measured)
 {
   trial_time_t time = *measured;
-  double factors[REGRESSION_FACTORS];
   double log_ratio;
   bool is_late = false;
 
@@ -145,10 +179,7 @@
         count_time (trial, arm, &time, log_ratio, is_late);
     }
   if (arm == TRIAL_ARM_OLD)
-    {
-      set_factors (&time, factors);
-      regression_add (usual_times (trial, &time), factors, log (time.ms));
-    }
+    add_usual_time (trial, &time);
   return is_late;
 }
 
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -14,6 +14,7 @@
 #include "policy/trial.h"
 
 #include "base/map.h"
+#include "policy/route_levels.h"
 
 enum
 {
@@ -82,6 +83,8 @@
   trial_trouble_t trouble;
   /* Logarithms of the old version's times at this process.  */
   regression_t usual_times[TRIAL_TIMING_COUNT][TRIAL_MODELS];
+  /* The same by route, without the effects of prompt and load.  */
+  route_levels_t usual_levels[TRIAL_TIMING_COUNT];
   map_t *peers; /* Maps the name of a process to its trial_counts_t.  */
   bool has_unwritten_counts; /* Whether a count changed since the last
                                 message.  */
--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -15,6 +15,7 @@
 target_sources (test_sendbudget PRIVATE budget_fleet.c budget_window.c)
 # The model of roll-outs, of the bench.
 vh_test (test_trial DEPENDS vh_rollout_model)
+vh_test (test_trial_times DEPENDS vh_policy)
 # One entry for each case, so that KNOWN-RED.txt can name one.
 add_executable (test_trial_masked test_trial_masked.c)
 set_target_properties (test_trial_masked PROPERTIES
--- /dev/null
+++ b/tests/test_trial_times.c
@@ -0,0 +1,177 @@
+/* Roll-outs of versions that differ in their times only, of a service with few
+   requests, whose routes take 2 ms and 30 ms.  */
+
+#include "policy/trial.h"
+#include "suite.h"
+
+#include "base/rng.h"
+
+#include <math.h>
+
+enum
+{
+  START_MS = 100000,
+  TIME_LIMIT_MS = 10000,
+  LENGTH_MS = 60000,
+  TICK_MS = 250,
+  SLOW_FACTOR = 8,
+  SEEDS = 40,
+  /* The operators' promise.  */
+  BAD_ANSWERS_MAX = 50,
+  ROLLBACK_MS = 5000
+};
+
+typedef struct
+{
+  trial_phase_t phase;
+  unsigned late_requests; /* Later than ROLLBACK_MS after the bad answer with
+                             the number BAD_ANSWERS_MAX.  */
+} result_t;
+
+typedef struct
+{
+  uint64_t hash;
+  double usual_ms;
+} route_t;
+
+static const route_t routes[] = { { 1, 30 }, { 2, 30 }, { 3, 2 }, { 4, 2 } };
+
+/* Return a time around USUAL_MS.  */
+static double
+draw_ms (rng_t *rng, double usual_ms)
+{
+  double sum = 0;
+
+  for (int i = 0; i < 12; i++)
+    sum += rng_double (rng);
+  return fmax (usual_ms * exp (0.4 * (sum - 6)), 1);
+}
+
+/* Count an answer of ARM.  Return whether it was slow.  */
+static bool
+answer (trial_t *trial, rng_t *rng, trial_arm_t arm, double slow_share,
+        uint64_t now_ms)
+{
+  const route_t *route = &routes[rng_below (rng, 4)];
+  double ms = draw_ms (rng, route->usual_ms);
+  bool is_slow = arm == TRIAL_ARM_NEW && rng_double (rng) < slow_share;
+
+  if (is_slow)
+    ms *= SLOW_FACTOR;
+  const trial_time_t time = { .timing = TRIAL_TIMING_FIRST_EVENT,
+                              .route_name = route->hash,
+                              .load = 1,
+                              .ms = ms,
+                              .now_ms = now_ms };
+  trial_count_request (trial, 0);
+  trial_observe (trial, arm, 0, TRIAL_OUTCOME_ANSWERED, (uint64_t)ms, false);
+  bool is_late = trial_observe_timing (trial, arm, &time);
+  if (is_late && arm == TRIAL_ARM_NEW)
+    trial_count_bad_answer (trial);
+  trial_count_answer (trial, arm, 0, rng_below (rng, 3),
+                      is_late ? TRIAL_FLAW_LATE : TRIAL_FLAW_NONE);
+  return is_slow;
+}
+
+static void
+decide (trial_t *trial, uint64_t now_ms)
+{
+  buf_t reason = BUF_NULL;
+
+  switch (trial_decide (trial, now_ms, false, &reason))
+    {
+    case TRIAL_DECISION_WAIT:
+      break;
+    case TRIAL_DECISION_ADVANCE:
+      trial_set_progress (trial, START_MS, trial_step (trial) + 1,
+                          now_ms + TRIAL_STEP_NOTICE_MS);
+      break;
+    case TRIAL_DECISION_ROLL_BACK:
+      trial_set_phase (trial, TRIAL_PHASE_ROLLED_BACK);
+      break;
+    case TRIAL_DECISION_FINISH:
+      trial_set_phase (trial, TRIAL_PHASE_DONE);
+      break;
+    case TRIAL_DECISION_WITHDRAW:
+      trial_set_phase (trial, TRIAL_PHASE_WITHDRAWN);
+      break;
+    }
+  buf_free (&reason);
+}
+
+/* Simulate a roll-out of a version of which SLOW_SHARE of the answers are
+   slow, with REQUESTS_PER_S.  */
+static result_t
+run_rollout (double slow_share, double requests_per_s, uint64_t seed)
+{
+  trial_t *trial
+      = trial_create (STR ("app"), STR ("v2"), 1, TIME_LIMIT_MS, 0.15);
+  rng_t rng = rng_make (seed);
+  result_t result = { 0 };
+  unsigned bad_answers = 0;
+  uint64_t limit_ms = UINT64_MAX;
+
+  trial_set_progress (trial, START_MS, 0, START_MS);
+  for (uint64_t ms = 0; ms < LENGTH_MS; ms += TICK_MS)
+    {
+      uint64_t now_ms = START_MS + ms;
+      double requests = requests_per_s * TICK_MS / 1000;
+      while (rng_double (&rng) < requests)
+        {
+          requests -= 1;
+          trial_arm_t arm = trial_is_assigned (trial, rng_u64 (&rng), now_ms)
+                                ? TRIAL_ARM_NEW
+                                : TRIAL_ARM_OLD;
+          result.late_requests += arm == TRIAL_ARM_NEW && now_ms > limit_ms;
+          if (answer (trial, &rng, arm, slow_share, now_ms)
+              && ++bad_answers == BAD_ANSWERS_MAX)
+            limit_ms = now_ms + ROLLBACK_MS;
+        }
+      if (ms % 1000 == 0)
+        trial_decay (trial);
+      decide (trial, now_ms);
+    }
+  result.phase = trial_phase (trial);
+  trial_destroy (trial);
+  return result;
+}
+
+/* Where routes of 2 ms and of 30 ms share a group, the times of a version that
+   answers half of the requests eight times slower looked like those of the old
+   version.  */
+START_TEST (slow_version_hides_behind_routes_of_different_length)
+{
+  static const double slow_shares[] = { 0.5, 0.8 };
+
+  for (size_t i = 0; i < sizeof slow_shares / sizeof slow_shares[0]; i++)
+    for (uint64_t seed = 1; seed <= SEEDS; seed++)
+      {
+        result_t result = run_rollout (slow_shares[i], 8, seed);
+        ck_assert_msg (result.late_requests == 0,
+                       "share %.1f, seed %d: %u late requests, phase %s",
+                       slow_shares[i], (int)seed, result.late_requests,
+                       trial_phase_name (result.phase));
+      }
+}
+END_TEST
+
+/* A good version of such a service stays in service.  */
+START_TEST (good_version_is_withdrawn)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    ck_assert_msg (run_rollout (0, 8, seed).phase != TRIAL_PHASE_WITHDRAWN,
+                   "seed %d", (int)seed);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("times in a trial");
+  TCase *tcase = tcase_create ("times in a trial");
+
+  tcase_add_test (tcase, slow_version_hides_behind_routes_of_different_length);
+  tcase_add_test (tcase, good_version_is_withdrawn);
+  suite_add_tcase (suite, tcase);
+  return suite_run (suite);
+}
