trial: the usual times of a service are known before an order

What callers saw: on a service with three to eight requests a second a version that answered a quarter or half of them eight times slower stayed in service after its 50th bad answer.

Cause: the old version's usual times were learned from the order on, at each gateway apart. All earlier answers of the same version had been thrown away.

Why this works: gateways keep the usual times and their histogram for up to 64 services, 10 KiB each, and a trial starts with them. Nothing changes after the order.

--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -371,6 +371,10 @@
     trial_destroy (value);
   map_destroy (state->trials);
   cursor = 0;
+  while (map_next (state->usual_times, &cursor, &key, &value))
+    free (value);
+  map_destroy (state->usual_times);
+  cursor = 0;
   while (map_next (state->retry_budgets, &cursor, &key, &value))
     send_budget_destroy (value);
   map_destroy (state->retry_budgets);
@@ -522,6 +526,7 @@
   state->pool = pool_create (clock, rng_u64 (&state->rng), &pool_options);
   state->prober = prober_create (loop, on_probe_done, state);
   state->trials = map_create ();
+  state->usual_times = map_create ();
   state->retry_budgets = map_create ();
   state->escalations = map_create ();
   state->finish_times = map_create ();
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -82,10 +82,11 @@
                                       configuration began, in ms of the boot
                                       clock; 0 if none is being loaded.  */
   map_t *trials;                   /* Map of service name to trial_t.  */
-  map_t *retry_budgets;            /* Map of service name to send_budget_t.  */
-  map_t *escalations;              /* Map of service name to escalation_t.  */
-  map_t *finish_times;             /* Map of service name to finish_time_t.  */
-  stream_moves_t stream_moves;     /* Moves of streams in the last second.  */
+  map_t *usual_times;   /* Map of service name to trial_usual_times_t.  */
+  map_t *retry_budgets; /* Map of service name to send_budget_t.  */
+  map_t *escalations;   /* Map of service name to escalation_t.  */
+  map_t *finish_times;  /* Map of service name to finish_time_t.  */
+  stream_moves_t stream_moves; /* Moves of streams in the last second.  */
   /* Registered gateway processes, among which the limits that all gateway
      processes share are divided.  */
   allotment_t *allotment;
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -1,10 +1,18 @@
 #include "gateway/crash_recordsint.h"
 #include "gateway/relayint.h"
 
+#include "base/mem.h"
+
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+enum
+{
+  /* Number of services whose usual times are known, of about 10 KiB each.  */
+  USUAL_TIMES_SERVICES_MAX = 64
+};
+
 static void
 on_timer_closed (void *arg)
 {
@@ -131,15 +139,37 @@
                              relay->state->operator_rows_sync) };
 }
 
+/* Record TIME of the version in service.  */
+static void
+record_usual_time (const relay_t *relay, const trial_time_t *time)
+{
+  map_t *usual_times = relay->state->usual_times;
+  str_t service = relay->attrs.service->name;
+  const trial_t *trial = relay_trial (relay);
+  trial_usual_times_t *usual = map_get (usual_times, service);
+
+  /* Answers of a version that was rolled back are not usual.  */
+  if (trial != NULL && trial_is_reverted (trial)
+      && str_eq (upstream_version (relay->upstream), trial_version (trial)))
+    return;
+  if (usual == NULL && map_size (usual_times) < USUAL_TIMES_SERVICES_MAX)
+    {
+      usual = mem_zalloc (sizeof *usual);
+      map_put (usual_times, service, usual);
+    }
+  if (usual != NULL)
+    trial_usual_times_add (usual, time);
+}
+
 void
 relay_record_timing (relay_t *relay, trial_timing_t timing, double duration_ms)
 {
   trial_t *trial = observed_trial (relay);
+  const trial_time_t time = measured_time (relay, timing, duration_ms);
 
   if (trial == NULL)
-    return;
-  const trial_time_t time = measured_time (relay, timing, duration_ms);
-  if (trial_observe_timing (trial, relay_trial_arm (relay), &time))
+    record_usual_time (relay, &time);
+  else if (trial_observe_timing (trial, relay_trial_arm (relay), &time))
     count_bad_answer (relay, trial);
 }
 
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -286,6 +286,10 @@
       trial_set_order_seen_ms (
           trial, table_sync_store_now_ms (state->operator_rows_sync));
       trial_set_process_id (trial, process_id (rollouts, trial));
+      const trial_usual_times_t *usual
+          = map_get (state->usual_times, spec.service);
+      if (usual != NULL)
+        trial_set_usual_times (trial, usual);
       map_put (state->trials, spec.service, trial);
       log_event (EVENT_ROLLOUT, log_field_text (FIELD_SERVICE, spec.service),
                  log_field_text (FIELD_VERSION, spec.version),
@@ -585,6 +589,10 @@
 
   while (map_next (rollouts->state->trials, &cursor, &service, &value))
     run_trial_step (rollouts, service, value, has_second_elapsed);
+  cursor = 0;
+  while (has_second_elapsed
+         && map_next (rollouts->state->usual_times, &cursor, &service, &value))
+    trial_usual_times_decay (value);
 }
 
 rollouts_t *
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -102,6 +102,7 @@
 #include "base/code.h"
 #include "base/str.h"
 #include "policy/regression.h"
+#include "policy/route_levels.h"
 
 #define TRIAL_FAILURE_EXCESS 0.15
 #define TRIAL_FAILURE_STDERRS 3.0
@@ -473,6 +474,26 @@
   uint64_t now_ms; /* End of the time by the store's clock.  */
 } trial_time_t;
 
+/* The usual times of the version of a service that is in service, whether or
+   not another version is ordered.  A version may have too little time to
+   learn them after its order.  */
+typedef struct
+{
+  /* Logarithms of the times.  */
+  regression_t regressions[TRIAL_TIMING_COUNT][TRIAL_MODELS];
+  /* The same by route, without the effects of prompt and load.  */
+  route_levels_t levels[TRIAL_TIMING_COUNT];
+  /* Histograms of the logarithms of ratios to the usual time.  */
+  double times[TRIAL_TIMING_COUNT][TRIAL_TIME_BINS + 1];
+} trial_usual_times_t;
+
+/* Add TIME to USUAL, which is all 0 at first.  */
+void trial_usual_times_add (trial_usual_times_t *usual,
+                            const trial_time_t *time);
+/* Let a second pass for USUAL.  */
+void trial_usual_times_decay (trial_usual_times_t *usual);
+/* Take the old version's times before the order from USUAL.  */
+void trial_set_usual_times (trial_t *trial, const trial_usual_times_t *usual);
 /* Count TIME of a send to ARM.  Return whether it is late.  */
 bool trial_observe_timing (trial_t *trial, trial_arm_t arm,
                            const trial_time_t *time);
--- a/packages/policy/trial_evidence.c
+++ b/packages/policy/trial_evidence.c
@@ -234,13 +234,8 @@
   trial_counts_t all = trial_total_counts (trial, false);
   trial_track_trouble (trial, &all);
   counts_decay (&trial->own_counts, is_running);
-  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT && is_running; timing++)
-    route_levels_decay (&trial->usual_levels[timing],
-                        TRIAL_TIMING_DECAY_PER_S);
-  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT && is_running; timing++)
-    for (size_t model = 0; model < TRIAL_MODELS; model++)
-      regression_decay (&trial->usual_times[timing][model],
-                        TRIAL_TIMING_DECAY_PER_S);
+  if (is_running)
+    trial_usual_times_decay (&trial->usual);
   while (map_next (trial->peers, &cursor, &key, &value))
     {
       counts_decay (value, is_running);
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -1,6 +1,7 @@
 #include "policy/trialint.h"
 
 #include <math.h>
+#include <string.h>
 
 enum
 {
@@ -70,11 +71,11 @@
 }
 
 static regression_t *
-usual_times (trial_t *trial, const trial_time_t *time)
+usual_times (trial_usual_times_t *usual, const trial_time_t *time)
 {
   size_t model = time->model < TRIAL_MODELS ? time->model : TRIAL_MODELS - 1;
 
-  return &trial->usual_times[time->timing][model];
+  return &usual->regressions[time->timing][model];
 }
 
 /* Return whether a first event of ARM may be late because the version's
@@ -88,6 +89,16 @@
                 < trial->step_start_ms + TRIAL_WARM_UP_MS + (uint64_t)time->ms;
 }
 
+/* Return the bin of a time whose logarithm exceeds that of the usual time by
+   LOG_RATIO.  */
+static size_t
+time_bin (double log_ratio)
+{
+  double bin = ceil ((log_ratio - second_bin) / bin_width);
+
+  return (size_t)fmin (fmax (bin, 0), TRIAL_TIME_BINS - 1);
+}
+
 /* Count TIME of ARM, whose logarithm exceeds that of the usual time by
    LOG_RATIO.  */
 static void
@@ -96,13 +107,10 @@
 {
   trial_sums_t *sums
       = &trial->own_counts.sums[arm][time->route % TRIAL_ROUTE_CELLS];
-  double bin = ceil ((log_ratio - second_bin) / bin_width);
 
   sums->timing_count[time->timing] += 1;
   sums->late_count[time->timing] += is_late;
-  trial->own_counts.times[arm][time->timing]
-                         [(size_t)fmin (fmax (bin, 0), TRIAL_TIME_BINS - 1)]
-      += 1;
+  trial->own_counts.times[arm][time->timing][time_bin (log_ratio)] += 1;
   trial->has_unwritten_counts |= trial->phase == TRIAL_PHASE_RUNNING;
 }
 
@@ -110,14 +118,15 @@
    and return what its prompt and load add to it.  The usual time must have a
    sample.  */
 static double
-effect_of_conditions (trial_t *trial, const trial_time_t *time, double *base)
+effect_of_conditions (trial_usual_times_t *usual, const trial_time_t *time,
+                      double *base)
 {
   double factors[REGRESSION_FACTORS];
   double coefficients[REGRESSION_FACTORS] = { 0 };
   size_t group = FACTOR_ROUTE + time->route % TRIAL_ROUTE_CELLS;
 
   set_factors (time, factors);
-  regression_solve (usual_times (trial, time), coefficients);
+  regression_solve (usual_times (usual, time), coefficients);
   *base = coefficients[0] + coefficients[group];
   return coefficients[FACTOR_PROMPT] * factors[FACTOR_PROMPT]
          + coefficients[FACTOR_LOAD] * factors[FACTOR_LOAD];
@@ -126,38 +135,85 @@
 /* Compare TIME with the usual time, and set *LOG_RATIO to the logarithm of
    their ratio.  Return false if the usual time is not known.  */
 static bool
-compare_time (trial_t *trial, const trial_time_t *time, double *log_ratio)
+compare_time (trial_usual_times_t *usual, const trial_time_t *time,
+              double *log_ratio)
 {
-  double weight = regression_weight (usual_times (trial, time));
-  const route_level_t *level = route_levels_find (
-      &trial->usual_levels[time->timing], time->route_name);
+  double weight = regression_weight (usual_times (usual, time));
+  const route_level_t *level
+      = route_levels_find (&usual->levels[time->timing], time->route_name);
   double base;
 
   if (weight < TRIAL_ANSWERS_MIN || level == NULL
       || level->weight < route_samples_min)
     return false;
-  double effect = effect_of_conditions (trial, time, &base);
-  double usual
+  double effect = effect_of_conditions (usual, time, &base);
+  double log_usual
       = (level->sum + base * group_weight) / (level->weight + group_weight);
-  *log_ratio = log (time->ms) - usual - effect;
+  *log_ratio = log (time->ms) - log_usual - effect;
   return true;
 }
 
-/* Add TIME of the old version to its usual times.  */
+/* Add TIME to USUAL, but for the histograms.  */
 static void
-add_usual_time (trial_t *trial, const trial_time_t *time)
+add_usual_time (trial_usual_times_t *usual, const trial_time_t *time)
 {
-  regression_t *usual = usual_times (trial, time);
+  regression_t *regression = usual_times (usual, time);
   double factors[REGRESSION_FACTORS];
   double base;
-  double effect = regression_weight (usual) > 0
-                      ? effect_of_conditions (trial, time, &base)
+  double effect = regression_weight (regression) > 0
+                      ? effect_of_conditions (usual, time, &base)
                       : 0;
 
-  route_levels_add (&trial->usual_levels[time->timing], time->route_name,
+  route_levels_add (&usual->levels[time->timing], time->route_name,
                     log (time->ms) - effect);
   set_factors (time, factors);
-  regression_add (usual, factors, log (time->ms));
+  regression_add (regression, factors, log (time->ms));
+}
+
+/* Return the time of MEASURED, or 0 if it is not valid.  */
+static double
+valid_ms (const trial_time_t *measured)
+{
+  return measured->timing == TRIAL_TIMING_FIRST_EVENT
+             ? fmax (measured->ms, CLOCK_RESOLUTION_MS)
+             : fmax (measured->ms, 0);
+}
+
+void
+trial_usual_times_add (trial_usual_times_t *usual,
+                       const trial_time_t *measured)
+{
+  trial_time_t time = *measured;
+  double log_ratio;
+
+  time.ms = valid_ms (measured);
+  if (time.ms <= 0)
+    return;
+  if (compare_time (usual, &time, &log_ratio))
+    usual->times[time.timing][time_bin (log_ratio)] += 1;
+  add_usual_time (usual, &time);
+}
+
+void
+trial_usual_times_decay (trial_usual_times_t *usual)
+{
+  for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
+    {
+      route_levels_decay (&usual->levels[timing], TRIAL_TIMING_DECAY_PER_S);
+      for (size_t model = 0; model < TRIAL_MODELS; model++)
+        regression_decay (&usual->regressions[timing][model],
+                          TRIAL_TIMING_DECAY_PER_S);
+      for (size_t bin = 0; bin <= TRIAL_TIME_BINS; bin++)
+        usual->times[timing][bin] *= TRIAL_TIMING_DECAY_PER_S;
+    }
+}
+
+void
+trial_set_usual_times (trial_t *trial, const trial_usual_times_t *usual)
+{
+  trial->usual = *usual;
+  memcpy (trial->own_counts.times[TRIAL_ARM_OLD], usual->times,
+          sizeof usual->times);
 }
 
 bool
@@ -168,18 +224,17 @@
   double log_ratio;
   bool is_late = false;
 
-  if (time.timing == TRIAL_TIMING_FIRST_EVENT)
-    time.ms = fmax (time.ms, CLOCK_RESOLUTION_MS);
+  time.ms = valid_ms (measured);
   if (time.ms <= 0)
     return false;
-  if (compare_time (trial, &time, &log_ratio))
+  if (compare_time (&trial->usual, &time, &log_ratio))
     {
       is_late = log_ratio > log (trial_timings[time.timing].late_factor);
       if (!is_warming_up (trial, arm, &time))
         count_time (trial, arm, &time, log_ratio, is_late);
     }
   if (arm == TRIAL_ARM_OLD)
-    add_usual_time (trial, &time);
+    add_usual_time (&trial->usual, &time);
   return is_late;
 }
 
@@ -190,7 +245,7 @@
   double log_ratio;
 
   if (is_warming_up (trial, arm, wait) || wait->ms <= 0
-      || !compare_time (trial, wait, &log_ratio))
+      || !compare_time (&trial->usual, wait, &log_ratio))
     return false;
   bool is_late = log_ratio > log (trial_timings[wait->timing].late_factor);
   if (is_late)
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -14,7 +14,6 @@
 #include "policy/trial.h"
 
 #include "base/map.h"
-#include "policy/route_levels.h"
 
 enum
 {
@@ -81,10 +80,8 @@
                                  phase.  */
   trial_counts_t own_counts;
   trial_trouble_t trouble;
-  /* Logarithms of the old version's times at this process.  */
-  regression_t usual_times[TRIAL_TIMING_COUNT][TRIAL_MODELS];
-  /* The same by route, without the effects of prompt and load.  */
-  route_levels_t usual_levels[TRIAL_TIMING_COUNT];
+  /* The old version's, at this process; the histograms are in OWN_COUNTS.  */
+  trial_usual_times_t usual;
   map_t *peers; /* Maps the name of a process to its trial_counts_t.  */
   bool has_unwritten_counts; /* Whether a count changed since the last
                                 message.  */
--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -15,7 +15,18 @@
 target_sources (test_sendbudget PRIVATE budget_fleet.c budget_window.c)
 # The model of roll-outs, of the bench.
 vh_test (test_trial DEPENDS vh_rollout_model)
-vh_test (test_trial_times DEPENDS vh_policy)
+# One entry for each case, so that KNOWN-RED.txt can name one.
+add_executable (test_trial_times test_trial_times.c)
+set_target_properties (test_trial_times PROPERTIES
+  RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
+target_link_libraries (test_trial_times PRIVATE vh_policy PkgConfig::CHECK)
+foreach (case "routes" "usual times" "three a second" "good version")
+  string (REPLACE " " "_" name "trial_times_${case}")
+  add_test (NAME ${name} COMMAND test_trial_times
+    WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  set_tests_properties (${name} PROPERTIES TIMEOUT 60
+    ENVIRONMENT "CK_FORK=no;CK_RUN_CASE=${case}")
+endforeach ()
 # One entry for each case, so that KNOWN-RED.txt can name one.
 add_executable (test_trial_masked test_trial_masked.c)
 set_target_properties (test_trial_masked PROPERTIES
--- a/tests/test_trial_times.c
+++ b/tests/test_trial_times.c
@@ -4,6 +4,7 @@
 #include "policy/trial.h"
 #include "suite.h"
 
+#include "base/mem.h"
 #include "base/rng.h"
 
 #include <math.h>
@@ -99,10 +100,36 @@
   buf_free (&reason);
 }
 
+/* Let TRIAL know the usual times of KNOWN_MS before its order.  */
+static void
+set_usual_times (trial_t *trial, rng_t *rng, double requests_per_s,
+                 uint64_t known_ms)
+{
+  trial_usual_times_t *usual = mem_zalloc (sizeof *usual);
+
+  for (uint64_t ms = 0; ms < known_ms; ms += 1000)
+    {
+      for (int i = 0; i < requests_per_s; i++)
+        {
+          const route_t *route = &routes[rng_below (rng, 4)];
+          const trial_time_t time = { .timing = TRIAL_TIMING_FIRST_EVENT,
+                                      .route_name = route->hash,
+                                      .load = 1,
+                                      .ms = draw_ms (rng, route->usual_ms) };
+          trial_usual_times_add (usual, &time);
+        }
+      trial_usual_times_decay (usual);
+    }
+  trial_set_usual_times (trial, usual);
+  free (usual);
+}
+
 /* Simulate a roll-out of a version of which SLOW_SHARE of the answers are
-   slow, with REQUESTS_PER_S.  */
+   slow, with REQUESTS_PER_S, where the usual times are known since KNOWN_MS
+   before the order.  */
 static result_t
-run_rollout (double slow_share, double requests_per_s, uint64_t seed)
+run_rollout (double slow_share, double requests_per_s, uint64_t known_ms,
+             uint64_t seed)
 {
   trial_t *trial
       = trial_create (STR ("app"), STR ("v2"), 1, TIME_LIMIT_MS, 0.15);
@@ -111,6 +138,7 @@
   unsigned bad_answers = 0;
   uint64_t limit_ms = UINT64_MAX;
 
+  set_usual_times (trial, &rng, requests_per_s, known_ms);
   trial_set_progress (trial, START_MS, 0, START_MS);
   for (uint64_t ms = 0; ms < LENGTH_MS; ms += TICK_MS)
     {
@@ -146,7 +174,7 @@
   for (size_t i = 0; i < sizeof slow_shares / sizeof slow_shares[0]; i++)
     for (uint64_t seed = 1; seed <= SEEDS; seed++)
       {
-        result_t result = run_rollout (slow_shares[i], 8, seed);
+        result_t result = run_rollout (slow_shares[i], 8, 0, seed);
         ck_assert_msg (result.late_requests == 0,
                        "share %.1f, seed %d: %u late requests, phase %s",
                        slow_shares[i], (int)seed, result.late_requests,
@@ -155,23 +183,69 @@
 }
 END_TEST
 
+static void
+check_known_times (double slow_share, double requests_per_s)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      result_t result = run_rollout (slow_share, requests_per_s, 20000, seed);
+      ck_assert_msg (result.late_requests == 0,
+                     "share %.2f, seed %d: %u late requests, phase %s",
+                     slow_share, (int)seed, result.late_requests,
+                     trial_phase_name (result.phase));
+    }
+}
+
+/* Between the order and the time limit a service has too few answers of the
+   old version to tell that a part of the new one's are slow.  */
+START_TEST (slow_version_hides_as_usual_times_are_unknown)
+{
+  check_known_times (0.25, 8);
+  check_known_times (0.25, 6);
+  check_known_times (0.5, 4);
+}
+END_TEST
+
+/* The same with three requests a second.  */
+START_TEST (slow_version_hides_at_three_requests_a_second)
+{
+  check_known_times (0.5, 3);
+}
+END_TEST
+
 /* A good version of such a service stays in service.  */
 START_TEST (good_version_is_withdrawn)
 {
-  for (uint64_t seed = 1; seed <= SEEDS; seed++)
-    ck_assert_msg (run_rollout (0, 8, seed).phase != TRIAL_PHASE_WITHDRAWN,
-                   "seed %d", (int)seed);
+  static const uint64_t known_ms_values[] = { 0, 20000 };
+
+  for (size_t i = 0; i < 2; i++)
+    for (uint64_t seed = 1; seed <= SEEDS; seed++)
+      ck_assert_msg (run_rollout (0, 8, known_ms_values[i], seed).phase
+                         != TRIAL_PHASE_WITHDRAWN,
+                     "seed %d", (int)seed);
 }
 END_TEST
 
+static void
+add_case (Suite *suite, const char *name, const TTest *test)
+{
+  TCase *tcase = tcase_create (name);
+
+  tcase_add_test (tcase, test);
+  suite_add_tcase (suite, tcase);
+}
+
 int
 main (void)
 {
   Suite *suite = suite_create ("times in a trial");
-  TCase *tcase = tcase_create ("times in a trial");
 
-  tcase_add_test (tcase, slow_version_hides_behind_routes_of_different_length);
-  tcase_add_test (tcase, good_version_is_withdrawn);
-  suite_add_tcase (suite, tcase);
+  add_case (suite, "routes",
+            slow_version_hides_behind_routes_of_different_length);
+  add_case (suite, "usual times",
+            slow_version_hides_as_usual_times_are_unknown);
+  add_case (suite, "three a second",
+            slow_version_hides_at_three_requests_a_second);
+  add_case (suite, "good version", good_version_is_withdrawn);
   return suite_run (suite);
 }
