trial: a usual time needs a sample's weight for its prompt and load

Decayed sums near the smallest number lose their precision, and a coefficient that is not a number would stay in the level of a route.

--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  /* Number of services whose usual times are known, of about 10 KiB each.  */
+  /* Number of services whose usual times are known, of about 10 KiB each.
+     XXX: services that are gone keep their places.  */
   USUAL_TIMES_SERVICES_MAX = 64
 };
 
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -492,7 +492,8 @@
                             const trial_time_t *time);
 /* Let a second pass for USUAL.  */
 void trial_usual_times_decay (trial_usual_times_t *usual);
-/* Take the old version's times before the order from USUAL.  */
+/* Set the old version's times before the order to USUAL.  Called before any
+   time is counted.  */
 void trial_set_usual_times (trial_t *trial, const trial_usual_times_t *usual);
 /* Count TIME of a send to ARM.  Return whether it is late.  */
 bool trial_observe_timing (trial_t *trial, trial_arm_t arm,
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -160,7 +160,7 @@
   regression_t *regression = usual_times (usual, time);
   double factors[REGRESSION_FACTORS];
   double base;
-  double effect = regression_weight (regression) > 0
+  double effect = regression_weight (regression) >= 1
                       ? effect_of_conditions (usual, time, &base)
                       : 0;
 
@@ -170,7 +170,7 @@
   regression_add (regression, factors, log (time->ms));
 }
 
-/* Return the time of MEASURED, or 0 if it is not valid.  */
+/* Return the time of MEASURED in ms, which is above 0 if it is valid.  */
 static double
 valid_ms (const trial_time_t *measured)
 {
