trial: the regression is solved once for each time

Cause: since the usual times of routes each time of the old version solved the regression twice, before and after it was added.

Change: the expected time is computed once and serves the comparison and the route's level.

--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -114,60 +114,63 @@
   trial->has_unwritten_counts |= trial->phase == TRIAL_PHASE_RUNNING;
 }
 
-/* Set *BASE to the logarithm of the usual time in the group of routes of TIME,
-   and return what its prompt and load add to it.  The usual time must have a
+/* The logarithm of a usual time, in two parts.  */
+typedef struct
+{
+  double group;      /* Of the group of routes.  */
+  double conditions; /* What the prompt and the load add to it.  */
+} expected_t;
+
+/* Return what USUAL expects under the conditions of TIME; 0 if it has hardly a
    sample.  */
-static double
-effect_of_conditions (trial_usual_times_t *usual, const trial_time_t *time,
-                      double *base)
+static expected_t
+expect_time (trial_usual_times_t *usual, const trial_time_t *time)
 {
+  const regression_t *regression = usual_times (usual, time);
   double factors[REGRESSION_FACTORS];
   double coefficients[REGRESSION_FACTORS] = { 0 };
   size_t group = FACTOR_ROUTE + time->route % TRIAL_ROUTE_CELLS;
 
+  if (regression_weight (regression) < 1)
+    return (expected_t){ 0 };
   set_factors (time, factors);
-  regression_solve (usual_times (usual, time), coefficients);
-  *base = coefficients[0] + coefficients[group];
-  return coefficients[FACTOR_PROMPT] * factors[FACTOR_PROMPT]
-         + coefficients[FACTOR_LOAD] * factors[FACTOR_LOAD];
+  regression_solve (regression, coefficients);
+  return (expected_t){ .group = coefficients[0] + coefficients[group],
+                       .conditions
+                       = coefficients[FACTOR_PROMPT] * factors[FACTOR_PROMPT]
+                         + coefficients[FACTOR_LOAD] * factors[FACTOR_LOAD] };
 }
 
 /* Compare TIME with the usual time, and set *LOG_RATIO to the logarithm of
    their ratio.  Return false if the usual time is not known.  */
 static bool
 compare_time (trial_usual_times_t *usual, const trial_time_t *time,
-              double *log_ratio)
+              const expected_t *expected, double *log_ratio)
 {
   double weight = regression_weight (usual_times (usual, time));
   const route_level_t *level
       = route_levels_find (&usual->levels[time->timing], time->route_name);
-  double base;
 
   if (weight < TRIAL_ANSWERS_MIN || level == NULL
       || level->weight < route_samples_min)
     return false;
-  double effect = effect_of_conditions (usual, time, &base);
-  double log_usual
-      = (level->sum + base * group_weight) / (level->weight + group_weight);
-  *log_ratio = log (time->ms) - log_usual - effect;
+  double log_usual = (level->sum + expected->group * group_weight)
+                     / (level->weight + group_weight);
+  *log_ratio = log (time->ms) - log_usual - expected->conditions;
   return true;
 }
 
 /* Add TIME to USUAL, but for the histograms.  */
 static void
-add_usual_time (trial_usual_times_t *usual, const trial_time_t *time)
+add_usual_time (trial_usual_times_t *usual, const trial_time_t *time,
+                const expected_t *expected)
 {
-  regression_t *regression = usual_times (usual, time);
   double factors[REGRESSION_FACTORS];
-  double base;
-  double effect = regression_weight (regression) >= 1
-                      ? effect_of_conditions (usual, time, &base)
-                      : 0;
 
   route_levels_add (&usual->levels[time->timing], time->route_name,
-                    log (time->ms) - effect);
+                    log (time->ms) - expected->conditions);
   set_factors (time, factors);
-  regression_add (regression, factors, log (time->ms));
+  regression_add (usual_times (usual, time), factors, log (time->ms));
 }
 
 /* Return the time of MEASURED in ms, which is above 0 if it is valid.  */
@@ -189,9 +192,10 @@
   time.ms = valid_ms (measured);
   if (time.ms <= 0)
     return;
-  if (compare_time (usual, &time, &log_ratio))
+  expected_t expected = expect_time (usual, &time);
+  if (compare_time (usual, &time, &expected, &log_ratio))
     usual->times[time.timing][time_bin (log_ratio)] += 1;
-  add_usual_time (usual, &time);
+  add_usual_time (usual, &time, &expected);
 }
 
 void
@@ -227,14 +231,15 @@
   time.ms = valid_ms (measured);
   if (time.ms <= 0)
     return false;
-  if (compare_time (&trial->usual, &time, &log_ratio))
+  expected_t expected = expect_time (&trial->usual, &time);
+  if (compare_time (&trial->usual, &time, &expected, &log_ratio))
     {
       is_late = log_ratio > log (trial_timings[time.timing].late_factor);
       if (!is_warming_up (trial, arm, &time))
         count_time (trial, arm, &time, log_ratio, is_late);
     }
   if (arm == TRIAL_ARM_OLD)
-    add_usual_time (&trial->usual, &time);
+    add_usual_time (&trial->usual, &time, &expected);
   return is_late;
 }
 
@@ -244,8 +249,10 @@
 {
   double log_ratio;
 
-  if (is_warming_up (trial, arm, wait) || wait->ms <= 0
-      || !compare_time (&trial->usual, wait, &log_ratio))
+  if (is_warming_up (trial, arm, wait) || wait->ms <= 0)
+    return false;
+  expected_t expected = expect_time (&trial->usual, wait);
+  if (!compare_time (&trial->usual, wait, &expected, &log_ratio))
     return false;
   bool is_late = log_ratio > log (trial_timings[wait->timing].late_factor);
   if (is_late)
