--- a/packages/wire/http_exchange.h
+++ b/packages/wire/http_exchange.h
@@ -7,9 +7,8 @@
    connection for each request excludes all of this; it costs one round trip
    and three system calls.
 
-   Unlike httpc, this client distinguishes a response without a length that
-   ended from one that was reset, and reports whether any byte of the request
-   left this process.  */
+   Unlike httpc, this client reports whether any byte of the request left this
+   process.  */
 
 #ifndef WIRE_HTTP_EXCHANGE_H
 #define WIRE_HTTP_EXCHANGE_H
