gateway: a service without answers gives its usual times back

Cause: usual times were kept for the first 64 services that a gateway heard of, and services that are gone kept their places, so that later ones had none.

Change: a service whose samples have lost their weight is removed, one a second; the cases of a policy test that have ctest entries of their own are made by one function.

--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -9,8 +9,7 @@
 
 enum
 {
-  /* Number of services whose usual times are known, of about 10 KiB each.
-     XXX: services that are gone keep their places.  */
+  /* Number of services whose usual times are known, of about 10 KiB each.  */
   USUAL_TIMES_SERVICES_MAX = 64
 };
 
--- a/packages/gateway/rollouts.c
+++ b/packages/gateway/rollouts.c
@@ -580,6 +580,23 @@
     write_evidence (rollouts, service, trial);
 }
 
+/* Let a second pass for USUAL_TIMES, and remove one service that had no
+   answers for some minutes.  */
+static void
+decay_usual_times (map_t *usual_times)
+{
+  size_t cursor = 0;
+  str_t service;
+  str_t idle = STR_NULL;
+  void *value;
+
+  while (map_next (usual_times, &cursor, &service, &value))
+    if (!trial_usual_times_decay (value))
+      idle = service;
+  if (idle.ptr != NULL)
+    free (map_remove (usual_times, idle));
+}
+
 void
 rollouts_tick (rollouts_t *rollouts, bool has_second_elapsed)
 {
@@ -589,10 +606,8 @@
 
   while (map_next (rollouts->state->trials, &cursor, &service, &value))
     run_trial_step (rollouts, service, value, has_second_elapsed);
-  cursor = 0;
-  while (has_second_elapsed
-         && map_next (rollouts->state->usual_times, &cursor, &service, &value))
-    trial_usual_times_decay (value);
+  if (has_second_elapsed)
+    decay_usual_times (rollouts->state->usual_times);
 }
 
 rollouts_t *
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -85,9 +85,8 @@
      an instance with the same load, by a regression of their logarithms; if
      load were ignored, a version eight times as slow would pass, since its
      instances are nearly empty.  The mean of each route's own times takes the
-     place of the regression's constant: where one group holds routes of 2 ms
-     and of 30 ms, half of the good answers would be as late as those of a
-     slow version.  A time that is a fixed multiple of the
+     place of the regression's constant, since the routes of a group may
+     differ by orders of magnitude.  A time that is a fixed multiple of the
      usual one is late, and late answers are tested as failures are.
    - A fixed multiple shows little of a version that makes all times
      somewhat longer, or a few of them much longer while those of the old
@@ -490,8 +489,8 @@
 /* Add TIME to USUAL, which is all 0 at first.  */
 void trial_usual_times_add (trial_usual_times_t *usual,
                             const trial_time_t *time);
-/* Let a second pass for USUAL.  */
-void trial_usual_times_decay (trial_usual_times_t *usual);
+/* Let a second pass for USUAL.  Return false if hardly a sample is left.  */
+bool trial_usual_times_decay (trial_usual_times_t *usual);
 /* Set the old version's times before the order to USUAL.  Called before any
    time is counted.  */
 void trial_set_usual_times (trial_t *trial, const trial_usual_times_t *usual);
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -29,6 +29,8 @@
 static const double usual_log_prompt = 7;
 static const double usual_log_load = 2;
 
+/* Weight of all times of a service from which they are kept.  */
+static const double usual_weight_min = 0.01;
 /* Weight of a route's times from which they are known.  */
 static const double route_samples_min = 1.5;
 /* Weight of the group's mean in that of a route, in samples.  */
@@ -173,9 +175,10 @@
   regression_add (usual_times (usual, time), factors, log (time->ms));
 }
 
-/* Return the time of MEASURED in ms, which is above 0 if it is valid.  */
+/* Return the time of MEASURED in ms: that of a first event is at least the
+   resolution of the clock, and a gap of 0 is not a time.  */
 static double
-valid_ms (const trial_time_t *measured)
+measured_ms (const trial_time_t *measured)
 {
   return measured->timing == TRIAL_TIMING_FIRST_EVENT
              ? fmax (measured->ms, CLOCK_RESOLUTION_MS)
@@ -189,7 +192,7 @@
   trial_time_t time = *measured;
   double log_ratio;
 
-  time.ms = valid_ms (measured);
+  time.ms = measured_ms (measured);
   if (time.ms <= 0)
     return;
   expected_t expected = expect_time (usual, &time);
@@ -198,18 +201,24 @@
   add_usual_time (usual, &time, &expected);
 }
 
-void
+bool
 trial_usual_times_decay (trial_usual_times_t *usual)
 {
+  double weight = 0;
+
   for (size_t timing = 0; timing < TRIAL_TIMING_COUNT; timing++)
     {
       route_levels_decay (&usual->levels[timing], TRIAL_TIMING_DECAY_PER_S);
       for (size_t model = 0; model < TRIAL_MODELS; model++)
-        regression_decay (&usual->regressions[timing][model],
-                          TRIAL_TIMING_DECAY_PER_S);
+        {
+          regression_t *regression = &usual->regressions[timing][model];
+          regression_decay (regression, TRIAL_TIMING_DECAY_PER_S);
+          weight += regression_weight (regression);
+        }
       for (size_t bin = 0; bin <= TRIAL_TIME_BINS; bin++)
         usual->times[timing][bin] *= TRIAL_TIMING_DECAY_PER_S;
     }
+  return weight >= usual_weight_min;
 }
 
 void
@@ -228,7 +237,7 @@
   double log_ratio;
   bool is_late = false;
 
-  time.ms = valid_ms (measured);
+  time.ms = measured_ms (measured);
   if (time.ms <= 0)
     return false;
   expected_t expected = expect_time (&trial->usual, &time);
--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -16,30 +16,25 @@
 # The model of roll-outs, of the bench.
 vh_test (test_trial DEPENDS vh_rollout_model)
 # One entry for each case, so that KNOWN-RED.txt can name one.
-add_executable (test_trial_times test_trial_times.c)
-set_target_properties (test_trial_times PROPERTIES
-  RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
-target_link_libraries (test_trial_times PRIVATE vh_policy PkgConfig::CHECK)
-foreach (case "routes" "usual times" "three a second" "good version")
-  string (REPLACE " " "_" name "trial_times_${case}")
-  add_test (NAME ${name} COMMAND test_trial_times
-    WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
-  set_tests_properties (${name} PROPERTIES TIMEOUT 60
-    ENVIRONMENT "CK_FORK=no;CK_RUN_CASE=${case}")
-endforeach ()
-# One entry for each case, so that KNOWN-RED.txt can name one.
-add_executable (test_trial_masked test_trial_masked.c)
-set_target_properties (test_trial_masked PROPERTIES
-  RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
-target_link_libraries (test_trial_masked PRIVATE vh_rollout_model
-  PkgConfig::CHECK)
-foreach (case "a sixth breaks off" "a quarter breaks off" "good version")
-  string (REPLACE " " "_" name "trial_masked_${case}")
-  add_test (NAME ${name} COMMAND test_trial_masked
-    WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
-  set_tests_properties (${name} PROPERTIES TIMEOUT 120
-    ENVIRONMENT "CK_FORK=no;CK_RUN_CASE=${case}")
-endforeach ()
+function (vh_policy_cases program timeout_s)
+  cmake_parse_arguments (arg "" "PREFIX" "DEPENDS;CASES" ${ARGN})
+  add_executable (${program} ${program}.c)
+  set_target_properties (${program} PROPERTIES
+    RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/tests)
+  target_link_libraries (${program} PRIVATE ${arg_DEPENDS} PkgConfig::CHECK)
+  foreach (case ${arg_CASES})
+    string (REPLACE " " "_" name "${arg_PREFIX}_${case}")
+    add_test (NAME ${name} COMMAND ${program}
+      WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    set_tests_properties (${name} PROPERTIES TIMEOUT ${timeout_s}
+      ENVIRONMENT "CK_FORK=no;CK_RUN_CASE=${case}")
+  endforeach ()
+endfunction ()
+vh_policy_cases (test_trial_times 60 PREFIX trial_times DEPENDS vh_policy
+  CASES "routes" "usual times" "three a second" "no answers" "good version")
+vh_policy_cases (test_trial_masked 120 PREFIX trial_masked
+  DEPENDS vh_rollout_model
+  CASES "a sixth breaks off" "a quarter breaks off" "good version")
 vh_test (test_regression DEPENDS vh_policy)
 vh_test (test_route_levels DEPENDS vh_policy)
 vh_test (test_finish_time DEPENDS vh_policy)
--- a/tests/test_trial_times.c
+++ b/tests/test_trial_times.c
@@ -213,6 +213,24 @@
 }
 END_TEST
 
+/* A service that is gone must not keep its place.  */
+START_TEST (usual_times_are_kept_without_answers)
+{
+  trial_usual_times_t *usual = mem_zalloc (sizeof *usual);
+  const trial_time_t time
+      = { .timing = TRIAL_TIMING_FIRST_EVENT, .load = 1, .ms = 30 };
+
+  for (int i = 0; i < 1000; i++)
+    trial_usual_times_add (usual, &time);
+  for (int second = 0; second < 60; second++)
+    ck_assert (trial_usual_times_decay (usual));
+  for (int second = 60; second < 600; second++)
+    trial_usual_times_decay (usual);
+  ck_assert (!trial_usual_times_decay (usual));
+  free (usual);
+}
+END_TEST
+
 /* A good version of such a service stays in service.  */
 START_TEST (good_version_is_withdrawn)
 {
@@ -244,6 +262,7 @@
             slow_version_hides_behind_routes_of_different_length);
   add_case (suite, "usual times",
             slow_version_hides_as_usual_times_are_unknown);
+  add_case (suite, "no answers", usual_times_are_kept_without_answers);
   add_case (suite, "three a second",
             slow_version_hides_at_three_requests_a_second);
   add_case (suite, "good version", good_version_is_withdrawn);
