--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -130,7 +130,7 @@
 {
   return (trial_time_t){ .timing = timing,
                          .route = relay->attrs.route->trial_cell,
-                         .route_name = str_hash (relay->attrs.route->name, 0),
+                         .route_id = str_hash (relay->attrs.route->name, 0),
                          .model = relay->model_index,
                          .prompt_tokens = relay->attrs.prompt_tokens,
                          .load = relay->upstream_request_count,
--- a/packages/policy/trial.h
+++ b/packages/policy/trial.h
@@ -465,7 +465,7 @@
 {
   trial_timing_t timing;
   uint64_t route;         /* Group of the route.  */
-  uint64_t route_name;    /* Hash of the route's name.  */
+  uint64_t route_id;      /* Hash of the route's name.  */
   size_t model;           /* Index of the model in the route's list.  */
   uint32_t prompt_tokens; /* Number of tokens of the prompt; 0: unknown.  */
   uint32_t load; /* Number of requests of all processes at the instance.  */
--- a/packages/policy/trial_times.c
+++ b/packages/policy/trial_times.c
@@ -151,7 +151,7 @@
 {
   double weight = regression_weight (usual_times (usual, time));
   const route_level_t *level
-      = route_levels_find (&usual->levels[time->timing], time->route_name);
+      = route_levels_find (&usual->levels[time->timing], time->route_id);
 
   if (weight < TRIAL_ANSWERS_MIN || level == NULL
       || level->weight < route_samples_min)
@@ -169,7 +169,7 @@
 {
   double factors[REGRESSION_FACTORS];
 
-  route_levels_add (&usual->levels[time->timing], time->route_name,
+  route_levels_add (&usual->levels[time->timing], time->route_id,
                     log (time->ms) - expected->conditions);
   set_factors (time, factors);
   regression_add (usual_times (usual, time), factors, log (time->ms));
--- a/tests/test_trial_times.c
+++ b/tests/test_trial_times.c
@@ -60,7 +60,7 @@
   if (is_slow)
     ms *= SLOW_FACTOR;
   const trial_time_t time = { .timing = TRIAL_TIMING_FIRST_EVENT,
-                              .route_name = route->hash,
+                              .route_id = route->hash,
                               .load = 1,
                               .ms = ms,
                               .now_ms = now_ms };
@@ -113,7 +113,7 @@
         {
           const route_t *route = &routes[rng_below (rng, 4)];
           const trial_time_t time = { .timing = TRIAL_TIMING_FIRST_EVENT,
-                                      .route_name = route->hash,
+                                      .route_id = route->hash,
                                       .load = 1,
                                       .ms = draw_ms (rng, route->usual_ms) };
           trial_usual_times_add (usual, &time);
