loop_watch: work of an iteration is measured, and named when it is long

Cause: nothing told how long callbacks keep the event loop of a gateway busy.

Change: vanillahook_loop_busy_seconds of a gateway, and the event process.loop-busy for an iteration over 50 ms, which names the marked work that took most of it: parsing and releasing a configuration, replies of the store, rows, messages of other gateways, packing and unpacking of their rows, the tick.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -33,6 +33,8 @@
   X (EVENT_STOPPED, "process", "stopped", NOTICE, 10, "The stop is over")     \
   X (EVENT_RELOAD, "process", "reload", NOTICE, 10,                           \
      "The settings file was read again")                                      \
+  X (EVENT_LOOP_BUSY, "process", "loop-busy", NOTICE, 5,                      \
+     "One iteration of the event loop took long")                             \
   X (EVENT_DROPPED, "log", "dropped", WARNING, 100, "Lines were left out")    \
   X (EVENT_STORE_LOST, "store", "lost", WARNING, 20,                          \
      "The store does not answer")                                             \
@@ -232,6 +234,9 @@
   X (FIELD_NEW, "new", "Answers of the new version at the decision")          \
   X (FIELD_IN_FLIGHT, "in_flight", "Requests under way")                      \
   X (FIELD_CUT, "cut", "Requests cut by the stop")                            \
+  X (FIELD_BUSY_MS, "busy_ms", "Milliseconds of work in the iteration")       \
+  X (FIELD_WORK, "work", "Kind of work that took most of it")                 \
+  X (FIELD_WORK_MS, "work_ms", "Milliseconds that this work took")            \
   X (FIELD_LISTEN, "listen", "Address listened on")                           \
   X (FIELD_FILE, "file", "File")                                              \
   X (FIELD_KIND, "kind", "Event whose lines were left out")
--- a/packages/gateway/catalog.c
+++ b/packages/gateway/catalog.c
@@ -1,5 +1,6 @@
 #include "gateway/catalog.h"
 
+#include "base/loop_watch.h"
 #include "base/map.h"
 #include "base/mem.h"
 
@@ -71,6 +72,7 @@
 {
   if (catalog == NULL || --catalog->ref_count > 0)
     return;
+  loop_work_t outer = loop_work_begin (LOOP_WORK_CONFIG_FREE);
   map_destroy (catalog->services);
   map_destroy (catalog->routes);
   map_destroy (catalog->teams);
@@ -82,6 +84,7 @@
       free (allocation);
     }
   free (catalog);
+  loop_work_end (outer);
 }
 
 vh_code_t
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -1,6 +1,7 @@
 #include "gateway/gatewayint.h"
 
 #include "base/eventlog.h"
+#include "base/loop_watch.h"
 #include "gateway/crash_recordsint.h"
 
 #include <stdlib.h>
@@ -35,6 +36,7 @@
   peer_rows_t *peer_rows; /* NULL if this process does not share reads of the
                              store with others.  */
   store_sync_t *store_sync;
+  loop_watch_t *loop_watch;
   uv_timer_t drain_timer;
   bool is_stopped;
   size_t aborted_count;
@@ -405,6 +407,7 @@
   store_sync_destroy (gateway->store_sync);
   peer_rows_destroy (gateway->peer_rows);
   prober_destroy (gateway->state.prober);
+  loop_watch_destroy (gateway->loop_watch);
   free_state (&gateway->state);
   uv_close ((uv_handle_t *)&gateway->drain_timer, on_drain_timer_closed);
   return nothing_aborted;
@@ -533,6 +536,10 @@
   state->started_ms = clock_ms (clock);
   state->metrics = metrics_create ();
   list_init (&state->relays);
+  gateway->loop_watch = loop_watch_create (
+      loop,
+      metrics_histogram (state->metrics, "vanillahook_loop_busy_seconds", "",
+                         "Work of one iteration of the event loop."));
   state->request_metrics = request_metrics_create (state->metrics);
   create_counters (state);
   uv_timer_init (loop, &gateway->drain_timer);
--- a/packages/gateway/loader.c
+++ b/packages/gateway/loader.c
@@ -1,5 +1,6 @@
 #include "gateway/loader.h"
 
+#include "base/loop_watch.h"
 #include "base/mem.h"
 #include "policy/trial.h"
 
@@ -116,7 +117,9 @@
   if (!loader->is_parsing
       && (is_first_text || text.len < LOADER_ASYNC_BYTES_MIN))
     {
+      loop_work_t outer = loop_work_begin (LOOP_WORK_CONFIG);
       vh_code_t code = parse_text (loader, text, NULL, &catalog);
+      loop_work_end (outer);
       loader->cb (loader->arg, code, catalog, text.len);
       return;
     }
--- a/packages/gateway/peerrows.c
+++ b/packages/gateway/peerrows.c
@@ -1,6 +1,7 @@
 #include "gateway/peerrows.h"
 
 #include "base/eventlog.h"
+#include "base/loop_watch.h"
 #include "base/map.h"
 #include "base/mem.h"
 #include "gateway/rowcache.h"
@@ -187,8 +188,10 @@
 {
   wire_rows_res_t result;
 
+  loop_work_t outer = loop_work_begin (LOOP_WORK_PACK);
   rowcache_fill_reply (peer_rows->caches[table], after, is_whole, &result);
   rpc_reply (request, &result);
+  loop_work_end (outer);
   free (result.rows.rows_val);
 }
 
@@ -625,8 +628,10 @@
                            .age_ms = reply->age_ms,
                            .store_confirmed_ms = reply->said_ms };
 
+  loop_work_t outer = loop_work_begin (LOOP_WORK_UNPACK);
   for (u_int i = 0; i < count && code == VH_OK; i++)
     code = decode_row (&wire_rows[i], &plain[i], &rows[i]);
+  loop_work_end (outer);
   if (code == VH_OK && is_outdated_reply (pending, &result))
     call_same_reader (pending);
   else if (code == VH_OK)
--- a/packages/gateway/rowcache.c
+++ b/packages/gateway/rowcache.c
@@ -1,5 +1,6 @@
 #include "gateway/rowcache.h"
 
+#include "base/loop_watch.h"
 #include "base/map.h"
 #include "base/mem.h"
 #include "gateway/confirmation.h"
@@ -423,6 +424,7 @@
   *list = (wire_row_list_t){ { 0, NULL } };
   if (plain_len > WIRE_BODY_MAX)
     return VH_E_PROTOCOL;
+  loop_work_t outer = loop_work_begin (LOOP_WORK_UNPACK);
   vh_code_t code = inflate_text (packed, plain_len, &plain);
   if (code == VH_OK)
     {
@@ -436,5 +438,6 @@
       xdr_destroy (&xdr);
     }
   buf_free (&plain);
+  loop_work_end (outer);
   return code;
 }
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -6,6 +6,7 @@
 #include "gateway/gatewayint.h"
 
 #include "base/eventlog.h"
+#include "base/loop_watch.h"
 #include "gateway/announced_limitsint.h"
 #include "gateway/crash_recordsint.h"
 #include "gateway/loader.h"
@@ -603,9 +604,8 @@
 }
 
 static void
-on_tick (uv_timer_t *timer)
+tick (store_sync_t *sync)
 {
-  store_sync_t *sync = timer->data;
   gateway_state_t *state = sync->state;
   bool has_second_elapsed = ++sync->tick_count % TICKS_PER_S == 0;
   uint64_t shared_now_ms = store_now_ms (sync);
@@ -630,6 +630,15 @@
   rollouts_tick (sync->rollouts, has_second_elapsed);
 }
 
+static void
+on_tick (uv_timer_t *timer)
+{
+  loop_work_t outer = loop_work_begin (LOOP_WORK_TICK);
+
+  tick (timer->data);
+  loop_work_end (outer);
+}
+
 /* Start of the synchronisation of each table, and its end.  */
 
 /* Start to synchronise the instances after the first read of ROWS_OPERATOR.
--- a/packages/gateway/tablesync.c
+++ b/packages/gateway/tablesync.c
@@ -1,6 +1,7 @@
 #include "gateway/tablesync.h"
 
 #include "base/eventlog.h"
+#include "base/loop_watch.h"
 #include "base/map.h"
 #include "base/mem.h"
 #include "gateway/confirmation.h"
@@ -251,10 +252,8 @@
 }
 
 static void
-on_result (void *arg, vh_code_t code, const rows_result_t *result)
+apply_result (table_sync_t *sync, vh_code_t code, const rows_result_t *result)
 {
-  table_sync_t *sync = arg;
-
   if (code != VH_OK)
     {
       handle_failure (sync, code);
@@ -289,6 +288,15 @@
     apply_changes (sync, result);
 }
 
+static void
+on_result (void *arg, vh_code_t code, const rows_result_t *result)
+{
+  loop_work_t outer = loop_work_begin (LOOP_WORK_ROWS);
+
+  apply_result (arg, code, result);
+  loop_work_end (outer);
+}
+
 /* Send the next read or watch call.  */
 static void
 send_call (table_sync_t *sync)
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -10,6 +10,8 @@
 vh_test (test_instance_notices DEPENDS vh_gateway)
 target_sources (test_instance_notices PRIVATE gateway_fixture.c caller.c
   fake_rows.c fake_upstream.c virtual_time.c)
+vh_test (test_loop_watch DEPENDS vh_base)
+target_sources (test_loop_watch PRIVATE virtual_time.c)
 vh_test (test_load_reports DEPENDS vh_gateway)
 target_sources (test_load_reports PRIVATE fake_rows.c)
 vh_test (test_catalog DEPENDS vh_gateway)
--- a/tests/virtual_time.c
+++ b/tests/virtual_time.c
@@ -77,6 +77,12 @@
   is_virtual = false;
 }
 
+void
+virtual_time_advance_ms (uint64_t ms)
+{
+  elapsed_ns += ms * NS_PER_MS;
+}
+
 size_t
 virtual_time_iteration_count (void)
 {
--- a/tests/virtual_time.h
+++ b/tests/virtual_time.h
@@ -24,6 +24,8 @@
    let the clocks run again.  */
 void virtual_time_setup (void);
 void virtual_time_teardown (void);
+/* Let MS pass in a callback, as work that takes so long.  */
+void virtual_time_advance_ms (uint64_t ms);
 /* Return the number of iterations since virtual_time_start that found a socket
    ready.  */
 size_t virtual_time_iteration_count (void);
