stop: what counts from the signal to stop counts from its delivery

Cause: a gateway accepts requests for 3 s after the signal and cuts at 7.2 s, and took for the signal the moment at which its event loop handled it. The loop handles a signal after the callbacks that run, and after those of all other events that are ready. At 0.19 of a core the first parse of a configuration of 9,000 routes takes up to 0.7 s with the reply that bore it, and a reply of the store with a longer configuration 0.26 s. Nothing was left of the 3 s for that.

Change: stop_signal notes the time in a signal handler, and with it the begin of the last wait for events. The signal was not sent before that wait, also if the process got no processor time to have it delivered. Requests are accepted for the grace from that time on, and are cut, as the process is killed, counted from the delivery. The entry and the sidecar take their stop from the same place. The line of the stop says how long it took to be handled and how unsure its time is.

Why it works: whatever keeps the loop or the process busy, the window ends no later than the grace after the signal; work of the loop shortens it instead.

Tests: test_stop, with SIGTERM raised in a callback of 400 ms of virtual time. With the time of the handling in place of the handler's (as before), busy_loop_accepts_no_late_request, busy_loop_cuts_no_later and late_delivery_accepts_no_late_request fail; all pass now.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -233,6 +233,11 @@
   X (FIELD_OLD, "old", "Answers of the old version at the decision")          \
   X (FIELD_NEW, "new", "Answers of the new version at the decision")          \
   X (FIELD_IN_FLIGHT, "in_flight", "Requests under way")                      \
+  X (FIELD_DELAY_MS, "delay_ms",                                              \
+     "Milliseconds from the delivery of the signal to this line")             \
+  X (FIELD_UNSURE_MS, "unsure_ms",                                            \
+     "Milliseconds before its delivery in which the signal may have been "    \
+     "sent")                                                                  \
   X (FIELD_CUT, "cut", "Requests cut by the stop")                            \
   X (FIELD_BUSY_MS, "busy_ms", "Milliseconds of work in the iteration")       \
   X (FIELD_WORK, "work", "Kind of work that took most of it")                 \
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -1,6 +1,7 @@
 #include "daemon/gateway_main.h"
 
 #include "base/eventlog.h"
+#include "base/stop_signal.h"
 #include "gateway/gateway.h"
 #include "platform/platform.h"
 
@@ -30,12 +31,11 @@
 } gateway_run_t;
 
 static void
-on_stop_signal (uv_signal_t *handle, int signal_number)
+on_stop_signal (void *arg, const stop_time_t *time)
 {
-  gateway_run_t *run = handle->data;
+  gateway_run_t *run = arg;
 
-  (void)signal_number;
-  gateway_begin_stop (run->gateway);
+  gateway_begin_stop (run->gateway, time);
 }
 
 /* Check the settings file and log the result.  Settings take effect only at
@@ -128,8 +128,8 @@
   gateway_options_t options = make_options (settings);
   rows_t *rows = platform_rows_create (loop, settings->platform_address);
   gateway_run_t run = { .path = path };
-  static const int signal_numbers[] = { SIGTERM, SIGINT, SIGHUP };
-  uv_signal_t signals[3];
+  stop_signal_t *stop_signal = NULL;
+  uv_signal_t reload_signal;
   uv_prepare_t prepare;
   int status = EXIT_FAILURE;
 
@@ -139,26 +139,22 @@
   uv_prepare_init (loop, &prepare);
   uv_prepare_start (&prepare, on_loop_prepare);
   uv_unref ((uv_handle_t *)&prepare);
+  uv_signal_init (loop, &reload_signal);
+  reload_signal.data = &run;
+  uv_signal_start (&reload_signal, on_reload_signal, SIGHUP);
+  stop_signal
+      = stop_signal_create (loop, clock_system (), on_stop_signal, &run);
   if (gateway_create (loop, clock_system (), rows, platform_dialect (),
                       &options, &run.gateway)
       != VH_OK)
     goto close_loop;
-  for (size_t i = 0; i < 3; i++)
-    {
-      uv_signal_init (loop, &signals[i]);
-      signals[i].data = &run;
-      uv_signal_start (&signals[i],
-                       signal_numbers[i] == SIGHUP ? on_reload_signal
-                                                   : on_stop_signal,
-                       signal_numbers[i]);
-    }
   while (!gateway_is_stopped (run.gateway))
     uv_run (loop, UV_RUN_DEFAULT);
   if (gateway_destroy (run.gateway))
     status = EXIT_SUCCESS;
-  for (size_t i = 0; i < 3; i++)
-    uv_close ((uv_handle_t *)&signals[i], NULL);
 close_loop:
+  stop_signal_destroy (stop_signal);
+  uv_close ((uv_handle_t *)&reload_signal, NULL);
   uv_close ((uv_handle_t *)&prepare, NULL);
   rows->ops->destroy (rows);
   uv_run (loop, UV_RUN_NOWAIT);
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -4,6 +4,7 @@
    options or settings.  */
 
 #include "base/log.h"
+#include "base/stop_signal.h"
 #include "daemon/gateway_main.h"
 #include "daemon/process.h"
 
@@ -17,10 +18,11 @@
 };
 
 static void
-on_stop_signal (uv_signal_t *handle, int signal_number)
+on_stop_signal (void *arg, const stop_time_t *time)
 {
-  (void)signal_number;
-  process_stop (handle->data);
+  process_t **process = arg;
+
+  process_stop (*process, time);
 }
 
 /* Run a process with SETTINGS until a planned stop is complete.  Return the
@@ -28,24 +30,19 @@
 static int
 run_process (const settings_t *settings)
 {
-  static const int signal_numbers[] = { SIGTERM, SIGINT };
-  uv_signal_t signals[2];
   uv_loop_t *loop = uv_default_loop ();
-  process_t *process;
+  process_t *process = NULL;
 
   signal (SIGPIPE, SIG_IGN);
+  stop_signal_t *stop_signal
+      = stop_signal_create (loop, clock_system (), on_stop_signal, &process);
   if (process_create (loop, settings, &process) != VH_OK)
-    return EXIT_FAILURE;
-  for (size_t i = 0; i < 2; i++)
     {
-      uv_signal_init (loop, &signals[i]);
-      signals[i].data = process;
-      uv_signal_start (&signals[i], on_stop_signal, signal_numbers[i]);
-      uv_unref ((uv_handle_t *)&signals[i]);
+      stop_signal_destroy (stop_signal);
+      return EXIT_FAILURE;
     }
   uv_run (loop, UV_RUN_DEFAULT);
-  for (size_t i = 0; i < 2; i++)
-    uv_close ((uv_handle_t *)&signals[i], NULL);
+  stop_signal_destroy (stop_signal);
   uv_run (loop, UV_RUN_DEFAULT);
   bool is_clean_stop = process_destroy (process);
   uv_loop_close (loop);
--- a/packages/daemon/process.c
+++ b/packages/daemon/process.c
@@ -2,6 +2,7 @@
 #include "base/map.h"
 #include "daemon/processint.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <sys/random.h>
 #include <unistd.h>
@@ -259,12 +260,13 @@
 }
 
 void
-process_stop (process_t *process)
+process_stop (process_t *process, const stop_time_t *time)
 {
-  if (!drain_start (process->drain))
+  if (!drain_start (process->drain, time))
     return;
-  log_notice ("process", "Stopping. in_hand=%zu",
-              count_unfinished_requests (process));
+  log_notice ("process", "Stopping. in_hand=%zu delay_ms=%" PRIu64,
+              count_unfinished_requests (process),
+              clock_ms (process->clock) - time->delivered_ms);
   /* The sidecars of a standalone serve its entry until the end of the stop.  A
      separate sidecar refuses new requests at once: a refusal costs nothing,
      and each entry can select another sidecar.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -441,18 +441,32 @@
   uv_stop (state->loop);
 }
 
+bool
+gateway_accepts_request (const gateway_state_t *state, uint64_t arrived_ms)
+{
+  uint64_t grace_ms = state->options.drain_grace_ms;
+
+  return state->stopping_ms == 0
+         || arrived_ms - (state->accepts_until_ms - grace_ms) < grace_ms;
+}
+
 void
-gateway_begin_stop (gateway_t *gateway)
+gateway_begin_stop (gateway_t *gateway, const stop_time_t *time)
 {
   gateway_state_t *state = &gateway->state;
 
   if (state->stopping_ms != 0)
     return;
-  state->stopping_ms = clock_ms (state->clock);
+  state->stopping_ms = time->delivered_ms;
+  state->accepts_until_ms = time->earliest_ms + state->options.drain_grace_ms;
   store_sync_stop (gateway->store_sync);
   log_event (EVENT_STOP,
              log_field_number (FIELD_IN_FLIGHT,
-                               httpd_in_flight (gateway->caller_server)));
+                               httpd_in_flight (gateway->caller_server)),
+             log_field_number (FIELD_DELAY_MS,
+                               clock_ms (state->clock) - time->delivered_ms),
+             log_field_number (FIELD_UNSURE_MS,
+                               time->delivered_ms - time->earliest_ms));
   uv_timer_start (&gateway->drain_timer, on_drain_timer, DRAIN_POLL_MS,
                   DRAIN_POLL_MS);
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -6,8 +6,8 @@
 #ifndef GATEWAY_GATEWAY_H
 #define GATEWAY_GATEWAY_H
 
-#include "base/clock.h"
 #include "base/metric.h"
+#include "base/stop_time.h"
 #include "gateway/catalog.h"
 #include "gateway/header_names.h"
 #include "gateway/rows.h"
@@ -94,10 +94,10 @@
   double link_mbps; /* Network bandwidth of this gateway process, in Mbit/s; 0:
                        unknown.  */
   uint64_t seed;
-  uint64_t drain_grace_ms;    /* Time in which new requests are still accepted
-                                 after a planned stop begins.  */
-  uint64_t drain_timeout_ms;  /* Time after which a planned stop aborts the
-                                 remaining requests.  */
+  uint64_t drain_grace_ms;    /* Time after the signal to stop in which new
+                                 requests are still accepted.  */
+  uint64_t drain_timeout_ms;  /* Time after the signal to stop after which the
+                                 remaining requests are aborted.  */
   uint64_t config_max_age_ms; /* Age of the last confirmation of the
                                  configuration above which API keys are
                                  refused, because a key may have been revoked
@@ -141,8 +141,9 @@
 uint16_t gateway_ready_port (const gateway_t *gateway);
 /* Return the port of the listener for metrics, which the options name.  */
 uint16_t gateway_admin_port (const gateway_t *gateway);
-/* Begin a planned stop.  A second call has no effect.  */
-void gateway_begin_stop (gateway_t *gateway);
+/* Begin the planned stop for which the signal was sent at TIME.  A second call
+   has no effect.  */
+void gateway_begin_stop (gateway_t *gateway, const stop_time_t *time);
 /* Return whether the planned stop has finished.  */
 bool gateway_is_stopped (const gateway_t *gateway);
 /* Abort the remaining requests and free GATEWAY, which may be NULL.  Return
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -106,8 +106,10 @@
   uint64_t started_ms;
   bool is_initialized;  /* All tables that are needed to process requests were
                            read at least once.  */
-  uint64_t stopping_ms; /* Monotonic time at which the planned stop began, in
-                           ms; 0 if none has begun.  */
+  uint64_t stopping_ms; /* Monotonic time at which the signal to stop was
+                           delivered, in ms; 0 if none was.  */
+  uint64_t accepts_until_ms; /* Monotonic time from which no new requests are
+                                accepted in a planned stop, in ms.  */
 } gateway_state_t;
 
 /* Request path.  */
@@ -180,6 +182,10 @@
 /* Return the time since the loading of a configuration newer than the one in
    force began, in ms; 0 if none is being loaded.  */
 uint64_t gateway_config_load_elapsed_ms (const gateway_state_t *state);
+/* Return whether a request that arrived at ARRIVED_MS of the monotonic clock
+   is accepted.  */
+bool gateway_accepts_request (const gateway_state_t *state,
+                              uint64_t arrived_ms);
 /* Return whether a configuration is known and was confirmed by the store
    recently enough to accept its API keys.  */
 bool gateway_has_fresh_config (const gateway_state_t *state);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -527,9 +527,7 @@
   vh_code_t code = request_attrs_resolve (attrs, state, relay->req,
                                           str_from (relay->attempt_id));
 
-  if (code == VH_OK && state->stopping_ms != 0
-      && attrs->arrived_ms - state->stopping_ms
-             >= state->options.drain_grace_ms)
+  if (code == VH_OK && !gateway_accepts_request (state, attrs->arrived_ms))
     {
       relay_reply_error (relay, 503, VH_E_DRAINING, "draining",
                          RETRY_AFTER_DRAINING_MS);
--- a/packages/policy/drain.c
+++ b/packages/policy/drain.c
@@ -10,7 +10,7 @@
   uint32_t announce_ms;
   uint32_t timeout_ms;
   drain_state_t state;
-  uint64_t start_ms;
+  stop_time_t start;
   uint32_t unfinished_at_timeout;
 };
 
@@ -32,33 +32,47 @@
 }
 
 bool
-drain_start (drain_t *drain)
+drain_start (drain_t *drain, const stop_time_t *time)
 {
   if (drain->state != DRAIN_SERVING)
     return false;
   drain->state = DRAIN_ANNOUNCED;
-  drain->start_ms = clock_ms (drain->clock);
+  drain->start = *time;
   return true;
 }
 
+/* Return the time until FROM_MS of the clock, in ms; 0 if that has passed.  */
 static uint64_t
-elapsed_ms (const drain_t *drain)
+ms_until (const drain_t *drain, uint64_t from_ms)
 {
-  return clock_ms (drain->clock) - drain->start_ms;
+  uint64_t now_ms = clock_ms (drain->clock);
+
+  return from_ms > now_ms ? from_ms - now_ms : 0;
+}
+
+static uint64_t
+ms_to_drain (const drain_t *drain)
+{
+  return ms_until (drain, drain->start.earliest_ms + drain->announce_ms);
+}
+
+static uint64_t
+ms_to_timeout (const drain_t *drain)
+{
+  return ms_until (drain, drain->start.delivered_ms + drain->timeout_ms);
 }
 
 drain_state_t
 drain_update (drain_t *drain, uint32_t unfinished)
 {
-  if (drain->state == DRAIN_ANNOUNCED
-      && elapsed_ms (drain) >= drain->announce_ms)
+  if (drain->state == DRAIN_ANNOUNCED && ms_to_drain (drain) == 0)
     drain->state = DRAIN_DRAINING;
   if (drain->state == DRAIN_DRAINING && unfinished == 0)
     drain->state = DRAIN_DONE;
   /* A request that never ends would delay the shutdown until the platform
      kills the process, which aborts all other unfinished work.  */
   if ((drain->state == DRAIN_ANNOUNCED || drain->state == DRAIN_DRAINING)
-      && elapsed_ms (drain) >= drain->timeout_ms)
+      && ms_to_timeout (drain) == 0)
     {
       drain->unfinished_at_timeout = unfinished;
       drain->state = DRAIN_DONE;
@@ -81,15 +95,14 @@
 uint64_t
 drain_ms_to_next_state (const drain_t *drain)
 {
-  uint64_t next_ms = drain->timeout_ms;
-  uint64_t since_start_ms;
+  uint64_t next_ms;
 
   if (drain->state == DRAIN_SERVING || drain->state == DRAIN_DONE)
     return UINT64_MAX;
-  if (drain->state == DRAIN_ANNOUNCED && drain->announce_ms < next_ms)
-    next_ms = drain->announce_ms;
-  since_start_ms = elapsed_ms (drain);
-  return next_ms > since_start_ms ? next_ms - since_start_ms : 0;
+  next_ms = ms_to_timeout (drain);
+  if (drain->state == DRAIN_ANNOUNCED && ms_to_drain (drain) < next_ms)
+    next_ms = ms_to_drain (drain);
+  return next_ms;
 }
 
 uint32_t
--- a/packages/policy/drain.h
+++ b/packages/policy/drain.h
@@ -21,7 +21,7 @@
 #ifndef POLICY_DRAIN_H
 #define POLICY_DRAIN_H
 
-#include "base/clock.h"
+#include "base/stop_time.h"
 
 #include <stdbool.h>
 
@@ -41,16 +41,17 @@
   DRAIN_DONE
 } drain_state_t;
 
-/* ANNOUNCE_MS is the length of the announced state and TIMEOUT_MS the longest
-   shutdown, both from the first signal; 0 selects DRAIN_ANNOUNCE_MS or
+/* ANNOUNCE_MS is the length of the announced state, from the earliest time at
+   which the signal may have been sent, and TIMEOUT_MS the longest shutdown,
+   from the delivery of the signal; 0 selects DRAIN_ANNOUNCE_MS or
    DRAIN_TIMEOUT_MS.  CLOCK is borrowed.  */
 drain_t *drain_create (uint32_t announce_ms, uint32_t timeout_ms,
                        clock_iface_t *clock);
 void drain_destroy (drain_t *drain);
 
-/* Start the shutdown, on the first signal to stop.  Return false, with nothing
-   changed, if it has already started.  */
-bool drain_start (drain_t *drain);
+/* Start the shutdown, on the first signal to stop, which was sent at TIME.
+   Return false, with nothing changed, if it has already started.  */
+bool drain_start (drain_t *drain, const stop_time_t *time);
 
 /* Update and return the state.  UNFINISHED is the number of requests in
    flight, and of billing records and responses not yet delivered.  */
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -1,6 +1,9 @@
 vh_test (test_gateway DEPENDS vh_gateway)
 target_sources (test_gateway PRIVATE gateway_fixture.c caller.c
   fake_rows.c fake_upstream.c virtual_time.c)
+vh_test (test_stop DEPENDS vh_gateway)
+target_sources (test_stop PRIVATE gateway_fixture.c caller.c
+  fake_rows.c fake_upstream.c virtual_time.c)
 vh_test (test_unbounded_responses DEPENDS vh_gateway)
 target_sources (test_unbounded_responses PRIVATE gateway_fixture.c caller.c
   fake_rows.c fake_upstream.c virtual_time.c)
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -21,6 +21,15 @@
   clock_manual_destroy (test_clock);
 }
 
+/* Start DRAINED with a signal that is sent and delivered now.  */
+static bool
+start_now (drain_t *drained)
+{
+  const stop_time_t now = stop_time_now (test_clock);
+
+  return drain_start (drained, &now);
+}
+
 static void
 advance_ms (uint64_t ms)
 {
@@ -32,7 +41,7 @@
   ck_assert_int_eq (drain_update (drain, 0), DRAIN_SERVING);
   ck_assert (drain_is_healthy (drain));
   ck_assert_uint_eq (drain_ms_to_next_state (drain), UINT64_MAX);
-  ck_assert (drain_start (drain));
+  ck_assert (start_now (drain));
   ck_assert (!drain_is_healthy (drain));
   /* The announced state applies to an idle process too, because the load
      balancer still sends requests.  */
@@ -57,16 +66,16 @@
    This must neither abort the requests in flight nor restart the timeouts.  */
 START_TEST (second_signal_has_no_effect)
 {
-  ck_assert (drain_start (drain));
+  ck_assert (start_now (drain));
   advance_ms (500);
-  ck_assert (!drain_start (drain));
+  ck_assert (!start_now (drain));
   ck_assert_uint_eq (drain_ms_to_next_state (drain), 500);
   advance_ms (500);
   ck_assert_int_eq (drain_update (drain, 1), DRAIN_DRAINING);
-  ck_assert (!drain_start (drain));
+  ck_assert (!start_now (drain));
   ck_assert_int_eq (drain_update (drain, 1), DRAIN_DRAINING);
   ck_assert_int_eq (drain_update (drain, 0), DRAIN_DONE);
-  ck_assert (!drain_start (drain));
+  ck_assert (!start_now (drain));
   ck_assert_int_eq (drain_update (drain, 0), DRAIN_DONE);
 }
 END_TEST
@@ -75,7 +84,7 @@
    which it reports how many requests were unfinished.  */
 START_TEST (timeout_ends_the_shutdown_and_counts_unfinished)
 {
-  drain_start (drain);
+  start_now (drain);
   advance_ms (1000);
   drain_update (drain, 3);
   advance_ms (8999);
@@ -90,7 +99,7 @@
 {
   drain_t *short_drain = drain_create (1000, 200, test_clock);
 
-  drain_start (short_drain);
+  start_now (short_drain);
   ck_assert_uint_eq (drain_ms_to_next_state (short_drain), 200);
   advance_ms (200);
   ck_assert_int_eq (drain_update (short_drain, 1), DRAIN_DONE);
@@ -98,6 +107,27 @@
 }
 END_TEST
 
+/* A signal is noticed late by a busy process, and is delivered late as well.
+   Requests must not be accepted for longer after it was sent, nor the shutdown
+   last longer after its delivery.  */
+START_TEST (late_notice_makes_no_later_shutdown)
+{
+  stop_time_t time = stop_time_now (test_clock);
+
+  advance_ms (300);
+  time.delivered_ms = clock_ms (test_clock);
+  advance_ms (600);
+  ck_assert (drain_start (drain, &time));
+  ck_assert_int_eq (drain_update (drain, 1), DRAIN_ANNOUNCED);
+  ck_assert_uint_eq (drain_ms_to_next_state (drain), 100);
+  advance_ms (100);
+  ck_assert_int_eq (drain_update (drain, 1), DRAIN_DRAINING);
+  ck_assert_uint_eq (drain_ms_to_next_state (drain), 9300);
+  advance_ms (9300);
+  ck_assert_int_eq (drain_update (drain, 1), DRAIN_DONE);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -109,6 +139,7 @@
   tcase_add_test (tcase, second_signal_has_no_effect);
   tcase_add_test (tcase, timeout_ends_the_shutdown_and_counts_unfinished);
   tcase_add_test (tcase, timeout_shorter_than_the_announced_state);
+  tcase_add_test (tcase, late_notice_makes_no_later_shutdown);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -39,6 +39,14 @@
   gateway_fixture_wait (f, uv_now (&f->loop) >= end_ms);
 }
 
+static void
+begin_stop (gateway_fixture_t *f)
+{
+  const stop_time_t now = stop_time_now (clock_system ());
+
+  gateway_begin_stop (f->gateway, &now);
+}
+
 START_TEST (response_and_request_are_forwarded_without_forged_headers)
 {
   gateway_fixture_t f;
@@ -655,7 +663,7 @@
       f.drain_timeout_ms = 1500;
       restart_gateway (&f, MOVE_STREAMS_YES);
       if (is_stopping[i])
-        gateway_begin_stop (f.gateway);
+        begin_stop (&f);
       start_stream_at_slow_upstream (&f, &caller, REQUEST_HEADERS HINT_HEADER,
                                      ACT_STREAM_SLOW);
       gateway_fixture_wait (&f, caller.closed);
@@ -1277,7 +1285,7 @@
   fake_upstream_script (f.upstreams[0], acts, 2);
   caller_start (&f, &stream, "POST", "/chat/", REQUEST_HEADERS, "{}");
   gateway_fixture_wait (&f, count_upstream_requests (&f) == 1);
-  gateway_begin_stop (f.gateway);
+  begin_stop (&f);
   ck_assert_int_eq (gateway_fixture_ready_status (&f), 503);
   fake_upstream_script (f.upstreams[0], acts + 1, 1);
   gateway_fixture_request (&f, &caller, "POST", "/chat/", REQUEST_HEADERS,
