relay: a request that waited when the stop began is not taken for a late one

What callers saw: a request that had arrived before the signal to stop, and waited for the first read of the store, was refused as "draining" as soon as the store was read, though it came before the grace even began.

Cause: the age of the stop at its arrival was an unsigned difference, which is enormous for an arrival before the stop.

Change: the arrival is compared with the end of the grace.

Test: request_that_waited_is_served of test_stop; it failed before (503, now 200).

--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -444,10 +444,7 @@
 bool
 gateway_accepts_request (const gateway_state_t *state, uint64_t arrived_ms)
 {
-  uint64_t grace_ms = state->options.drain_grace_ms;
-
-  return state->stopping_ms == 0
-         || arrived_ms - (state->accepts_until_ms - grace_ms) < grace_ms;
+  return state->stopping_ms == 0 || arrived_ms < state->accepts_until_ms;
 }
 
 void
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -247,6 +247,25 @@
 }
 END_TEST
 
+/* A request that arrived before the signal and waited for the first read must
+   be served, not refused as one that came after the grace.  */
+START_TEST (request_that_waited_is_served)
+{
+  caller_t caller;
+
+  gateway_fixture_setup_without_store (&f, 1);
+  catch_signals ();
+  caller_start (&f, &caller, "GET", "/read/", REQUEST_HEADERS, "");
+  run_until (clock_ms (clock_system ()) + 50);
+  raise (SIGTERM);
+  gateway_fixture_wait (&f, stop_count == 1);
+  fake_rows_set_down (f.rows, false);
+  gateway_fixture_wait (&f, caller.closed);
+  ck_assert_int_eq (caller_status (&caller), 200);
+  caller_free (&f, &caller);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -262,6 +281,7 @@
   tcase_add_test (tcase, further_signals_have_no_effect);
   tcase_add_test (tcase, signal_before_the_loop_runs);
   tcase_add_test (tcase, stop_during_first_read);
+  tcase_add_test (tcase, request_that_waited_is_served);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
