--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -1,6 +1,7 @@
 /* The client of the platform's store, over HTTP and a slow link: large replies
    must arrive, and replies that stop must time out.  */
 
+#include "base/loop_watch.h"
 #include "base/mem.h"
 #include "gateway/tablesync.h"
 #include "loop_wait.h"
@@ -9,6 +10,7 @@
 #include "platform/platform.h"
 #include "suite.h"
 
+#include <jansson.h>
 #include <openssl/evp.h>
 #include <signal.h>
 #include <stdio.h>
@@ -19,7 +21,9 @@
   BYTES_PER_S = 200000,
   /* The link needs 2 s to transmit a value of this size in base64, which is
      longer than any timeout of a table sync.  */
-  LARGE_BYTES = 300000
+  LARGE_BYTES = 300000,
+  /* Its decoding takes much longer than receiving a part of the reply.  */
+  HUGE_BYTES = 8000000
 };
 
 /* A connection to the simulated store.  */
@@ -35,6 +39,7 @@
   uint64_t version;
   size_t calls;
   narrow_link_t *link;
+  uint16_t port; /* Port of the store, not behind the link.  */
   rows_t *rows;
   table_sync_t *sync;
   /* Length of the value that was read last.  */
@@ -211,8 +216,8 @@
   list_init (&f->conns);
   uv_loop_init (&f->loop);
   loop_wait_init (&f->wait, &f->loop, WAIT_LIMIT_MS);
-  uint16_t port = loopback_listen (&f->loop, &f->listener, f, on_accept);
-  f->link = narrow_link_create (&f->loop, port, BYTES_PER_S);
+  f->port = loopback_listen (&f->loop, &f->listener, f, on_accept);
+  f->link = narrow_link_create (&f->loop, f->port, BYTES_PER_S);
   snprintf (text, sizeof text, "127.0.0.1:%u", narrow_link_port (f->link));
   f->rows = platform_rows_create (&f->loop, str_from (text));
   store_put (f, len);
@@ -338,6 +343,79 @@
 }
 END_TEST
 
+/* Return the time in us that a JSON string with VALUE takes to be parsed.  */
+static uint64_t
+json_parse_us (str_t value)
+{
+  buf_t text = BUF_NULL;
+
+  buf_printf (&text, "[\"%.*s\"]", STR_ARG (value));
+  uint64_t start_ns = uv_hrtime ();
+  json_decref (json_loadb (text.ptr, text.len, 0, NULL));
+  uint64_t us = (uv_hrtime () - start_ns) / 1000;
+  buf_free (&text);
+  return us;
+}
+
+/* Start a call of the store for its row, not through the slow link, and wait
+   until the store has it.  */
+static rows_t *
+call_directly (fixture_t *f)
+{
+  char text[32];
+
+  snprintf (text, sizeof text, "127.0.0.1:%u", f->port);
+  rows_t *rows = platform_rows_create (&f->loop, str_from (text));
+  rows->ops->read (rows, ROWS_OPERATOR, STR (""), WAIT_LIMIT_MS, on_result, f);
+  WAIT_FOR (f, f->calls == 1);
+  return rows;
+}
+
+/* A signal to stop that arrives while a long reply is decoded must not wait
+   for it: no iteration may take as long as parsing the JSON of the reply.  */
+START_TEST (long_reply_does_not_block_the_loop)
+{
+  fixture_t f;
+  histogram_t busy;
+
+  setup (&f, HUGE_BYTES);
+  loop_watch_t *watch = loop_watch_create (&f.loop, &busy);
+  rows_t *rows = call_directly (&f);
+  memset (&busy, 0, sizeof busy);
+  WAIT_FOR (&f, f.is_done);
+  uv_run (&f.loop, UV_RUN_NOWAIT);
+  ck_assert_int_eq (f.code, VH_OK);
+  ck_assert_uint_eq (f.value_len, HUGE_BYTES);
+  ck_assert_uint_lt (histogram_quantile (&busy, 1),
+                     json_parse_us (buf_str (&f.value)));
+  rows->ops->destroy (rows);
+  loop_watch_destroy (watch);
+  teardown (&f);
+}
+END_TEST
+
+/* A call that is cancelled at any moment of its reply must not be completed,
+   also while the reply is decoded.  */
+START_TEST (cancelled_call_is_not_completed)
+{
+  for (uint64_t i = 0; i < 8; i++)
+    {
+      fixture_t f;
+      setup (&f, HUGE_BYTES / 8);
+      rows_t *rows = call_directly (&f);
+      loop_wait_for_ms (&f.wait, i * 4);
+      if (!f.is_done)
+        {
+          rows->ops->cancel (rows, &f);
+          loop_wait_for_ms (&f.wait, 100);
+          ck_assert (!f.is_done);
+        }
+      rows->ops->destroy (rows);
+      teardown (&f);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -349,6 +427,8 @@
   tcase_add_test (tcase, large_configuration_arrives_over_a_slow_link);
   tcase_add_test (tcase, first_read_completes_over_a_slow_link);
   tcase_add_test (tcase, reply_that_stops_times_out);
+  tcase_add_test (tcase, long_reply_does_not_block_the_loop);
+  tcase_add_test (tcase, cancelled_call_is_not_completed);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
