--- a/packages/conf/arena.c
+++ b/packages/base/arena.c
@@ -1,4 +1,4 @@
-#include "conf/arena.h"
+#include "base/arena.h"
 #include "base/mem.h"
 
 #include <stdlib.h>
--- a/packages/conf/arena.h
+++ b/packages/base/arena.h
@@ -1,8 +1,8 @@
 /* Region allocator: all memory allocated from an arena is released in one
    call.  It owns the strings and structs that are parsed from one text.  */
 
-#ifndef CONF_ARENA_H
-#define CONF_ARENA_H
+#ifndef BASE_ARENA_H
+#define BASE_ARENA_H
 
 #include "base/str.h"
 
--- a/packages/conf/schema.h
+++ b/packages/conf/schema.h
@@ -4,7 +4,7 @@
 #ifndef CONF_SCHEMA_H
 #define CONF_SCHEMA_H
 
-#include "conf/arena.h"
+#include "base/arena.h"
 #include "conf/settings.h"
 
 /* Types of values.  Each comment gives the C type of the struct field and the
--- a/packages/gateway/catalog.c
+++ b/packages/gateway/catalog.c
@@ -1,5 +1,6 @@
 #include "gateway/catalog.h"
 
+#include "base/arena.h"
 #include "base/loop_watch.h"
 #include "base/map.h"
 #include "base/mem.h"
@@ -7,12 +8,6 @@
 #include <ctype.h>
 #include <stdlib.h>
 
-typedef struct allocation
-{
-  struct allocation *next;
-  max_align_t bytes[];
-} allocation_t;
-
 struct catalog
 {
   unsigned ref_count;
@@ -21,32 +16,10 @@
   map_t *services;
   map_t *routes; /* Map of host, NUL byte and prefix to route_t.  */
   map_t *teams;
-  map_t *keys;               /* Map of API key to team_t.  */
-  allocation_t *allocations; /* List of the memory blocks that are freed with
-                                the catalog.  */
+  map_t *keys;   /* Map of API key to team_t.  */
+  arena_t arena; /* Memory that is freed with the catalog.  */
 };
 
-/* Allocate SIZE zeroed bytes that are freed with CATALOG.  */
-static void *
-alloc_owned (catalog_t *catalog, size_t size)
-{
-  allocation_t *allocation = mem_zalloc (sizeof *allocation + size);
-
-  allocation->next = catalog->allocations;
-  catalog->allocations = allocation;
-  return allocation->bytes;
-}
-
-static str_t
-copy_str (catalog_t *catalog, str_t s)
-{
-  char *copy = alloc_owned (catalog, s.len + 1);
-
-  if (s.len > 0)
-    memcpy (copy, s.ptr, s.len);
-  return str_make (copy, s.len);
-}
-
 catalog_t *
 catalog_create (uint64_t revision)
 {
@@ -77,12 +50,7 @@
   map_destroy (catalog->routes);
   map_destroy (catalog->teams);
   map_destroy (catalog->keys);
-  while (catalog->allocations != NULL)
-    {
-      allocation_t *allocation = catalog->allocations;
-      catalog->allocations = allocation->next;
-      free (allocation);
-    }
+  arena_free (&catalog->arena);
   free (catalog);
   loop_work_end (outer);
 }
@@ -92,12 +60,12 @@
 {
   if (map_get (catalog->services, service->name) != NULL)
     return VH_E_BAD_CONFIG;
-  service_t *copy = alloc_owned (catalog, sizeof *copy);
+  service_t *copy = arena_alloc (&catalog->arena, sizeof *copy);
   *copy = *service;
-  copy->name = copy_str (catalog, service->name);
-  copy->health_path = copy_str (catalog, service->health_path);
+  copy->name = arena_str (&catalog->arena, service->name);
+  copy->health_path = arena_str (&catalog->arena, service->health_path);
   for (size_t i = 0; i < copy->model_count; i++)
-    copy->models[i].name = copy_str (catalog, copy->models[i].name);
+    copy->models[i].name = arena_str (&catalog->arena, copy->models[i].name);
   map_put (catalog->services, copy->name, copy);
   return VH_OK;
 }
@@ -121,15 +89,16 @@
   append_route_key (&key, route->host, route->path_prefix);
   if (map_get (catalog->routes, buf_str (&key)) != NULL)
     goto done;
-  route_t *copy = alloc_owned (catalog, sizeof *copy);
+  route_t *copy = arena_alloc (&catalog->arena, sizeof *copy);
   *copy = *route;
-  copy->name = copy_str (catalog, route->name);
-  copy->host = copy_str (catalog, route->host);
-  copy->path_prefix = copy_str (catalog, route->path_prefix);
+  copy->name = arena_str (&catalog->arena, route->name);
+  copy->host = arena_str (&catalog->arena, route->host);
+  copy->path_prefix = arena_str (&catalog->arena, route->path_prefix);
   for (size_t i = 0; i < copy->service_count; i++)
-    copy->services[i].service = copy_str (catalog, copy->services[i].service);
+    copy->services[i].service
+        = arena_str (&catalog->arena, copy->services[i].service);
   for (size_t i = 0; i < copy->model_count; i++)
-    copy->models[i] = copy_str (catalog, copy->models[i]);
+    copy->models[i] = arena_str (&catalog->arena, copy->models[i]);
   map_put (catalog->routes, buf_str (&key), copy);
   code = VH_OK;
 done:
@@ -146,9 +115,9 @@
   for (size_t i = 0; i < key_count; i++)
     if (map_get (catalog->keys, keys[i]) != NULL)
       return VH_E_BAD_CONFIG;
-  team_t *copy = alloc_owned (catalog, sizeof *copy);
+  team_t *copy = arena_alloc (&catalog->arena, sizeof *copy);
   *copy = *team;
-  copy->name = copy_str (catalog, team->name);
+  copy->name = arena_str (&catalog->arena, team->name);
   map_put (catalog->teams, copy->name, copy);
   for (size_t i = 0; i < key_count; i++)
     map_put (catalog->keys, keys[i], copy);
