relay: requests that wait for the first configuration wait for an event

Cause: each of them looked every 10 ms whether the configuration was there. Now that the first configuration is parsed beside the loop, hundreds of requests may wait meanwhile, and their timers take processor time from the parse.

Change: they wait for the configuration, or the first read of a table, and for the end of their wait.

--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -117,6 +117,10 @@
 /* Start processing REQ.  The response is sent on this or a later loop
    iteration.  */
 void relay_start (gateway_state_t *state, httpd_req_t *req);
+/* Admit the requests that wait for the first configuration, unless they still
+   have to wait.  To be called when a table was read for the first time, and
+   when a configuration was parsed.  */
+void relay_admit_waiting (gateway_state_t *state);
 /* End the requests that wait for the begin of an answer and are refused by
    now, before they crash the instances that have them.  */
 void relay_end_refused (gateway_state_t *state);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -47,8 +47,6 @@
   STARTUP_WAIT_MS = 800,
   /* The same if a configuration was read by then and is being parsed.  */
   STARTUP_PARSE_WAIT_MS = 2000,
-  /* Interval at which waiting requests check whether the store was read.  */
-  STARTUP_POLL_MS = 10,
   /* Mean Retry-After during a planned stop.  Short, because the platform's
      load balancer already directs callers to other gateway processes.  */
   RETRY_AFTER_DRAINING_MS = 50,
@@ -548,32 +546,50 @@
   relay_send (relay);
 }
 
-/* Return whether the request waits for the first configuration of this
-   process.  After a crash of all gateway processes, callers reconnect at the
-   same time, each with its last retry, so a rejection during the tenths of a
-   second that reading and parsing it take would be final.  After the wait the
-   process rejects requests at once if it still has no configuration.  */
-static bool
-should_wait_for_startup (const relay_t *relay)
+/* Return the time for which the request still waits for the first
+   configuration of this process, in ms.  After a crash of all gateway
+   processes, callers reconnect at the same time, each with its last retry, so
+   a rejection during the tenths of a second that reading and parsing it take
+   would be final.  After the wait the process rejects requests at once if it
+   still has no configuration.  */
+static uint64_t
+startup_wait_left_ms (const relay_t *relay)
 {
   const gateway_state_t *state = relay->state;
   uint64_t age_ms = clock_ms (state->clock) - state->started_ms;
+  uint64_t limit_ms = 0;
 
   if (state->catalog == NULL && state->config_load_started_ms != 0)
-    return age_ms < STARTUP_PARSE_WAIT_MS;
-  return !state->is_initialized && age_ms < STARTUP_WAIT_MS;
+    limit_ms = STARTUP_PARSE_WAIT_MS;
+  else if (!state->is_initialized)
+    limit_ms = STARTUP_WAIT_MS;
+  return age_ms < limit_ms ? limit_ms - age_ms : 0;
 }
 
-/* Admit the request now, or check again after STARTUP_POLL_MS.  */
+/* Admit the request now, or when relay_admit_waiting is called or the wait
+   ends.  */
 static void
 admit_when_ready (relay_t *relay)
 {
-  if (should_wait_for_startup (relay))
-    peer_timer_start (&relay->timer, STARTUP_POLL_MS);
+  uint64_t wait_ms = startup_wait_left_ms (relay);
+
+  if (wait_ms > 0)
+    peer_timer_start (&relay->timer, wait_ms);
   else
     admit (relay);
 }
 
+void
+relay_admit_waiting (gateway_state_t *state)
+{
+  LIST_EACH (at, &state->relays)
+    {
+      relay_t *relay = CONTAINER_OF (at, relay_t, link);
+      if (relay->phase == PHASE_AWAITING_CONFIG)
+        admit_when_ready (relay);
+    }
+}
+
 void
 relay_start (gateway_state_t *state, httpd_req_t *req)
 {
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -138,32 +138,31 @@
   store_sync_t *sync = arg;
   gateway_state_t *state = sync->state;
   uint64_t parse_ms = gateway_config_load_elapsed_ms (state);
+  bool is_first = state->catalog == NULL;
 
   /* While a newer configuration waits to be parsed, keep the start time, so
      that the load time includes the wait.  */
   if (!loader_is_busy (sync->loader))
     state->config_load_started_ms = 0;
   if (code != VH_OK)
+    log_event (EVENT_CONFIG_BAD, log_field_number (FIELD_CODE, code),
+               log_field_number (FIELD_BYTES, len));
+  else if (!is_first
+           && catalog_revision (catalog) <= catalog_revision (state->catalog))
+    catalog_unref (catalog);
+  else
     {
-      log_event (EVENT_CONFIG_BAD, log_field_number (FIELD_CODE, code),
-                 log_field_number (FIELD_BYTES, len));
-      return;
-    }
-  if (state->catalog != NULL
-      && catalog_revision (catalog) <= catalog_revision (state->catalog))
-    {
-      catalog_unref (catalog);
-      return;
+      log_event (
+          EVENT_CONFIG,
+          log_field_number (FIELD_REVISION, catalog_revision (catalog)),
+          log_field_number (FIELD_BEFORE,
+                            is_first ? 0 : catalog_revision (state->catalog)),
+          log_field_number (FIELD_READ_MS, parse_ms));
+      catalog_unref (state->catalog);
+      state->catalog = catalog;
     }
-  log_event (
-      EVENT_CONFIG,
-      log_field_number (FIELD_REVISION, catalog_revision (catalog)),
-      log_field_number (FIELD_BEFORE, state->catalog != NULL
-                                          ? catalog_revision (state->catalog)
-                                          : 0),
-      log_field_number (FIELD_READ_MS, parse_ms));
-  catalog_unref (state->catalog);
-  state->catalog = catalog;
+  if (is_first)
+    relay_admit_waiting (state);
 }
 
 /* Parse the configuration in ROW.  The load time starts now, unless an earlier
@@ -323,8 +322,13 @@
 static void
 update_initialized (store_sync_t *sync)
 {
-  if (sync->has_read_shared_rows && sync->has_read_instances)
-    sync->state->is_initialized = true;
+  gateway_state_t *state = sync->state;
+
+  if (state->is_initialized || !sync->has_read_shared_rows
+      || !sync->has_read_instances)
+    return;
+  state->is_initialized = true;
+  relay_admit_waiting (state);
 }
 
 /* Registrations that are missing in the copy are kept as after an outage,
