--- a/packages/gateway/catalog.c
+++ b/packages/gateway/catalog.c
@@ -144,27 +144,34 @@
   return order != 0 ? order : (a.len > b.len) - (a.len < b.len);
 }
 
+/* A route that is sorted for its group.  */
+typedef struct
+{
+  route_t *route;
+  uint64_t name_hash;
+} sorted_route_t;
+
 /* Compare two routes by the first service and by the hash of the name.  */
 static int
 compare_routes (const void *a, const void *b)
 {
-  const route_t *x = *(route_t *const *)a;
-  const route_t *y = *(route_t *const *)b;
-  uint64_t hash_x = str_hash (x->name, 0);
-  uint64_t hash_y = str_hash (y->name, 0);
-  int order = compare_strings (first_service (x), first_service (y));
+  const sorted_route_t *x = a;
+  const sorted_route_t *y = b;
+  int order
+      = compare_strings (first_service (x->route), first_service (y->route));
 
   if (order != 0)
     return order;
-  return hash_x != hash_y ? (hash_x > hash_y) - (hash_x < hash_y)
-                          : compare_strings (x->name, y->name);
+  return x->name_hash != y->name_hash
+             ? (x->name_hash > y->name_hash) - (x->name_hash < y->name_hash)
+             : compare_strings (x->route->name, y->route->name);
 }
 
 void
 catalog_group_routes (catalog_t *catalog, uint32_t cell_count)
 {
   size_t count = map_size (catalog->routes);
-  route_t **routes = mem_alloc ((count + 1) * sizeof (route_t *));
+  sorted_route_t *routes = mem_alloc ((count + 1) * sizeof *routes);
   size_t used[CATALOG_CELLS_MAX];
   size_t cursor = 0;
   size_t filled = 0;
@@ -172,15 +179,18 @@
   void *value;
 
   while (map_next (catalog->routes, &cursor, &key, &value))
-    routes[filled++] = value;
+    {
+      route_t *route = value;
+      routes[filled++] = (sorted_route_t){ route, str_hash (route->name, 0) };
+    }
   qsort (routes, count, sizeof *routes, compare_routes);
   for (size_t i = 0; i < count; i++)
     {
-      uint32_t start = (uint32_t)(str_hash (routes[i]->name, 0) % cell_count);
+      uint32_t start = (uint32_t)(routes[i].name_hash % cell_count);
       uint32_t cell = start;
       if (i == 0
-          || !str_eq (first_service (routes[i]),
-                      first_service (routes[i - 1])))
+          || !str_eq (first_service (routes[i].route),
+                      first_service (routes[i - 1].route)))
         memset (used, 0, sizeof used);
       /* A route changes its group seldom when another is added: it stays in
          the one of its hash unless that has more routes than another.  */
@@ -188,7 +198,7 @@
         if (used[(start + step) % cell_count] < used[cell])
           cell = (start + step) % cell_count;
       used[cell]++;
-      routes[i]->trial_cell = cell;
+      routes[i].route->trial_cell = cell;
     }
   free (routes);
 }
