storesync: a stopped gateway that accepts no requests parses no configuration

Change: after the end of the grace it parses none, unless it has none yet. A request that comes then is refused as draining before its route is looked for: the configuration in force may be an old one, by which a new route or key does not exist.

Test: stopped_gateway_reads_no_configuration of test_stop; it failed before.

--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -524,15 +524,15 @@
 {
   gateway_state_t *state = relay->state;
   request_attrs_t *attrs = &relay->attrs;
-  vh_code_t code = request_attrs_resolve (attrs, state, relay->req,
-                                          str_from (relay->attempt_id));
 
-  if (code == VH_OK && !gateway_accepts_request (state, attrs->arrived_ms))
+  if (!gateway_accepts_request (state, attrs->arrived_ms))
     {
       relay_reply_error (relay, 503, VH_E_DRAINING, "draining",
                          RETRY_AFTER_DRAINING_MS);
       return;
     }
+  vh_code_t code = request_attrs_resolve (attrs, state, relay->req,
+                                          str_from (relay->attempt_id));
   if (code != VH_OK)
     {
       reject (relay, code);
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -172,6 +172,10 @@
 {
   gateway_state_t *state = sync->state;
 
+  /* No request will use it, and parsing delays the streams that still run.  */
+  if (state->catalog != NULL
+      && !gateway_accepts_request (state, clock_ms (state->clock)))
+    return;
   log_event (EVENT_CONFIG_TEXT, log_field_number (FIELD_ORDER, row->version),
              log_field_number (FIELD_BYTES, row->value.len));
   if (state->config_load_started_ms == 0)
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -273,6 +273,30 @@
 }
 END_TEST
 
+/* A gateway that accepts no requests any more parses no configuration.  It
+   must not refuse a request by the one in force, which may be an old one.  */
+START_TEST (stopped_gateway_reads_no_configuration)
+{
+  caller_t caller;
+
+  start_gateway ();
+  signal_ms = clock_ms (clock_system ());
+  raise (SIGTERM);
+  run_until (signal_ms + GRACE_MS + 1);
+  fake_rows_put (f.rows, ROWS_OPERATOR, "catalog", "2 key-2");
+  run_until (signal_ms + GRACE_MS + 100);
+  ck_assert_int_eq (
+      (int)gateway_fixture_metric (&f, "vanillahook_gateway_revision"), 1);
+  gateway_fixture_request (&f, &caller, "GET", "/read/",
+                           "Authorization: Bearer key-2\r\n"
+                           "vanillahook-attempt-id: a1\r\n",
+                           "");
+  ck_assert_int_eq (caller_status (&caller), 503);
+  ck_assert (caller_response_contains (&caller, "not-run"));
+  caller_free (&f, &caller);
+}
+END_TEST
+
 /* Start a gateway whose first configuration takes PARSE_MS of real time to
    parse.  */
 static void
@@ -334,6 +358,7 @@
   tcase_add_test (tcase, signal_before_the_loop_runs);
   tcase_add_test (tcase, stop_during_first_read);
   tcase_add_test (tcase, request_that_waited_is_served);
+  tcase_add_test (tcase, stopped_gateway_reads_no_configuration);
   suite_add_tcase (suite, tcase);
   tcase_add_checked_fixture (threads, NULL, teardown_real_time);
   tcase_add_test (threads, signal_is_handled_while_first_text_is_parsed);
