config_age: a newer configuration that is parsed makes the one in force age

Cause: the reply that brings a newer configuration also confirms the table, so that its age fell to nearly 0, but the configuration in force, whose keys are used until the text is parsed, was not confirmed by it. The parse may last half of the time that a revocation may take from the begin of loading, which assumes that the text was read soon after its acknowledgement.

Change: policy/config_age. The configuration in force ages from the last confirmation before a newer text was read, also while several texts wait, and the half of the time from the begin of loading is gone. A text that was read before is not parsed again.

Why it works: whatever was revoked was acknowledged after that confirmation, and the keys are trusted for nine tenths of the time that a revocation may take from it.

--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -97,16 +97,11 @@
 bool
 gateway_has_fresh_config (const gateway_state_t *state)
 {
-  uint64_t max_age_ms = state->options.config_max_age_ms;
-
-  if (state->catalog == NULL)
-    return false;
-  /* The configuration that is being loaded may revoke a key, so the keys of
-     the configuration in force are accepted only for another
-     config_max_age_ms / 2 after loading began.  */
-  if (gateway_config_load_elapsed_ms (state) > max_age_ms / 2)
-    return false;
-  return table_sync_age_ms (state->operator_rows_sync) <= max_age_ms;
+  return state->catalog != NULL
+         && config_age_ms (&state->config_age,
+                           table_sync_confirmed_ms (state->operator_rows_sync),
+                           clock_boottime_ms (state->clock))
+                <= state->options.config_max_age_ms;
 }
 
 static void
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -15,6 +15,7 @@
 #include "gateway/peerrows.h"
 #include "gateway/request_metrics.h"
 #include "policy/allotment.h"
+#include "policy/config_age.h"
 #include "policy/sendbudget.h"
 #include "policy/escalation.h"
 #include "policy/finish_time.h"
@@ -78,6 +79,7 @@
   announced_limits_t *announced_limits;
   crash_records_t *crash_records;
   catalog_t *catalog; /* Configuration in force; NULL if none is known.  */
+  config_age_t config_age;         /* Of CATALOG.  */
   uint64_t config_load_started_ms; /* Time at which the loading of a newer
                                       configuration began, in ms of the boot
                                       clock; 0 if none is being loaded.  */
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -144,11 +144,15 @@
      that the load time includes the wait.  */
   if (!loader_is_busy (sync->loader))
     state->config_load_started_ms = 0;
+  bool is_accepted
+      = code == VH_OK
+        && (is_first
+            || catalog_revision (catalog) > catalog_revision (state->catalog));
+  config_age_parsed (&state->config_age, is_accepted);
   if (code != VH_OK)
     log_event (EVENT_CONFIG_BAD, log_field_number (FIELD_CODE, code),
                log_field_number (FIELD_BYTES, len));
-  else if (!is_first
-           && catalog_revision (catalog) <= catalog_revision (state->catalog))
+  else if (!is_accepted)
     catalog_unref (catalog);
   else
     {
@@ -176,6 +180,9 @@
   if (state->catalog != NULL
       && !gateway_accepts_request (state, clock_ms (state->clock)))
     return;
+  if (!config_age_read (&state->config_age, row->version,
+                        table_sync_confirmed_ms (state->operator_rows_sync)))
+    return;
   log_event (EVENT_CONFIG_TEXT, log_field_number (FIELD_ORDER, row->version),
              log_field_number (FIELD_BYTES, row->value.len));
   if (state->config_load_started_ms == 0)
--- a/packages/gateway/tablesync.c
+++ b/packages/gateway/tablesync.c
@@ -385,6 +385,12 @@
                               clock_boottime_ms (sync->clock));
 }
 
+uint64_t
+table_sync_confirmed_ms (const table_sync_t *sync)
+{
+  return sync->confirmation.is_known ? sync->confirmation.confirmed_ms : 0;
+}
+
 bool
 table_sync_is_down (const table_sync_t *sync)
 {
--- a/packages/gateway/tablesync.h
+++ b/packages/gateway/tablesync.h
@@ -106,6 +106,10 @@
    while the machine is suspended; UINT64_MAX before the first
    confirmation.  */
 uint64_t table_sync_age_ms (const table_sync_t *sync);
+/* Return the time of the last confirmation, in ms of the boot clock; 0 before
+   the first.  While the rows of a reply are passed on, that is the one before
+   the reply.  */
+uint64_t table_sync_confirmed_ms (const table_sync_t *sync);
 /* Return whether the last call failed.  */
 bool table_sync_is_down (const table_sync_t *sync);
 /* Return an estimate of the store's steady clock at this moment, in ms; 0
