--- a/packages/base/loop_watch.c
+++ b/packages/base/loop_watch.c
@@ -28,7 +28,7 @@
 static _Thread_local loop_watch_t *thread_watch;
 
 static const char *const work_names[] = {
-#define X(symbol, name) [symbol] = name,
+#define X(symbol, name) [symbol] = (name),
   LOOP_WORK (X)
 #undef X
 };
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -9,6 +9,7 @@
 #include "virtual_time.h"
 
 #include <signal.h>
+#include <stdio.h>
 
 #define REQUEST_HEADERS                                                       \
   "Authorization: Bearer key-1\r\nvanillahook-attempt-id: a1\r\n"
@@ -304,8 +305,7 @@
 {
   static char text[LOADER_ASYNC_BYTES_MIN + 32];
 
-  memset (text, ' ', sizeof text - 1);
-  memcpy (text, "2 key-1", 7);
+  snprintf (text, sizeof text, "%-*s", (int)sizeof text - 1, "2 key-1");
   gateway_fixture_parse_ms = PARSE_MS;
   gateway_fixture_setup_upstreams (&f, 1);
   fake_rows_put (f.rows, ROWS_OPERATOR, "catalog", text);
