relay: a request that may run once is neither refused on suspicion nor run for a larger model

What callers saw: (1) an instance that ran a request and answered 503 without `Not-Executed' had its 503 passed on, which callers take for the promise that the request has not run, and send it again. (2) A stream route with models that is not resumable had a first answer of low confidence dropped and the request run again.

Cause: both paths asked for the status or the confidence only, not for the kind of the route.

Change: 408, 429 and 503 without `Not-Executed' become 502, unknown, for a request that may run once at most; a doubtful answer of such a request is kept. Whether the last send was refused follows from its outcome, also after a move and an escalation.

Tests: unproved_refusal_is_no_refusal and low_confidence_repeats_no_unrepeatable_stream of test_gateway; both failed before (503, now 502; 2 runs, now 1).

--- a/packages/gateway/relay_move.c
+++ b/packages/gateway/relay_move.c
@@ -217,7 +217,6 @@
       log_field_number (FIELD_EXTRA, relay_retries_left (relay)));
   relay->failure_reason = "slow";
   relay->has_moved = true;
-  relay->was_refused = false;
   relay->possible_run_count++;
   /* Cancelled: no failure that ejects the instance.  */
   relay->is_moving = true;
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -115,6 +115,7 @@
 relay_leave_upstream (relay_t *relay, send_outcome_t outcome)
 {
   add_tried_upstream (relay);
+  relay->was_refused = outcome == SEND_REFUSED;
   relay_finish_send (relay, outcome);
   buf_free (&relay->response_headers);
   buf_free (&relay->response_body);
@@ -191,7 +192,6 @@
   relay->failure_reason = reason;
   if (may_have_run)
     relay->possible_run_count++;
-  relay->was_refused = !may_have_run;
   if (may_have_run && relay_trial_arm (relay) == TRIAL_ARM_NEW)
     relay->trial_sends.failed_on_new = true;
   relay_leave_upstream (relay, may_have_run ? SEND_FAILED : SEND_REFUSED);
@@ -401,6 +401,9 @@
   uint64_t confidence;
   size_t larger_model;
 
+  /* The answer that is dropped was a run.  */
+  if (!relay->attrs.is_repeatable)
+    return false;
   if (relay->has_response_started || relay->attrs.route->model_count == 0
       || relay->model_index + 1 >= relay->attrs.route->model_count
       || confidence_header.ptr == NULL
@@ -417,12 +420,21 @@
              log_field_number (FIELD_CONFIDENCE, confidence),
              log_field_number (FIELD_EXTRA, relay_retries_left (relay)));
   relay->possible_run_count++;
+  relay->was_refused = false;
   relay->model_index = larger_model;
   relay_finish_send (relay, SEND_CANCELLED);
   relay_send (relay);
   return true;
 }
 
+/* Return whether callers take STATUS for the promise that the request has not
+   run.  */
+static bool
+is_not_run_status (int status)
+{
+  return status == 408 || status == 429 || status == 503;
+}
+
 static void
 on_head (void *arg, const http_exchange_head_t *head)
 {
@@ -450,6 +462,15 @@
                          false);
       return;
     }
+  /* An upstream that does not say that it did not run the request may have run
+     it, and the caller would send it again.  */
+  if (is_not_run_status (head->status) && !relay->attrs.is_repeatable)
+    {
+      crash_records_send_survived (relay->state->crash_records,
+                                   relay->attrs.content_key);
+      relay_send_failed (relay, "upstream-error", true);
+      return;
+    }
   relay->is_success = head->status < 300;
   if (!relay->is_success && head->status >= 500 && relay_may_retry (relay)
       && relay_check_retry_budget (relay))
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -415,6 +415,10 @@
       append_head (conn, "500 Oops", &out);
       buf_append_str (&out, STR ("Content-Length: 4\r\n\r\noops"));
       break;
+    case ACT_BUSY:
+      append_head (conn, "503 Busy", &out);
+      buf_append_str (&out, STR ("Content-Length: 4\r\n\r\nbusy"));
+      break;
     case ACT_REFUSE_NOT_RUN:
       buf_printf (
           &out, "HTTP/1.1 503 Full\r\n%.*s: 1\r\n%sContent-Length: 0\r\n\r\n",
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -25,6 +25,7 @@
   ACT_RESPOND,             /* 200 with the upstream's ID in the body.  */
   ACT_ERROR,               /* 500 with a response MAC.  */
   ACT_REFUSE_NOT_RUN,      /* 503 with the `not run' header field.  */
+  ACT_BUSY,                /* 503 without it.  */
   ACT_NO_RESPONSE,         /* No response; the connection stays open.  */
   ACT_RESET,               /* Connection reset without a response.  */
   ACT_TRUNCATE_BODY,       /* 200 with a body shorter than Content-Length.  */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -872,6 +872,47 @@
 }
 END_TEST
 
+/* A stream that may run once at most must not run again for a larger model,
+   and its caller gets the answer of the first.  */
+START_TEST (low_confidence_repeats_no_unrepeatable_stream)
+{
+  static const fake_action_t acts[]
+      = { ACT_STREAM_LOW_CONFIDENCE, ACT_STREAM };
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 1);
+  fake_upstream_script (f.upstreams[0], acts, 2);
+  gateway_fixture_request (&f, &caller, "POST", "/tell/",
+                           REQUEST_HEADERS "vanillahook-model: *\r\n", "{}");
+  ck_assert_int_eq (caller_status (&caller), 200);
+  ck_assert_uint_eq (count_upstream_requests (&f), 1);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
+/* An instance answers 503 and does not say that it has not run the request.  A
+   caller takes 503 for that and sends the request again, so it must not get it
+   for a request that may run once at most.  */
+START_TEST (unproved_refusal_is_no_refusal)
+{
+  static const fake_action_t busy[] = { ACT_BUSY };
+  gateway_fixture_t f;
+  caller_t caller;
+
+  gateway_fixture_setup (&f, 1);
+  fake_upstream_script (f.upstreams[0], busy, 1);
+  gateway_fixture_request (&f, &caller, "POST", "/book/", REQUEST_HEADERS, "");
+  ck_assert_int_eq (caller_status (&caller), 502);
+  ck_assert (caller_response_contains (&caller, "unknown"));
+  ck_assert (!caller_response_contains (&caller, "retry-after"));
+  ck_assert_uint_eq (count_upstream_requests (&f), 1);
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* A caller sets the urgency header to get ahead of other requests.  The
    urgency sent to the engine must follow from the priority of the route
    instead.  */
@@ -1477,6 +1518,8 @@
   tcase_add_test (tcase, failed_stream_is_visibly_incomplete);
   tcase_add_test (tcase, low_confidence_escalates_to_larger_model);
   tcase_add_test (tcase, probe_does_not_delay_deadline);
+  tcase_add_test (tcase, low_confidence_repeats_no_unrepeatable_stream);
+  tcase_add_test (tcase, unproved_refusal_is_no_refusal);
   tcase_add_test (tcase, caller_cannot_set_urgency);
   tcase_add_test (tcase, request_waits_for_first_configuration);
   tcase_add_test (tcase, start_without_store_rejects_soon);
