peerrows: a call is not made to the store twice when a reader's address is none

Cause: call_reader called the store for a reader whose address cannot be parsed, also when the store had been called for that call already. An error path of the daemon destroyed its roster twice in the source, the second time with NULL.

Change: the store is called only if it was not; the second destroy is gone.

Measured: test_share, test_share_fleet and test_config_delay pass as before. Not shown by a test: an order of events that made the second call was not reached (one try of a reader that turns its callers away while the store is silent, under the sanitizers, on the code before).

--- a/packages/daemon/process.c
+++ b/packages/daemon/process.c
@@ -561,8 +561,6 @@
   return VH_OK;
 
 free_platform:
-  roster_destroy (process->roster);
-  process->roster = NULL;
   roster_destroy (process->roster);
   process->roster = NULL;
   ledger_destroy (process->ledger);
--- a/packages/gateway/peerrows.c
+++ b/packages/gateway/peerrows.c
@@ -781,7 +781,8 @@
         peer_rows->node, str_from (gateway->address), &no_events, gateway);
   if (gateway->peer == NULL)
     {
-      call_store (pending, STR (""));
+      if (pending->store_state == STORE_NOT_CALLED)
+        call_store (pending, STR (""));
       return;
     }
   if (pending->table == ROWS_SHARED)
