tests: the count of stops begins anew in each test

Cause: without a process for each test, as ctest runs them, test_stop counted the stops of the tests before.

--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -64,6 +64,7 @@
 static void
 catch_signals (void)
 {
+  stop_count = 0;
   stop_signal = stop_signal_create (&f.loop, clock_system (), on_stop, NULL);
   uv_timer_init (&f.loop, &busy_timer);
   uv_timer_init (&f.loop, &sleep_timer);
