daemon: a signal during a start that fails is ignored

Cause: the signals are caught before the roles are created now, and the loop runs after a start that failed too, where there is no process to stop.

--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -22,7 +22,9 @@
 {
   process_t **process = arg;
 
-  process_stop (*process, time);
+  /* The loop also runs after a start that failed.  */
+  if (*process != NULL)
+    process_stop (*process, time);
 }
 
 /* Run a process with SETTINGS until a planned stop is complete.  Return the
