tests: a second call to the store for one call of a gateway is shown

What callers saw: nothing yet; a gateway that reads the row of another one with an address that cannot be parsed may use released memory and crash.

It takes a reader of the highest rank, the gateway without an address after it, and a reader that turns a call away while the store has not replied to it: the next reader is then called for, and with it the store a second time.

Change: that order in test_share. The fake store checks that no caller has two reads or watches at a time.

--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -143,12 +143,27 @@
     call_reply (call);
 }
 
+/* Check that the caller of a read or watch has no other that awaits its reply:
+   a caller that is released with its reply must not get a second one.  */
+static void
+check_single_call (const fake_rows_t *fake, const void *arg)
+{
+  LIST_EACH (at, &fake->pending)
+    {
+      const fake_call_t *call = CONTAINER_OF (at, fake_call_t, link);
+      ck_assert_msg (call->kind == CALL_COMMIT || call->arg != arg,
+                     "two calls at a time for one caller");
+    }
+}
+
 static fake_call_t *
 call_add (fake_rows_t *fake, int kind, rows_table_t table, uint64_t after,
           uint64_t wait_ms, rows_cb_t cb, void *arg)
 {
   fake_call_t *call = mem_zalloc (sizeof *call);
 
+  if (kind != CALL_COMMIT)
+    check_single_call (fake, arg);
   call->fake = fake;
   call->kind = kind;
   call->table = table;
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -437,6 +437,36 @@
 }
 END_TEST
 
+/* Rows of gateways have addresses that cannot be parsed.  A call must not be
+   made to the store a second time because such a gateway is the next reader:
+   the second reply would find the call released.  */
+START_TEST (unreadable_address_makes_no_second_call)
+{
+  fixture_t f
+      = { .zones = { "zone-a", "zone-a", "zone-a" }, .link_mbps = { 1000 } };
+
+  start_all (&f);
+  for (int i = 0; i < GATEWAYS; i++)
+    peer_rows_add_gateway (f.gateways[i].peer_rows, STR ("bad"),
+                           STR ("zone-a"), STR ("no address"), 500);
+  ck_assert_int_eq (wait_for_reader (&f), 0);
+  run_for (&f, 2000);
+  /* Another calls the store beside its reader, which turns it away before the
+     store has replied.  */
+  fake_rows_set_stalled (f.store, ROWS_OPERATOR, true);
+  size_t calls = fake_rows_call_count (f.store);
+  WAIT_FOR (&f, fake_rows_call_count (f.store) > calls);
+  peer_rows_stop_serving (f.gateways[0].peer_rows);
+  run_for (&f, 300);
+  fake_rows_set_stalled (f.store, ROWS_OPERATOR, false);
+  fake_rows_put (f.store, ROWS_OPERATOR, "a", "two");
+  for (int i = 0; i < GATEWAYS; i++)
+    WAIT_FOR (&f, strcmp (f.gateways[i].value, "two") == 0);
+  run_for (&f, 1000);
+  teardown (&f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -453,6 +483,7 @@
   tcase_add_test (tcase, crashed_reader_is_replaced);
   tcase_add_test (tcase, age_counts_from_the_reply_of_the_store);
   tcase_add_test (tcase, stopping_reader_is_replaced_at_once);
+  tcase_add_test (tcase, unreadable_address_makes_no_second_call);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
