loop_watch: one measurement of the loop, in the entry and the sidecar too

Cause: the gateway and the other processes measured the work of an iteration in two ways under one metric, and that of the gateway was half a ms too long on average, as the end of the wait is known to the ms only. Two functions marked the records of other processes alike.

Change: loop_watch rounds both ends down, so that the sum has no bias, and serves all processes; entries and sidecars log long iterations as well. Their loop no longer polls twice for an exact time of its waits, and their histogram is to the ms. Records are marked where they are read.

--- a/packages/base/loop_watch.c
+++ b/packages/base/loop_watch.c
@@ -18,9 +18,9 @@
   uv_prepare_t prepare;
   uv_check_t check;
   int open_handles;
-  uint64_t woken_us; /* End of the last wait for events; 0: none yet.  */
+  uint64_t woken_ms; /* End of the last wait for events; 0: none yet.  */
   loop_work_t work;  /* Work that runs now.  */
-  uint64_t work_begin_us;
+  uint64_t work_began_us;
   uint64_t work_us[LOOP_WORK_COUNT]; /* Marked work of this iteration.  */
 };
 
@@ -45,8 +45,8 @@
 {
   uint64_t now_us = time_us ();
 
-  watch->work_us[watch->work] += now_us - watch->work_begin_us;
-  watch->work_begin_us = now_us;
+  watch->work_us[watch->work] += now_us - watch->work_began_us;
+  watch->work_began_us = now_us;
   watch->work = work;
 }
 
@@ -75,7 +75,7 @@
 {
   loop_watch_t *watch = check->data;
 
-  watch->woken_us = uv_now (watch->loop) * US_PER_MS;
+  watch->woken_ms = uv_now (watch->loop);
 }
 
 /* Log the iteration, whose work took BUSY_US.  */
@@ -106,12 +106,14 @@
   loop_watch_t *watch = prepare->data;
 
   switch_work (watch, LOOP_WORK_OTHER);
-  uint64_t now_us = watch->work_begin_us;
-  if (watch->woken_us != 0 && now_us >= watch->woken_us)
+  /* Both are rounded down, so the sum of the iterations has no bias.  */
+  uint64_t now_ms = watch->work_began_us / US_PER_MS;
+  if (watch->woken_ms != 0 && now_ms >= watch->woken_ms)
     {
-      histogram_record (watch->histogram, now_us - watch->woken_us);
-      if (now_us - watch->woken_us > LOOP_WATCH_BOUND_MS * US_PER_MS)
-        log_iteration (watch, now_us - watch->woken_us);
+      uint64_t busy_us = (now_ms - watch->woken_ms) * US_PER_MS;
+      histogram_record (watch->histogram, busy_us);
+      if (busy_us > LOOP_WATCH_BOUND_MS * US_PER_MS)
+        log_iteration (watch, busy_us);
     }
   for (size_t i = 0; i < LOOP_WORK_COUNT; i++)
     watch->work_us[i] = 0;
@@ -124,7 +126,7 @@
 
   watch->loop = loop;
   watch->histogram = histogram;
-  watch->work_begin_us = time_us ();
+  watch->work_began_us = time_us ();
   uv_prepare_init (loop, &watch->prepare);
   watch->prepare.data = watch;
   uv_prepare_start (&watch->prepare, on_prepare);
--- a/packages/base/loop_watch.h
+++ b/packages/base/loop_watch.h
@@ -19,6 +19,10 @@
   LOOP_WATCH_BOUND_MS = 50
 };
 
+/* Name and help of the histogram in the metrics of a process.  */
+#define LOOP_WATCH_METRIC "vanillahook_loop_busy_seconds"
+#define LOOP_WATCH_HELP "Work of one iteration of the event loop."
+
 /* X (symbol, name): kinds of work that are marked.  */
 #define LOOP_WORK(X)                                                          \
   X (LOOP_WORK_OTHER, "other")                                                \
@@ -42,8 +46,8 @@
 typedef struct loop_watch loop_watch_t;
 
 /* Measure the iterations of LOOP, which this thread runs, and record each in
-   HISTOGRAM; both are borrowed.  If the thread runs several loops that are
-   watched, the marks count for the last.  */
+   HISTOGRAM, to the ms; both are borrowed.  If the thread runs several loops
+   that are watched, the marks count for the last.  */
 loop_watch_t *loop_watch_create (uv_loop_t *loop, histogram_t *histogram);
 /* Release WATCH, which may be NULL, when its loop has closed its handles.  */
 void loop_watch_destroy (loop_watch_t *watch);
--- a/packages/daemon/process.c
+++ b/packages/daemon/process.c
@@ -237,7 +237,7 @@
   confstore_destroy (process->conf);
   process->platform->ops->destroy (process->platform);
   uv_close ((uv_handle_t *)&process->tick_timer, NULL);
-  uv_close ((uv_handle_t *)&process->loop_probe, NULL);
+  loop_watch_destroy (process->loop_watch);
   log_notice ("process", "Stopped.");
 }
 
@@ -293,37 +293,6 @@
              : (uint64_t)BILL_FLUSH_INTERVAL_MAX_MS;
 }
 
-static void
-on_loop_iteration (uv_prepare_t *handle)
-{
-  process_t *process = handle->data;
-  uint64_t now_ns = uv_hrtime ();
-  uint64_t idle_ns = uv_metrics_idle_time (process->loop);
-
-  if (process->iteration_start_ns != 0)
-    histogram_record (process->loop_busy_time,
-                      (now_ns - process->iteration_start_ns
-                       - (idle_ns - process->idle_at_iteration_start_ns))
-                          / 1000);
-  process->iteration_start_ns = now_ns;
-  process->idle_at_iteration_start_ns = idle_ns;
-}
-
-/* Start to measure the busy time of each event loop iteration.  A long
-   iteration delays every request, and this histogram shows it first.  */
-static void
-start_loop_metrics (process_t *process)
-{
-  process->loop_busy_time
-      = metrics_histogram (process->metrics, "vanillahook_loop_busy_seconds",
-                           "", "Work of one turn of the loop.");
-  uv_loop_configure (process->loop, UV_METRICS_IDLE_TIME);
-  uv_prepare_init (process->loop, &process->loop_probe);
-  process->loop_probe.data = process;
-  uv_prepare_start (&process->loop_probe, on_loop_iteration);
-  uv_unref ((uv_handle_t *)&process->loop_probe);
-}
-
 static void
 on_tick (uv_timer_t *timer)
 {
@@ -550,7 +519,9 @@
   code = admin_create (process);
   if (code != VH_OK)
     goto free_platform;
-  start_loop_metrics (process);
+  process->loop_watch = loop_watch_create (
+      loop, metrics_histogram (process->metrics, LOOP_WATCH_METRIC, "",
+                               LOOP_WATCH_HELP));
   uv_timer_init (loop, &process->tick_timer);
   process->tick_timer.data = process;
   uv_timer_start (&process->tick_timer, on_tick, TICK_INTERVAL_MS,
--- a/packages/daemon/processint.h
+++ b/packages/daemon/processint.h
@@ -3,6 +3,7 @@
 #ifndef DAEMON_PROCESSINT_H
 #define DAEMON_PROCESSINT_H
 
+#include "base/loop_watch.h"
 #include "base/mem.h"
 #include "base/metric.h"
 #include "base/map.h"
@@ -28,13 +29,7 @@
   size_t sidecar_count;
   httpd_t *admin; /* Server of the operators' port.  */
   uv_timer_t tick_timer;
-  /* Measures the busy time of each iteration of the event loop.  */
-  uv_prepare_t loop_probe;
-  /* Start of the current iteration; 0 before the first iteration.  */
-  uint64_t iteration_start_ns;
-  /* Total idle time of the loop, in ns, when the current iteration began.  */
-  uint64_t idle_at_iteration_start_ns;
-  histogram_t *loop_busy_time;
+  loop_watch_t *loop_watch;
   uint64_t started_ms; /* Start of the process on the monotonic clock.  */
   drain_t *drain;
   drain_state_t drain_state; /* State after the last update.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -543,9 +543,8 @@
   state->metrics = metrics_create ();
   list_init (&state->relays);
   gateway->loop_watch = loop_watch_create (
-      loop,
-      metrics_histogram (state->metrics, "vanillahook_loop_busy_seconds", "",
-                         "Work of one iteration of the event loop."));
+      loop, metrics_histogram (state->metrics, LOOP_WATCH_METRIC, "",
+                               LOOP_WATCH_HELP));
   state->request_metrics = request_metrics_create (state->metrics);
   create_counters (state);
   uv_timer_init (loop, &gateway->drain_timer);
--- a/packages/wire/rpccodec.c
+++ b/packages/wire/rpccodec.c
@@ -1,5 +1,7 @@
 #include "wire/rpcint.h"
 
+#include "base/loop_watch.h"
+
 #include <arpa/inet.h>
 #include <linux/sockios.h>
 #include <openssl/crypto.h>
@@ -527,7 +529,10 @@
   stream->in.len += (size_t)read_len;
   stream->node->stats.bytes_in += (uint64_t)read_len;
   stream->received_ms = clock_ms (stream->node->clock);
-  if (!process_records (stream))
+  loop_work_t outer = loop_work_begin (LOOP_WORK_PEERS);
+  bool is_valid = process_records (stream);
+  loop_work_end (outer);
+  if (!is_valid)
     end_stream (stream);
 }
 
--- a/packages/wire/rpcpeer.c
+++ b/packages/wire/rpcpeer.c
@@ -1,7 +1,6 @@
 #include "wire/rpcint.h"
 
 #include "base/log.h"
-#include "base/loop_watch.h"
 #include "wire/addr.h"
 
 #include <stdlib.h>
@@ -288,7 +287,7 @@
 }
 
 static bool
-handle_record (rpc_stream_t *stream, char *bytes, size_t len)
+on_record (rpc_stream_t *stream, char *bytes, size_t len)
 {
   peer_connection_t *connection = (peer_connection_t *)stream;
   rpc_peer_t *peer = connection->peer;
@@ -319,16 +318,6 @@
   return is_valid;
 }
 
-static bool
-on_record (rpc_stream_t *stream, char *bytes, size_t len)
-{
-  loop_work_t outer = loop_work_begin (LOOP_WORK_PEERS);
-  bool is_valid = handle_record (stream, bytes, len);
-
-  loop_work_end (outer);
-  return is_valid;
-}
-
 static void
 on_connected (uv_connect_t *connect, int status)
 {
--- a/packages/wire/rpcserver.c
+++ b/packages/wire/rpcserver.c
@@ -1,7 +1,6 @@
 #include "wire/rpcint.h"
 
 #include "base/log.h"
-#include "base/loop_watch.h"
 #include "wire/addr.h"
 
 #include <stdlib.h>
@@ -108,7 +107,7 @@
 }
 
 static bool
-handle_record (rpc_stream_t *stream, char *bytes, size_t len)
+on_record (rpc_stream_t *stream, char *bytes, size_t len)
 {
   connection_t *connection = (connection_t *)stream;
   rpc_node_t *node = stream->node;
@@ -128,16 +127,6 @@
   return is_valid;
 }
 
-static bool
-on_record (rpc_stream_t *stream, char *bytes, size_t len)
-{
-  loop_work_t outer = loop_work_begin (LOOP_WORK_PEERS);
-  bool is_valid = handle_record (stream, bytes, len);
-
-  loop_work_end (outer);
-  return is_valid;
-}
-
 static void
 on_accept (uv_stream_t *listener, int status)
 {
--- a/tests/test_rows.c
+++ b/tests/test_rows.c
@@ -376,7 +376,7 @@
 START_TEST (long_reply_does_not_block_the_loop)
 {
   fixture_t f;
-  histogram_t busy;
+  histogram_t busy = { 0 };
 
   setup (&f, HUGE_BYTES);
   loop_watch_t *watch = loop_watch_create (&f.loop, &busy);
