eventlog: the uncertainty of a signal's time is named so

Cause: `unsure_ms' said neither of what nor that it is a length of time.

Change: the field of process.stop is `uncertainty_ms'.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -235,7 +235,7 @@
   X (FIELD_IN_FLIGHT, "in_flight", "Requests under way")                      \
   X (FIELD_DELAY_MS, "delay_ms",                                              \
      "Milliseconds from the delivery of the signal to this line")             \
-  X (FIELD_UNSURE_MS, "unsure_ms",                                            \
+  X (FIELD_UNCERTAINTY_MS, "uncertainty_ms",                                  \
      "Milliseconds before its delivery in which the signal may have been "    \
      "sent")                                                                  \
   X (FIELD_CUT, "cut", "Requests cut by the stop")                            \
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -457,7 +457,7 @@
                                httpd_in_flight (gateway->caller_server)),
              log_field_number (FIELD_DELAY_MS,
                                clock_ms (state->clock) - time->delivered_ms),
-             log_field_number (FIELD_UNSURE_MS,
+             log_field_number (FIELD_UNCERTAINTY_MS,
                                time->delivered_ms - time->earliest_ms));
   uv_timer_start (&gateway->drain_timer, on_drain_timer, DRAIN_POLL_MS,
                   DRAIN_POLL_MS);
