tests: signals together, and no steps that stand twice

Cause: a reload and a stop at the same moment were not tested, and three tests of this change repeated the steps of others.

Change: reload_and_stop_together of test_stop; the steps of test_config_age, of the requests that wait for the first read and of answers with a low confidence stand once. The comment on the older copy says what is left out.

--- a/tests/test_config_age.c
+++ b/tests/test_config_age.c
@@ -20,8 +20,10 @@
   ACTIONS_MAX = 6,
   /* Steps after the actions, in which nothing more happens.  */
   QUIET_STEPS = 24,
-  /* Longest time to read a configuration, in steps.  */
-  PARSE_STEPS_MAX = 4
+  /* Longest time to parse a configuration, in steps.  */
+  PARSE_STEPS_MAX = 4,
+  GAP_STEPS_MAX = 12,
+  STEPS_MAX = ACTIONS_MAX * GAP_STEPS_MAX + QUIET_STEPS
 };
 
 typedef enum
@@ -109,8 +111,8 @@
       restart_gateway (w, now_ms);
       break;
     case ACT_OLDER_COPY:
-      /* A copy without the revocation says nothing of it to a gateway that
-         begins anew.  */
+      /* Not a copy from before the revocation: a gateway that did not read of
+         it before cannot know of it then.  */
       w->is_copy = w->before.has_key == w->newest.has_key;
       if (w->is_copy)
         w->before.version = ++w->last_version;
@@ -184,9 +186,10 @@
     }
 }
 
-/* Play ACTIONS with GAP_STEPS between two of them.  */
-static void
-play (const action_t *actions, unsigned gap_steps, unsigned parse_steps,
+/* Let STEPS pass, with ACTIONS[I] at the end of step I, and check each. Return
+   the world after them.  */
+static world_t
+play (const action_t *actions, size_t steps, unsigned parse_steps,
       const char *text)
 {
   world_t w = { .last_version = 1, .newest = { 1, 1, true } };
@@ -194,17 +197,28 @@
 
   w.before = w.newest;
   restart_gateway (&w, now_ms);
-  for (size_t i = 0; i < ACTIONS_MAX * gap_steps + QUIET_STEPS; i++)
+  for (size_t i = 0; i < steps; i++)
     {
-      size_t number = i / gap_steps;
-      bool is_due = i % gap_steps == 0 && number < ACTIONS_MAX;
-      /* The last confirmation before the actions is up to a step old.  */
+      /* The last confirmation before an action is up to a step old.  */
       read_store (&w, now_ms, parse_steps);
       parse (&w, parse_steps);
       check (&w, now_ms, now_ms + STEP_MS, parse_steps, text);
       now_ms += STEP_MS;
-      act (&w, is_due ? actions[number] : ACT_NOTHING, now_ms);
+      act (&w, actions[i], now_ms);
     }
+  return w;
+}
+
+/* Play ACTIONS with GAP_STEPS from one to the next.  */
+static void
+play_with_gaps (const action_t actions[ACTIONS_MAX], unsigned gap_steps,
+                unsigned parse_steps, const char *text)
+{
+  action_t steps[STEPS_MAX] = { ACT_NOTHING };
+
+  for (size_t i = 0; i < ACTIONS_MAX; i++)
+    steps[i * gap_steps] = actions[i];
+  play (steps, ACTIONS_MAX * gap_steps + QUIET_STEPS, parse_steps, text);
 }
 
 /* A key works again, or sound keys are refused for long, in some order of
@@ -213,7 +227,7 @@
 {
   static const char letters[] = "-RGCHSO";
   /* With the longest, a cut lasts longer than a revocation may take.  */
-  static const unsigned gaps[] = { 1, 2, 5, 12 };
+  static const unsigned gaps[] = { 1, 2, 5, GAP_STEPS_MAX };
   unsigned parse_steps = (unsigned)_i;
   unsigned count = 1;
 
@@ -230,7 +244,7 @@
           text[i] = letters[actions[i]];
         }
       for (size_t i = 0; i < sizeof gaps / sizeof gaps[0]; i++)
-        play (actions, gaps[i], parse_steps, text);
+        play_with_gaps (actions, gaps[i], parse_steps, text);
     }
 }
 END_TEST
@@ -239,41 +253,22 @@
    keys must not be refused.  */
 START_TEST (long_texts_in_series)
 {
-  world_t w = { .last_version = 1, .newest = { 1, 1, true } };
-  uint64_t now_ms = 1000000;
-  unsigned parse_steps = (unsigned)_i;
+  action_t actions[STEPS_MAX];
 
-  restart_gateway (&w, now_ms);
-  for (size_t i = 0; i < 60; i++, now_ms += STEP_MS)
-    {
-      read_store (&w, now_ms, parse_steps);
-      parse (&w, parse_steps);
-      check (&w, now_ms, now_ms + STEP_MS, parse_steps, "series");
-      act (&w, ACT_GROW, now_ms);
-    }
+  for (size_t i = 0; i < STEPS_MAX; i++)
+    actions[i] = ACT_GROW;
+  play (actions, STEPS_MAX, (unsigned)_i, "series");
 }
 END_TEST
 
-/* A cut that lasts longer than keys are trusted, with a revocation in it.  */
+/* A key is revoked at the begin of a cut that lasts longer than keys are
+   trusted.  */
 START_TEST (revocation_behind_long_cut)
 {
-  world_t w = { .last_version = 1, .newest = { 1, 1, true } };
-  uint64_t now_ms = 1000000;
-  unsigned parse_steps = (unsigned)_i;
+  static const action_t actions[STEPS_MAX]
+      = { [10] = ACT_CUT, [11] = ACT_REVOKE, [26] = ACT_HEAL };
 
-  restart_gateway (&w, now_ms);
-  for (size_t i = 0; i < 60; i++, now_ms += STEP_MS)
-    {
-      read_store (&w, now_ms, parse_steps);
-      parse (&w, parse_steps);
-      check (&w, now_ms, now_ms + STEP_MS, parse_steps, "long cut");
-      act (&w,
-           i == 10   ? ACT_CUT
-           : i == 11 ? ACT_REVOKE
-           : i == 26 ? ACT_HEAL
-                     : ACT_NOTHING,
-           now_ms);
-    }
+  world_t w = play (actions, STEPS_MAX, (unsigned)_i, "long cut");
   ck_assert (!w.in_force.has_key);
 }
 END_TEST
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -842,26 +842,37 @@
 }
 END_TEST
 
+/* Request PATH of F, whose instance answers with a low confidence first.
+   Return whether the caller got that answer.  */
+static bool
+request_with_low_confidence (gateway_fixture_t *f, const char *path)
+{
+  static const fake_action_t acts[]
+      = { ACT_STREAM_LOW_CONFIDENCE, ACT_STREAM };
+  caller_t caller;
+
+  fake_upstream_script (f->upstreams[0], acts, 2);
+  gateway_fixture_request (f, &caller, "POST", path,
+                           REQUEST_HEADERS "vanillahook-model: *\r\n", "{}");
+  ck_assert_int_eq (caller_status (&caller), 200);
+  bool is_low = caller_response_contains (&caller, "confidence");
+  caller_free (f, &caller);
+  return is_low;
+}
+
 /* The small model has low confidence in its response: the caller must receive
    only the response of the large model.  A confident response of the small
    model must not cause a second send.  */
 START_TEST (low_confidence_escalates_to_larger_model)
 {
-  static const fake_action_t acts[]
-      = { ACT_STREAM_LOW_CONFIDENCE, ACT_STREAM };
   gateway_fixture_t f;
   caller_t caller;
 
   gateway_fixture_setup (&f, 1);
-  fake_upstream_script (f.upstreams[0], acts, 2);
-  gateway_fixture_request (&f, &caller, "POST", "/chat/",
-                           REQUEST_HEADERS "vanillahook-model: *\r\n", "{}");
-  ck_assert_int_eq (caller_status (&caller), 200);
-  ck_assert (!caller_response_contains (&caller, "confidence"));
+  ck_assert (!request_with_low_confidence (&f, "/chat/"));
   ck_assert_uint_eq (count_upstream_requests (&f), 2);
   ck_assert_ptr_nonnull (strstr (fake_upstream_last_request (f.upstreams[0]),
                                  "vanillahook-model: large\r\n"));
-  caller_free (&f, &caller);
   gateway_fixture_request (&f, &caller, "POST", "/chat/", REQUEST_HEADERS,
                            "{}");
   ck_assert_uint_eq (count_upstream_requests (&f), 3);
@@ -876,18 +887,11 @@
    and its caller gets the answer of the first.  */
 START_TEST (low_confidence_repeats_no_unrepeatable_stream)
 {
-  static const fake_action_t acts[]
-      = { ACT_STREAM_LOW_CONFIDENCE, ACT_STREAM };
   gateway_fixture_t f;
-  caller_t caller;
 
   gateway_fixture_setup (&f, 1);
-  fake_upstream_script (f.upstreams[0], acts, 2);
-  gateway_fixture_request (&f, &caller, "POST", "/tell/",
-                           REQUEST_HEADERS "vanillahook-model: *\r\n", "{}");
-  ck_assert_int_eq (caller_status (&caller), 200);
+  ck_assert (request_with_low_confidence (&f, "/tell/"));
   ck_assert_uint_eq (count_upstream_requests (&f), 1);
-  caller_free (&f, &caller);
   gateway_fixture_teardown (&f);
 }
 END_TEST
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -223,6 +223,35 @@
 }
 END_TEST
 
+static void
+on_reload (uv_signal_t *handle, int signal_number)
+{
+  (void)signal_number;
+  (*(size_t *)handle->data)++;
+}
+
+/* An operator asks for the settings to be read again, and the platform for the
+   stop, at the same moment.  Neither signal may be lost.  */
+START_TEST (reload_and_stop_together)
+{
+  uv_signal_t reload_signal;
+  size_t reload_count = 0;
+
+  start_gateway ();
+  uv_signal_init (&f.loop, &reload_signal);
+  reload_signal.data = &reload_count;
+  uv_signal_start (&reload_signal, on_reload, SIGHUP);
+  raise (SIGHUP);
+  raise (SIGTERM);
+  gateway_fixture_wait (&f, stop_count == 1 && reload_count == 1);
+  raise (SIGHUP);
+  gateway_fixture_wait (&f, reload_count == 2);
+  ck_assert_uint_eq (stop_count, 1);
+  uv_close ((uv_handle_t *)&reload_signal, NULL);
+  gateway_fixture_wait (&f, gateway_is_stopped (f.gateway));
+}
+END_TEST
+
 /* A signal that arrives before the loop runs must not be lost.  */
 START_TEST (signal_before_the_loop_runs)
 {
@@ -236,6 +265,18 @@
 }
 END_TEST
 
+/* Start a gateway whose store does not reply, and send the signal while the
+   request of CALLER waits for the first read.  */
+static void
+stop_with_waiting_request (caller_t *caller)
+{
+  gateway_fixture_setup_without_store (&f, 1);
+  catch_signals ();
+  caller_start (&f, caller, "GET", "/read/", REQUEST_HEADERS, "");
+  run_until (clock_ms (clock_system ()) + 50);
+  raise (SIGTERM);
+}
+
 /* The store does not reply when the process starts and is stopped.  A request
    that waits for the first read must be refused as not run, and the stop must
    end by itself.  */
@@ -243,11 +284,7 @@
 {
   caller_t caller;
 
-  gateway_fixture_setup_without_store (&f, 1);
-  catch_signals ();
-  caller_start (&f, &caller, "GET", "/read/", REQUEST_HEADERS, "");
-  run_until (clock_ms (clock_system ()) + 50);
-  raise (SIGTERM);
+  stop_with_waiting_request (&caller);
   gateway_fixture_wait (&f, caller.closed);
   ck_assert_int_eq (caller_status (&caller), 503);
   ck_assert (caller_response_contains (&caller, "not-run"));
@@ -262,11 +299,7 @@
 {
   caller_t caller;
 
-  gateway_fixture_setup_without_store (&f, 1);
-  catch_signals ();
-  caller_start (&f, &caller, "GET", "/read/", REQUEST_HEADERS, "");
-  run_until (clock_ms (clock_system ()) + 50);
-  raise (SIGTERM);
+  stop_with_waiting_request (&caller);
   gateway_fixture_wait (&f, stop_count == 1);
   fake_rows_set_down (f.rows, false);
   gateway_fixture_wait (&f, caller.closed);
@@ -356,6 +389,7 @@
   tcase_add_test (tcase, late_delivery_accepts_no_late_request);
   tcase_add_test (tcase, idle_loop_keeps_grace);
   tcase_add_test (tcase, further_signals_have_no_effect);
+  tcase_add_test (tcase, reload_and_stop_together);
   tcase_add_test (tcase, signal_before_the_loop_runs);
   tcase_add_test (tcase, stop_during_first_read);
   tcase_add_test (tcase, request_that_waited_is_served);
