tests: the order of two random numbers of test_pool is fixed

Two numbers were drawn in the arguments of one call, whose order of evaluation C leaves open; the record was made where the last argument is evaluated first. They are drawn in that order now, and the recorded choices and hash, which stay, hold on arm64. Not run on x86-64.

--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -683,9 +683,11 @@
                                  rng_below (&rng, 10) == 0 ? SEND_FAILED
                                                            : SEND_OK);
           if (rng_below (&rng, 2) == 0)
-            pool_record_load (f->pool, upstream,
-                              (uint32_t)rng_below (&rng, 40),
-                              (uint32_t)rng_below (&rng, 3), 64);
+            {
+              uint32_t waiting = (uint32_t)rng_below (&rng, 3);
+              uint32_t running_now = (uint32_t)rng_below (&rng, 40);
+              pool_record_load (f->pool, upstream, running_now, waiting, 64);
+            }
           if (rng_below (&rng, 100) == 0)
             pool_pause (f->pool, upstream, 1 + rng_below (&rng, 500));
           if (rng_below (&rng, 500) == 0)
