http_exchange: the body of a request is borrowed

Each send of a request copied its head and body into a buffer of its own, so a body of 4,000,000 bytes took 8,000,000 while an instance read it, and as much again at each resend. The exchange now takes a head of its own and borrows the body, which the caller's request holds until the response is complete; an exchange ends, or is cancelled, before that, and libuv touches no buffer of a write after the close.

--- a/packages/gateway/forward.c
+++ b/packages/gateway/forward.c
@@ -106,13 +106,13 @@
 }
 
 void
-forward_write_request (const forward_params_t *params, const httpd_req_t *req,
-                       buf_t *out)
+forward_write_head (const forward_params_t *params, const httpd_req_t *req,
+                    buf_t *out)
 {
   const header_names_t *names = params->names;
   str_t body = httpd_body (req);
 
-  buf_reserve (out, HEAD_BYTES_INITIAL + body.len);
+  buf_reserve (out, HEAD_BYTES_INITIAL);
   write_caller_head (params, req, out);
   if (params->is_resume)
     append_number_header (out, STR ("Last-Event-Id"), params->last_event_id);
@@ -126,5 +126,4 @@
   if (body.len > 0 || !str_eq (httpd_method (req), STR ("GET")))
     append_number_header (out, STR ("Content-Length"), body.len);
   buf_append (out, "Connection: close\r\n\r\n", 21);
-  buf_append_str (out, body);
 }
--- a/packages/gateway/forward.h
+++ b/packages/gateway/forward.h
@@ -1,6 +1,6 @@
-/* Writes the request to an upstream: copies the caller's request line, headers
-   and body, drops hop-by-hop and reserved headers, and adds the headers that
-   only the gateway may set.  */
+/* Writes the head of the request to an upstream: copies the caller's request
+   line and headers, drops hop-by-hop and reserved headers, and adds the
+   headers that only the gateway may set.  */
 
 #ifndef GATEWAY_FORWARD_H
 #define GATEWAY_FORWARD_H
@@ -27,9 +27,10 @@
   uint64_t last_event_id;
 } forward_params_t;
 
-/* Append REQ as an HTTP/1.1 request to OUT.  */
-void forward_write_request (const forward_params_t *params,
-                            const httpd_req_t *req, buf_t *out);
+/* Append the head of REQ as an HTTP/1.1 request to OUT.  Its body follows
+   unchanged.  */
+void forward_write_head (const forward_params_t *params,
+                         const httpd_req_t *req, buf_t *out);
 /* Return whether NAME is a hop-by-hop header, or one that each hop generates
    anew, such as Date and Content-Length.  */
 bool forward_is_hop_by_hop (str_t name);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -301,11 +301,12 @@
     .is_resume = relay->sse.has_last_id,
     .last_event_id = relay->sse.last_id,
   };
-  forward_write_request (&params, relay->req, &request);
+  forward_write_head (&params, relay->req, &request);
   relay->call = http_exchange_start (
       state->loop, upstream_address (relay->upstream), &request,
-      CONNECT_TIMEOUT_MS, str_eq (httpd_method (relay->req), STR ("HEAD")),
-      &relay_call_events, relay);
+      httpd_body (relay->req), CONNECT_TIMEOUT_MS,
+      str_eq (httpd_method (relay->req), STR ("HEAD")), &relay_call_events,
+      relay);
   if (relay->call == NULL)
     {
       relay_connect_failed (relay, "address");
--- a/packages/wire/http_exchange.c
+++ b/packages/wire/http_exchange.c
@@ -47,7 +47,8 @@
   unsigned open_handles;
   http_exchange_events_t events;
   void *arg;
-  buf_t request;
+  buf_t request_head;
+  str_t request_body;     /* Borrowed.  */
   buf_t input;            /* Received bytes of an incomplete response head.  */
   size_t input_memory;    /* Part of HEADS_MEMORY for INPUT.  */
   size_t parsed_len;      /* Bytes of INPUT that are no complete head.  */
@@ -96,7 +97,7 @@
 
   if (--exchange->open_handles > 0)
     return;
-  buf_free (&exchange->request);
+  buf_free (&exchange->request_head);
   free_input (exchange);
   free (exchange);
 }
@@ -380,7 +381,7 @@
      close the connection before it has read the whole request, and bytes of
      its response may still wait to be read.  */
   exchange->has_write_failed = status != 0;
-  buf_free (&exchange->request);
+  buf_free (&exchange->request_head);
 }
 
 static void
@@ -400,11 +401,15 @@
   uv_tcp_nodelay (&exchange->tcp, 1);
   if (!exchange->paused)
     uv_read_start ((uv_stream_t *)&exchange->tcp, on_alloc, on_read);
-  uv_buf_t buf
-      = uv_buf_init (exchange->request.ptr, (unsigned)exchange->request.len);
+  const uv_buf_t bufs[] = {
+    uv_buf_init (exchange->request_head.ptr,
+                 (unsigned)exchange->request_head.len),
+    uv_buf_init ((char *)exchange->request_body.ptr,
+                 (unsigned)exchange->request_body.len),
+  };
   exchange->write.data = exchange;
-  if (uv_write (&exchange->write, (uv_stream_t *)&exchange->tcp, &buf, 1,
-                on_written)
+  if (uv_write (&exchange->write, (uv_stream_t *)&exchange->tcp, bufs,
+                exchange->request_body.len > 0 ? 2 : 1, on_written)
       != 0)
     finish (exchange, VH_E_UPSTREAM_CUT);
 }
@@ -416,7 +421,7 @@
 }
 
 http_exchange_t *
-http_exchange_start (uv_loop_t *loop, str_t address, buf_t *request,
+http_exchange_start (uv_loop_t *loop, str_t address, buf_t *head, str_t body,
                      uint64_t connect_ms, bool no_body,
                      const http_exchange_events_t *events, void *arg)
 {
@@ -425,15 +430,16 @@
 
   if (!addr_parse (address, &addr, &addr_len))
     {
-      buf_free (request);
+      buf_free (head);
       return NULL;
     }
   http_exchange_t *exchange = mem_zalloc (sizeof *exchange);
   exchange->events = *events;
   exchange->arg = arg;
   exchange->no_body = no_body;
-  exchange->request = *request;
-  *request = BUF_NULL;
+  exchange->request_head = *head;
+  exchange->request_body = body;
+  *head = BUF_NULL;
   uv_tcp_init (loop, &exchange->tcp);
   peer_timer_init (&exchange->connect_timeout, loop, on_connect_timeout,
                    exchange);
--- a/packages/wire/http_exchange.h
+++ b/packages/wire/http_exchange.h
@@ -49,14 +49,15 @@
   void (*end) (void *arg, vh_code_t code);
 } http_exchange_events_t;
 
-/* Send REQUEST, a complete HTTP/1.1 request whose buffer is taken over, to
-   ADDRESS (HOST:PORT, numeric).  The exchange ends with VH_E_CONNECT when the
+/* Send a request to ADDRESS (HOST:PORT, numeric): HEAD, whose buffer is taken
+   over, and BODY, which is borrowed until the exchange ends or is
+   cancelled.  The exchange ends with VH_E_CONNECT when the
    connection is not established within CONNECT_MS.  NO_BODY states that the
    response has no body (HEAD).  No event is delivered before this function
-   returns.  Return NULL and release REQUEST when ADDRESS is not valid.  */
+   returns.  Return NULL and release HEAD when ADDRESS is not valid.  */
 http_exchange_t *http_exchange_start (uv_loop_t *loop, str_t address,
-                                      buf_t *request, uint64_t connect_ms,
-                                      bool no_body,
+                                      buf_t *head, str_t body,
+                                      uint64_t connect_ms, bool no_body,
                                       const http_exchange_events_t *events,
                                       void *arg);
 /* Close the connection and deliver no further events.  May be called from an
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -120,8 +120,9 @@
   if (response != NULL)
     uv_listen ((uv_stream_t *)&f->listener, 8, on_accept);
   buf_append_str (&request, STR ("GET / HTTP/1.1\r\nhost: a\r\n\r\n"));
-  http_exchange_t *call = http_exchange_start (
-      &f->loop, str_from (address), &request, 500, false, &events, f);
+  http_exchange_t *call
+      = http_exchange_start (&f->loop, str_from (address), &request, STR_NULL,
+                             500, false, &events, f);
   ck_assert_ptr_nonnull (call);
   while (!f->done)
     uv_run (&f->loop, UV_RUN_ONCE);
@@ -348,8 +349,8 @@
   char *fill = mem_zalloc (LONG_REQUEST_BYTES);
   buf_append (&request, fill, LONG_REQUEST_BYTES - request.len);
   free (fill);
-  e->call = http_exchange_start (&e->loop, str_from (address), &request, 500,
-                                 false, &events, e);
+  e->call = http_exchange_start (&e->loop, str_from (address), &request,
+                                 STR_NULL, 500, false, &events, e);
   ck_assert_ptr_nonnull (e->call);
   while (!e->done)
     uv_run (&e->loop, UV_RUN_ONCE);
--- a/tests/test_unbounded_responses.c
+++ b/tests/test_unbounded_responses.c
@@ -499,9 +499,9 @@
     {
       buf_t request = BUF_NULL;
       buf_printf (&request, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-      ck_assert_ptr_nonnull (http_exchange_start (&f.loop, str_from (address),
-                                                  &request, 1000, false,
-                                                  &events, &ended_count));
+      ck_assert_ptr_nonnull (
+          http_exchange_start (&f.loop, str_from (address), &request, STR_NULL,
+                               1000, false, &events, &ended_count));
     }
   while (ended_count < MANY_HEADS)
     {
