--- a/packages/base/code.h
+++ b/packages/base/code.h
@@ -30,6 +30,10 @@
      "This service needs an Idempotency-Key header.")                         \
   X (VH_E_KEY_REUSED, 108, 422, "idempotency_key_reused",                     \
      "The Idempotency-Key was used for a different request.")                 \
+  X (VH_E_HEAD_TOO_LARGE, 109, 431, "head_too_large",                         \
+     "The head of the request is larger than the limit.")                     \
+  X (VH_E_REQUEST_TIMEOUT, 110, 408, "request_timeout",                       \
+     "The request did not arrive in time.")                                   \
   X (VH_E_NO_AUTH, 200, 401, "no_auth",                                       \
      "The Authorization header is missing.")                                  \
   X (VH_E_BAD_KEY, 201, 401, "bad_key", "The API key belongs to no team.")    \
@@ -55,6 +59,9 @@
      "All permitted upstreams are at the rate limits that they announced.")   \
   X (VH_E_PAUSED, 306, 503, "paused",                                         \
      "All permitted upstreams asked for a pause.")                            \
+  X (VH_E_OVERLOADED, 307, 503, "overloaded",                                 \
+     "The process has no memory for the request.  Retry after the time "      \
+     "given.")                                                                \
   X (VH_E_NO_UPSTREAM, 400, 503, "no_upstream",                               \
      "No upstream for this model or service is in service.")                  \
   X (VH_E_UPSTREAM_DOWN, 401, 502, "upstream_down",                           \
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -128,6 +128,8 @@
      "An extra send is not made because the service has none left")           \
   X (EVENT_BUDGET_BACK, "budget", "back", NOTICE, 20,                         \
      "The service has extra sends again")                                     \
+  X (EVENT_CLIENT_REFUSED, "client", "refused", NOTICE, 5,                    \
+     "A client was refused before its request was complete, or closed")       \
   X (EVENT_SENT, "request", "sent", INFO, 40, "Sent to an upstream")          \
   X (EVENT_SEND_FAILED, "request", "send-failed", INFO, 200, "A send failed") \
   X (EVENT_MOVED, "request", "moved", INFO, 50,                               \
@@ -201,6 +203,7 @@
   X (FIELD_COUNT, "count", "How many")                                        \
   X (FIELD_KEY, "key", "Key of the row")                                      \
   X (FIELD_BYTES, "bytes", "Length in bytes")                                 \
+  X (FIELD_CONNECTIONS, "connections", "Open connections of clients")         \
   X (FIELD_READ_MS, "read_ms", "Milliseconds since a later text arrived")     \
   X (FIELD_TOOK_MS, "took_ms", "Milliseconds since the call was made")        \
   X (FIELD_READER, "reader", "Entry that reads the store for this one")       \
@@ -281,8 +284,18 @@
   X ("unbounded", "The upstream's answer has a head, a line of the chunk "    \
                   "coding, trailers, an event or bytes between two events "   \
                   "that are over the bound.")                                 \
-  X ("memory", "The answers of all requests took too much memory, and this "  \
-               "one the most.")                                               \
+  X ("memory", "Requests and answers took too much memory; of a client that " \
+               "is refused, its request began last or made no progress, of "  \
+               "an answer, it took the most.")                                \
+  X ("unread", "All requests and answers took too much memory, and the "      \
+               "client had read nothing of this answer for longest.")         \
+  X ("connections", "Too many connections are open, and the client had made " \
+                    "no progress for longest.")                               \
+  X ("time", "The request did not arrive in time.")                           \
+  X ("head", "The head of the request is over the bound.")                    \
+  X ("body", "The body of the request is over the bound.")                    \
+  X ("request", "The head shows that the request would be refused: no route " \
+                "or key, a bad header, or this entry is stopping.")           \
   X ("slow-caller", "The answers of all requests took too much memory, and "  \
                     "the caller had read less of this one than the others "   \
                     "of theirs.")                                             \
--- /dev/null
+++ b/packages/base/memory_budget.h
@@ -0,0 +1,48 @@
+/* Account of the memory that a process uses for what its clients and upstreams
+   send and for what clients have not read yet.  Each holder counts its own
+   part.  The account only counts: a holder that grows looks whether the budget
+   is exceeded, and then releases something or refuses.
+
+   The rest of the machine's memory is for the program, its tables, the buffers
+   that are not counted (docs/CAPACITY.md) and unused parts of the heap.  */
+
+#ifndef BASE_MEMORY_BUDGET_H
+#define BASE_MEMORY_BUDGET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+  /* Memory of the smallest machine that a process is meant for, in MB.  */
+  MEMORY_BUDGET_MACHINE_MB = 88
+};
+
+typedef struct
+{
+  size_t limit; /* In bytes; 0: no limit.  */
+  size_t used;  /* In bytes.  */
+} memory_budget_t;
+
+/* Return the limit for a machine with MACHINE_MB of memory, 0 for
+   MEMORY_BUDGET_MACHINE_MB.  The limit leaves room for some requests of
+   REQUEST_BYTES_MAX, in bytes.  */
+size_t memory_budget_limit (uint32_t machine_mb, size_t request_bytes_max);
+
+/* Count that a holder uses NOW bytes instead of *COUNTED, and set *COUNTED to
+   NOW.  */
+void memory_budget_count (memory_budget_t *budget, size_t *counted,
+                          size_t now);
+/* Return whether large requests have to give way.  */
+bool memory_budget_is_exceeded (const memory_budget_t *budget);
+/* Return whether small requests, which may exceed the limit by an eighth, have
+   to give way too.  */
+bool memory_budget_is_exhausted (const memory_budget_t *budget);
+
+/* Let large blocks be returned to the system when they are freed.  Otherwise
+   the allocator keeps the memory of blocks of one size, and blocks of other
+   sizes take more.  */
+void memory_budget_configure_allocator (void);
+
+#endif
--- a/packages/conf/settings.c
+++ b/packages/conf/settings.c
@@ -53,6 +53,9 @@
   X ("drain-bound-ms", VALUE_U64, false, pub.drain_timeout_ms, 1, DAY_MS,     \
      NULL)                                                                    \
   X ("seed", VALUE_U64, false, pub.seed, 0, EXACT_INTEGER_MAX, NULL)          \
+  X ("memory-mb", VALUE_DOUBLE, false, pub.memory_mb, 0, 16777216, NULL)      \
+  X ("descriptors-max", VALUE_U32, false, pub.descriptors_max, 0, 10000000,   \
+     NULL)                                                                    \
   X ("rpc-keys", VALUE_SECRETS, false, rpc_keys, 0, 0, NULL)                  \
   X ("operator-key-sha256", VALUE_DIGEST, false, pub.operator_key_sha256, 0,  \
      0, NULL)
--- a/packages/conf/settings.h
+++ b/packages/conf/settings.h
@@ -134,6 +134,10 @@
   /* Seed of the random number generator; 0 takes one from the operating
      system.  */
   uint64_t seed;
+  double memory_mb;         /* Memory of the machine; 0:
+                               MEMORY_BUDGET_MACHINE_MB.  */
+  uint32_t descriptors_max; /* Descriptors that the process may have; 0: the
+                               limit of the system.  */
   str_t *rpc_keys; /* Accepted shared secrets; the first one signs.  */
   size_t rpc_keys_count;
   /* 64 hexadecimal digits; if empty, operators' requests are accepted from
--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -11,6 +11,10 @@
 enum
 {
   BODY_BYTES_MAX = 8 << 20,
+  CONNECTIONS_MAX = 64,
+  /* Two bodies of the largest size.  Not part of the process's budget, so that
+     crowds of callers do not keep operators away.  */
+  MEMORY_MAX = 2 * BODY_BYTES_MAX,
   SHA256_BYTES = 32
 };
 
@@ -112,6 +116,8 @@
   buf_t text = BUF_NULL;
 
   update_rpc_metrics (process);
+  if (process->entry != NULL)
+    entry_update_metrics (process->entry);
   metrics_write (process->metrics, &text);
   reply_text (req, 200, buf_str (&text));
   buf_free (&text);
@@ -489,7 +495,11 @@
 vh_code_t
 admin_create (process_t *process)
 {
-  const httpd_options_t options = { .body_limit = BODY_BYTES_MAX };
+  const httpd_options_t options = { .body_limit = BODY_BYTES_MAX,
+                                    .connections_max = CONNECTIONS_MAX,
+                                    .memory = &process->admin_memory };
+
+  process->admin_memory.limit = MEMORY_MAX;
   vh_code_t code
       = httpd_create (process->loop, process->settings->admin_listen, &options,
                       on_request, process, &process->admin);
--- a/packages/daemon/gateway_main.c
+++ b/packages/daemon/gateway_main.c
@@ -92,6 +92,8 @@
     .rpc_keys = settings->rpc_keys,
     .rpc_key_count = settings->rpc_keys_count,
     .link_mbps = settings->link_mbps,
+    .memory_mb = settings->memory_mb,
+    .descriptors_max = settings->descriptors_max,
     .seed = choose_seed (settings),
     .drain_timeout_ms = kill_after_ms - KILL_MARGIN_MS,
     .config_max_age_ms = settings->key_revocation_max_ms > 0
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -4,6 +4,7 @@
    options or settings.  */
 
 #include "base/log.h"
+#include "base/memory_budget.h"
 #include "base/stop_signal.h"
 #include "daemon/gateway_main.h"
 #include "daemon/process.h"
@@ -107,6 +108,8 @@
   int status = EXIT_BAD_SETTINGS;
   int errors = arg_parse (argc, argv, table);
 
+  memory_budget_configure_allocator ();
+
   if (help->count > 0)
     {
       printf ("Usage: vanillahookd");
--- a/packages/daemon/process.c
+++ b/packages/daemon/process.c
@@ -354,6 +354,7 @@
 start_entry (process_t *process)
 {
   const entry_options_t options = { .loop = process->loop,
+                                    .memory = &process->memory,
                                     .clock = process->clock,
                                     .metrics = process->metrics,
                                     .settings = process->settings,
@@ -498,6 +499,8 @@
 
   *out = NULL;
   process->loop = loop;
+  process->memory.limit = memory_budget_limit ((uint32_t)settings->memory_mb,
+                                               settings->body_limit);
   process->settings = settings;
   process->clock = clock_system ();
   process->metrics = metrics_create ();
--- a/packages/daemon/processint.h
+++ b/packages/daemon/processint.h
@@ -28,6 +28,8 @@
   sidecar_t **sidecars; /* One for each upstream in the settings.  */
   size_t sidecar_count;
   httpd_t *admin; /* Server of the operators' port.  */
+  memory_budget_t admin_memory;
+  memory_budget_t memory; /* Of the server of callers.  */
   uv_timer_t tick_timer;
   loop_watch_t *loop_watch;
   uint64_t started_ms; /* Start of the process on the monotonic clock.  */
--- a/packages/entry/entry.c
+++ b/packages/entry/entry.c
@@ -109,12 +109,19 @@
   const httpd_options_t options
       = { .body_limit = settings->body_limit,
           .read_timeout_ms = READ_TIMEOUT_MS,
-          .connections_max = settings->connections_max,
+          .connections_max = httpd_connection_limit (
+              settings->connections_max, settings->descriptors_max),
+          .memory = entry->options.memory,
           .tls_certificate = certificate,
           .tls_key = key };
+  const httpd_limits_t limits = { .body_bytes = settings->body_limit,
+                                  .head_bytes = settings->header_limit };
   vh_code_t code = httpd_create (entry->loop, settings->listen, &options,
                                  entry_on_http, entry, &entry->http);
 
+  if (code == VH_OK)
+    httpd_set_limits (entry->http, &limits);
+
   free (certificate);
   free (key);
   if (code != VH_OK)
@@ -131,6 +138,21 @@
                             entry, &entry->server);
 }
 
+void
+entry_update_metrics (entry_t *entry)
+{
+  metrics_gauge (entry->options.metrics, "vanillahook_memory_used_bytes", "",
+                 "Memory for connections, requests and responses.")
+      ->value
+      = (double)entry->options.memory->used;
+  metrics_gauge (entry->options.metrics, "vanillahook_memory_limit_bytes", "",
+                 "Memory above which clients give way.")
+      ->value
+      = (double)entry->options.memory->limit;
+  httpd_export_refusals (entry->http, entry->options.metrics,
+                         "vanillahook_clients_refused_total");
+}
+
 vh_code_t
 entry_create (const entry_options_t *options, entry_t **out)
 {
--- a/packages/entry/entry.h
+++ b/packages/entry/entry.h
@@ -6,6 +6,7 @@
 #define ENTRY_ENTRY_H
 
 #include "base/clock.h"
+#include "base/memory_budget.h"
 #include "base/metric.h"
 #include "conf/settings.h"
 #include "conf/snapshot.h"
@@ -59,6 +60,7 @@
   const settings_t *settings;
   platform_t *platform;
   uint64_t seed;
+  memory_budget_t *memory; /* Of requests and responses.  */
   const entry_callbacks_t *callbacks;
   void *arg; /* Passed to the callbacks.  */
 } entry_options_t;
@@ -120,6 +122,8 @@
    objectives.  */
 void entry_write_burn_report (entry_t *entry, burn_format_t format,
                               buf_t *out);
+/* Set the metrics that are not kept up to date all the time.  */
+void entry_update_metrics (entry_t *entry);
 /* Append the members "zones", "peers", "rollouts", "alarms" and "decisions"
    of the operators' status object.  */
 void entry_write_status (entry_t *entry, buf_t *out);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -10,14 +10,14 @@
 {
   DRAIN_POLL_MS = 100, /* Interval at which a planned stop checks whether the
                           requests have ended.  */
-  /* Size limit of a request body.  Requests contain some KB of JSON.  The
-     limit in the configuration, client_limits_t.body_bytes_max, is not
-     enforced.  */
+  /* Size limit of a request body if the configuration has none.  */
   BODY_BYTES_MAX = 8 << 20,
   /* Read timeout of connections to the listeners; longer than callers keep an
      idle connection.  */
   LISTENER_READ_TIMEOUT_MS = 120000,
   CONNECTIONS_MAX = 3500,
+  /* Small enough for the memory of these connections to be no part of the
+     budget, so that crowds of callers do not end readiness checks.  */
   ADMIN_CONNECTIONS_MAX = 64,
   /* Shortest duration of a planned stop, within which the platform's load
      balancer detects the failing readiness check.  The balancer checks
@@ -30,7 +30,6 @@
 struct gateway
 {
   gateway_state_t state;
-  httpd_t *caller_server;
   httpd_t *ready_server;
   httpd_t *admin_server;
   peer_rows_t *peer_rows; /* NULL if this process does not share reads of the
@@ -110,6 +109,28 @@
   relay_start (&((gateway_t *)arg)->state, req);
 }
 
+static httpd_decision_t
+on_caller_head (void *arg, const httpd_req_t *req)
+{
+  return relay_check_head (&((gateway_t *)arg)->state, req);
+}
+
+void
+gateway_apply_client_limits (gateway_state_t *state, const catalog_t *catalog)
+{
+  const client_limits_t *configured = catalog_limits (catalog);
+  const httpd_limits_t limits
+      = { .body_bytes = configured->body_bytes_max > 0
+                            ? configured->body_bytes_max
+                            : BODY_BYTES_MAX,
+          .head_bytes = configured->header_bytes_max,
+          .head_ms = configured->header_timeout_ms };
+
+  httpd_set_limits (state->caller_server, &limits);
+  state->memory.limit = memory_budget_limit (
+      (uint32_t)state->options.memory_mb, limits.body_bytes);
+}
+
 static bool
 is_ready (const gateway_t *gateway)
 {
@@ -163,10 +184,10 @@
   pool_time_factor_range (state->pool, &lowest_factor, &highest_factor);
   set_gauge (gateway, "vanillahook_gateway_in_flight", "",
              "Requests in progress.",
-             (double)httpd_in_flight (gateway->caller_server));
+             (double)httpd_in_flight (gateway->state.caller_server));
   set_gauge (gateway, "vanillahook_gateway_connections", "",
              "Connections of callers.",
-             (double)httpd_connections (gateway->caller_server));
+             (double)httpd_connections (gateway->state.caller_server));
   set_gauge (gateway, "vanillahook_gateway_confirmation_age_seconds", "",
              "Age of the configuration's confirmation; -1: none yet.",
              age_ms == UINT64_MAX ? -1 : (double)age_ms / MS_PER_S);
@@ -201,6 +222,14 @@
              "Memory for incomplete events, buffered bodies and what callers "
              "have not read.",
              (double)state->response_memory);
+  set_gauge (gateway, "vanillahook_gateway_memory_used_bytes", "",
+             "Memory for connections, requests and responses.",
+             (double)state->memory.used);
+  set_gauge (gateway, "vanillahook_gateway_memory_limit_bytes", "",
+             "Memory above which clients give way.",
+             (double)state->memory.limit);
+  httpd_export_refusals (state->caller_server, state->metrics,
+                         "vanillahook_gateway_clients_refused_total");
   set_gauge (gateway, "vanillahook_gateway_bills_waiting", "",
              "Bills not yet written.",
              (double)billing_queued_bill_count (state->billing));
@@ -301,14 +330,20 @@
   httpd_options_t caller_options
       = { .body_limit = BODY_BYTES_MAX,
           .read_timeout_ms = LISTENER_READ_TIMEOUT_MS,
-          .connections_max = CONNECTIONS_MAX };
+          .connections_max
+          = httpd_connection_limit (CONNECTIONS_MAX, options->descriptors_max),
+          .memory = &state->memory,
+          .on_head = on_caller_head };
   httpd_options_t internal_options
       = { .body_limit = 4096,
           .read_timeout_ms = LISTENER_READ_TIMEOUT_MS,
           .connections_max = ADMIN_CONNECTIONS_MAX };
-  vh_code_t code
-      = httpd_create (state->loop, options->listen, &caller_options,
-                      on_caller_request, gateway, &gateway->caller_server);
+
+  state->memory.limit = memory_budget_limit ((uint32_t)options->memory_mb,
+                                             caller_options.body_limit);
+  vh_code_t code = httpd_create (state->loop, options->listen, &caller_options,
+                                 on_caller_request, gateway,
+                                 &gateway->state.caller_server);
 
   if (code == VH_OK)
     code = httpd_create (state->loop, options->ready_listen, &internal_options,
@@ -395,7 +430,7 @@
     return true;
   gateway->aborted_count += relay_abort_all (&gateway->state);
   bool nothing_aborted = gateway->aborted_count == 0;
-  httpd_destroy (gateway->caller_server);
+  httpd_destroy (gateway->state.caller_server);
   httpd_destroy (gateway->ready_server);
   httpd_destroy (gateway->admin_server);
   billing_destroy (gateway->state.billing);
@@ -421,7 +456,7 @@
   if (elapsed_ms >= state->options.drain_timeout_ms)
     gateway->aborted_count = relay_abort_all (state);
   else if (elapsed_ms < DRAIN_DURATION_MIN_MS
-           || httpd_unwritten_responses (gateway->caller_server) > 0)
+           || httpd_unwritten_responses (gateway->state.caller_server) > 0)
     return;
   else if (billing_queued_bill_count (state->billing) > 0)
     {
@@ -454,7 +489,7 @@
   store_sync_stop (gateway->store_sync);
   log_event (EVENT_STOP,
              log_field_number (FIELD_IN_FLIGHT,
-                               httpd_in_flight (gateway->caller_server)),
+                               httpd_in_flight (gateway->state.caller_server)),
              log_field_number (FIELD_DELAY_MS,
                                clock_ms (state->clock) - time->delivered_ms),
              log_field_number (FIELD_UNCERTAINTY_MS,
@@ -466,7 +501,7 @@
 uint16_t
 gateway_port (const gateway_t *gateway)
 {
-  return httpd_port (gateway->caller_server);
+  return httpd_port (gateway->state.caller_server);
 }
 
 uint16_t
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -93,6 +93,9 @@
   size_t rpc_key_count;
   double link_mbps; /* Network bandwidth of this gateway process, in Mbit/s; 0:
                        unknown.  */
+  double memory_mb; /* Memory of the machine; 0: MEMORY_BUDGET_MACHINE_MB.  */
+  uint32_t descriptors_max; /* Descriptors that this process may have; 0: the
+                               limit of the system.  */
   uint64_t seed;
   uint64_t drain_grace_ms;    /* Time after the signal to stop in which new
                                  requests are still accepted.  */
--- a/packages/gateway/gatewayint.h
+++ b/packages/gateway/gatewayint.h
@@ -7,6 +7,7 @@
 
 #include "base/map.h"
 #include "base/mem.h"
+#include "base/memory_budget.h"
 #include "base/rng.h"
 #include "gateway/billing.h"
 #include "gateway/tablesync.h"
@@ -101,6 +102,8 @@
   metrics_t *metrics;
   request_metrics_t *request_metrics;
   billing_t *billing;
+  httpd_t *caller_server;
+  memory_budget_t memory; /* Of all servers and responses.  */
   list_t relays;
   size_t response_memory; /* Bytes of memory that RELAYS have for incomplete
                              events, for bodies that are not streamed and for
@@ -114,8 +117,16 @@
                                 accepted in a planned stop, in ms.  */
 } gateway_state_t;
 
+/* Apply the limits on clients of CATALOG.  */
+void gateway_apply_client_limits (gateway_state_t *state,
+                                  const catalog_t *catalog);
+
 /* Request path.  */
 
+/* Decide on a request whose body has not arrived.  */
+httpd_decision_t relay_check_head (const gateway_state_t *state,
+                                   const httpd_req_t *req);
+
 /* Start processing REQ.  The response is sent on this or a later loop
    iteration.  */
 void relay_start (gateway_state_t *state, httpd_req_t *req);
--- a/packages/gateway/relay.c
+++ b/packages/gateway/relay.c
@@ -547,6 +547,35 @@
   relay_send (relay);
 }
 
+httpd_decision_t
+relay_check_head (const gateway_state_t *state, const httpd_req_t *req)
+{
+  str_t attempt_id = httpd_header (req, state->names->attempt_id);
+  request_attrs_t attrs = { .arrived_ms = clock_ms (state->clock) };
+  httpd_decision_t decision = { .code = VH_OK };
+
+  /* The request may wait for the first configuration when it is complete.  */
+  if (state->catalog == NULL)
+    return decision;
+  if (!gateway_accepts_request (state, attrs.arrived_ms))
+    decision.code = VH_E_DRAINING;
+  else if (attempt_id.ptr == NULL || attempt_id.len == 0)
+    decision.code = VH_E_BAD_HEADER;
+  else
+    decision.code
+        = request_attrs_resolve_head (&attrs, state, req, attempt_id);
+  if (decision.code == VH_OK)
+    decision.body_ms = attrs.deadline_at_ms > attrs.arrived_ms
+                           ? attrs.deadline_at_ms - attrs.arrived_ms
+                           : 1;
+  else if (code_info (decision.code)->http_status == 503)
+    decision.retry_after_ms = decision.code == VH_E_DRAINING
+                                  ? RETRY_AFTER_DRAINING_MS
+                                  : RETRY_AFTER_UNAVAILABLE_MS;
+  request_attrs_free (&attrs);
+  return decision;
+}
+
 /* Return the time for which the request still waits for the first
    configuration of this process, in ms.  After a crash of all gateway
    processes, callers reconnect at the same time, each with its last retry, so
--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -31,6 +31,7 @@
   sse_filter_free (&relay->sse);
   buf_free (&relay->response_body);
   relay->state->response_memory -= relay->response_memory;
+  memory_budget_count (&relay->state->memory, &relay->counted_memory, 0);
   peer_timer_close (&relay->timer, on_timer_closed);
 }
 
--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -20,6 +20,8 @@
      RESPONSE_MEMORY_SMALL.  */
   RESPONSE_MEMORY_MAX = 32 << 20,
   RESPONSE_MEMORY_SMALL = 16384,
+  /* The limit is this part of the memory budget while that is exceeded.  */
+  RESPONSE_MEMORY_DIVISOR = 3,
   /* Number of events after the first of a send over which the mean gap between
      events is measured.  A mean is needed because events arrive in bursts.  */
   MEAN_GAP_EVENT_COUNT = 8,
@@ -223,6 +225,7 @@
 {
   size_t memory = relay->response_body.cap + relay->sse.partial.cap;
 
+  memory_budget_count (&relay->state->memory, &relay->counted_memory, memory);
   if (relay->has_response_started)
     memory += httpd_buffer_memory (relay->req);
   relay->state->response_memory += memory - relay->response_memory;
@@ -265,7 +268,12 @@
   relay_t *largest = relay;
 
   relay_count_memory (relay);
-  if (state->response_memory <= RESPONSE_MEMORY_MAX)
+  if (memory_budget_is_exceeded (&state->memory))
+    httpd_release_memory (state->caller_server);
+  if (state->response_memory <= RESPONSE_MEMORY_MAX
+      && (!memory_budget_is_exceeded (&state->memory)
+          || state->response_memory
+                 <= state->memory.limit / RESPONSE_MEMORY_DIVISOR))
     return;
   LIST_EACH (at, &state->relays)
     {
--- a/packages/gateway/relayint.h
+++ b/packages/gateway/relayint.h
@@ -130,6 +130,8 @@
      not streamed.  */
   int response_status;
   size_t response_memory; /* Part of gateway_state_t.response_memory.  */
+  size_t counted_memory;  /* Part of memory_budget_t.used, without what the
+                             server of callers counts.  */
   buf_t response_headers; /* Headers, each as NAME NUL VALUE NUL.  */
   buf_t response_body;
 
--- a/packages/gateway/request_attrs.c
+++ b/packages/gateway/request_attrs.c
@@ -175,14 +175,23 @@
   buf_free (&text);
 }
 
+vh_code_t
+request_attrs_resolve_head (request_attrs_t *attrs,
+                            const gateway_state_t *state,
+                            const httpd_req_t *req, str_t attempt_id)
+{
+  vh_code_t code = resolve_route_and_team (attrs, state, req);
+
+  return code == VH_OK ? parse_headers (attrs, state->names, req, attempt_id)
+                       : code;
+}
+
 vh_code_t
 request_attrs_resolve (request_attrs_t *attrs, const gateway_state_t *state,
                        const httpd_req_t *req, str_t attempt_id)
 {
-  vh_code_t code = resolve_route_and_team (attrs, state, req);
+  vh_code_t code = request_attrs_resolve_head (attrs, state, req, attempt_id);
 
-  if (code == VH_OK)
-    code = parse_headers (attrs, state->names, req, attempt_id);
   if (code != VH_OK)
     return code;
   attrs->priority = attrs->team != NULL && attrs->team->has_priority
--- a/packages/gateway/request_attrsint.h
+++ b/packages/gateway/request_attrsint.h
@@ -56,6 +56,12 @@
 vh_code_t request_attrs_resolve (request_attrs_t *attrs,
                                  const gateway_state_t *state,
                                  const httpd_req_t *req, str_t attempt_id);
+/* Fill what the head of REQ determines without its body: route, team and what
+   the headers say.  Return as request_attrs_resolve.  */
+vh_code_t request_attrs_resolve_head (request_attrs_t *attrs,
+                                      const gateway_state_t *state,
+                                      const httpd_req_t *req,
+                                      str_t attempt_id);
 /* Return whether one of the COUNT keys in PARTS is that of a part of the
    prompt.  */
 bool request_attrs_have_part (const request_attrs_t *attrs,
--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -164,6 +164,7 @@
           log_field_number (FIELD_READ_MS, parse_ms));
       catalog_unref (state->catalog);
       state->catalog = catalog;
+      gateway_apply_client_limits (state, catalog);
     }
   if (is_first)
     relay_admit_waiting (state);
--- a/packages/wire/httpd.c
+++ b/packages/wire/httpd.c
@@ -1,15 +1,14 @@
-#include "wire/httpd.h"
+#include "wire/httpdint.h"
 
 #include "base/log.h"
-#include "base/mem.h"
 #include "wire/addr.h"
 
-#include <h2o.h>
 #include <h2o/http1.h>
 #include <h2o/http2.h>
 #include <netinet/tcp.h>
 #include <openssl/ssl.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 
 enum
@@ -19,91 +18,17 @@
   /* Size up to which the buffer of a response is kept for its next part.  */
   SPARE_BYTES_MAX = 4096,
   DEFAULT_READ_TIMEOUT_MS = 10000,
-  /* Interval of the check whether the clients of unfinished requests have
-     disconnected, in ms: h2o does not read while it waits for a response.  */
-  DISCONNECT_CHECK_INTERVAL_MS = 100,
-  /* Disconnect checks per check of the certificate files.  */
+  /* Checks of the connections per check of the certificate files.  */
   TLS_CHECK_TICKS = 20,
   /* How far h2o's limit of a request body is above ours, in bytes: a body
      between the two limits is received and refused with our own response.  */
-  H2O_BODY_LIMIT_MARGIN_BYTES = 1 << 20
+  H2O_BODY_LIMIT_MARGIN_BYTES = 1 << 20,
+  /* Descriptors that are kept for other uses than connections of clients.  */
+  OTHER_DESCRIPTORS = 600
 };
 
-struct httpd
-{
-  uv_loop_t *loop;
-  uv_tcp_t listener;
-  bool listening;
-  uint16_t port;
-  h2o_globalconf_t config;
-  h2o_context_t ctx;
-  h2o_accept_ctx_t accept_ctx;
-  httpd_handler_t handler;
-  void *arg;
-  size_t body_limit;
-  uint32_t connections_max;
-  size_t connection_count;
-  list_t connections; /* Open connections, by link.  */
-  list_t requests;    /* Requests not released yet, by link.  */
-  size_t in_flight;
-  size_t unwritten;      /* Number of elements of REQUESTS.  */
-  char *tls_certificate; /* Path of the PEM file; NULL: no TLS.  */
-  char *tls_key;
-  /* Modification time of the certificate or key file in use, whichever is
-     later.  */
-  struct timespec tls_modified;
-  uint64_t check_count; /* Expirations of CHECK_TIMER.  */
-  uv_timer_t check_timer;
-  uv_timer_t free_timer; /* Delays the free of the server.  */
-  unsigned free_timer_ticks;
-  unsigned open_handles; /* Handles that libuv has not closed yet.  */
-  bool destroyed;
-};
-
-/* One accepted connection.  */
-typedef struct
-{
-  list_t link;
-  httpd_t *server;
-  h2o_socket_t *sock;
-  /* h2o's read callback, which on_first_read calls.  NULL: TLS connection.  */
-  h2o_socket_cb h2o_read;
-  uint64_t accepted_ms; /* Time of the accept by the loop's clock, in ms.  */
-  bool error_sent; /* reject_incomplete_request sent an error response.  */
-} connection_t;
-
-typedef struct
-{
-  h2o_handler_t super;
-  httpd_t *server;
-} request_handler_t;
-
-/* Allocated in the memory pool of the h2o request.  The disposal of the pool
-   reports that h2o has released the request.  */
-typedef struct
-{
-  httpd_req_t *req; /* NULL once REQ is released.  */
-} disposal_guard_t;
-
-struct httpd_req
-{
-  /* Must be first: h2o passes a pointer to the generator to the callbacks.  */
-  h2o_generator_t generator;
-  list_t link;
-  httpd_t *server;
-  h2o_req_t *h2o; /* NULL once h2o has released the request.  */
-  disposal_guard_t *guard;
-  buf_t pending;   /* Bytes not passed to h2o yet.  */
-  buf_t writing;   /* Bytes of the response that h2o is writing.  */
-  bool is_writing; /* h2o is writing the bytes of WRITING.  */
-  bool started;
-  bool is_last;  /* PENDING ends the response.  */
-  bool aborted;  /* Aborted while h2o was writing.  */
-  bool finished; /* The last byte was passed to h2o, or REQ was aborted.  */
-  void (*on_drained) (void *arg);
-  void (*on_disconnect) (void *arg);
-  void *arg;
-};
+/* h2o's limit of a request body where the intake enforces ours.  */
+static const size_t h2o_body_limit_none = (size_t)1 << 40;
 
 /* Mark REQ as finished.  Further calls have no effect.  */
 static void
@@ -125,6 +50,9 @@
     req->guard->req = NULL;
   buf_free (&req->pending);
   buf_free (&req->writing);
+  intake_count_response (req);
+  if (req->connection != NULL)
+    intake_request_ends (req->connection, req->body_bytes);
   free (req);
 }
 
@@ -185,6 +113,7 @@
   req->is_writing = true;
   if (req->is_last)
     mark_finished (req);
+  intake_count_response (req);
   h2o_iovec_t vec = h2o_iovec_init (req->writing.ptr, req->writing.len);
   h2o_send (req->h2o, &vec, vec.len > 0 ? 1 : 0,
             req->is_last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
@@ -198,6 +127,7 @@
   (void)h2o;
   req->is_writing = false;
   free_large_buffer (&req->writing);
+  intake_count_response (req);
   if (req->aborted)
     h2o_send (req->h2o, NULL, 0, H2O_SEND_STATE_ERROR);
   if (req->finished)
@@ -208,6 +138,15 @@
     req->on_drained (req->arg);
 }
 
+/* Return the connection of H2O.  */
+static connection_t *
+request_connection (const h2o_req_t *h2o)
+{
+  h2o_socket_t *sock = h2o->conn->callbacks->get_socket (h2o->conn);
+
+  return sock != NULL ? sock->on_close.data : NULL;
+}
+
 static int
 on_request (h2o_handler_t *self, h2o_req_t *h2o)
 {
@@ -224,7 +163,11 @@
   list_append (&server->requests, &req->link);
   server->in_flight++;
   server->unwritten++;
-  if (h2o->entity.len > server->body_limit)
+  req->connection = request_connection (h2o);
+  req->body_bytes = h2o->entity.len;
+  if (req->connection != NULL)
+    intake_request_begins (req->connection);
+  if (h2o->entity.len > server->limits.body_bytes)
     {
       const code_info_t *info = code_info (VH_E_TOO_LARGE);
       buf_t body = BUF_NULL;
@@ -330,8 +273,6 @@
               server->tls_certificate);
 }
 
-static void reject_late_requests (httpd_t *server);
-
 static void
 on_check_timer (uv_timer_t *timer)
 {
@@ -340,7 +281,7 @@
   if (server->tls_certificate != NULL
       && ++server->check_count % TLS_CHECK_TICKS == 0)
     reload_certificate (server);
-  reject_late_requests (server);
+  intake_tick (server);
   LIST_EACH (at, &server->requests)
     {
       httpd_req_t *req = CONTAINER_OF (at, httpd_req_t, link);
@@ -410,6 +351,7 @@
   httpd_t *server = conn->server;
 
   list_remove (&conn->link);
+  intake_remove_connection (conn);
   free (conn);
   server->connection_count--;
   if (server->destroyed && server->connection_count == 0)
@@ -429,86 +371,6 @@
   free (handle);
 }
 
-/* Send the client of CONN, whose first request was not received completely, an
-   error response stating that the request was not executed.  h2o closes such a
-   connection without a response, which the client could not distinguish from a
-   lost response.  */
-static void
-reject_incomplete_request (connection_t *conn)
-{
-  const code_info_t *info = code_info (VH_E_BAD_REQUEST);
-  buf_t body = BUF_NULL;
-  buf_t response = BUF_NULL;
-
-  if (conn->error_sent)
-    return;
-  conn->error_sent = true;
-  code_write_error (VH_E_BAD_REQUEST, "not-run", &body);
-  buf_append_char (&body, '\n');
-  buf_printf (&response,
-              "HTTP/1.1 %d Bad Request\r\nconnection: close\r\n"
-              "content-type: application/json\r\n"
-              "vanillahook-outcome: not-run\r\ncontent-length: %zu\r\n\r\n",
-              info->http_status, body.len);
-  buf_append_str (&response, buf_str (&body));
-  ssize_t sent = send (h2o_socket_get_fd (conn->sock), response.ptr,
-                       response.len, MSG_DONTWAIT | MSG_NOSIGNAL);
-  (void)sent;
-  buf_free (&body);
-  buf_free (&response);
-}
-
-/* Return whether INPUT starts with a complete line that is not an HTTP request
-   line.  */
-static bool
-is_not_http (str_t input)
-{
-  const char *end = memchr (input.ptr, '\n', input.len);
-
-  return end != NULL
-         && memmem (input.ptr, (size_t)(end - input.ptr), " HTTP/", 6) == NULL;
-}
-
-/* Read callback of a connection until its first request is complete; calls
-   h2o's read callback.
-   XXX: the connection is still closed without a response when a later request
-   on the same connection, or a request over TLS, is not received
-   completely.  */
-static void
-on_first_read (h2o_socket_t *sock, const char *err)
-{
-  connection_t *conn = sock->on_close.data;
-  h2o_socket_cb h2o_read = conn->h2o_read;
-
-  /* Input that is not HTTP is reported to h2o as a closed connection: h2o
-     would send an error response of its own as well.  */
-  if (err == NULL
-      && is_not_http (str_make (sock->input->bytes, sock->input->size)))
-    err = h2o_socket_error_closed;
-  if (err != NULL && sock->input->size > 0)
-    reject_incomplete_request (conn);
-  h2o_read (sock, err);
-}
-
-/* Send an error response on connections whose first request is not complete in
-   time, shortly before h2o closes these connections.  */
-static void
-reject_late_requests (httpd_t *server)
-{
-  uint64_t limit_ms
-      = server->config.http1.req_timeout - 2 * DISCONNECT_CHECK_INTERVAL_MS;
-  uint64_t now_ms = uv_now (server->loop);
-
-  LIST_EACH (at, &server->connections)
-    {
-      connection_t *conn = CONTAINER_OF (at, connection_t, link);
-      if (conn->h2o_read != NULL && conn->sock->_cb.read == on_first_read
-          && conn->sock->input->size > 0
-          && now_ms - conn->accepted_ms >= limit_ms)
-        reject_incomplete_request (conn);
-    }
-}
-
 static void
 on_accept (uv_stream_t *listener, int status)
 {
@@ -520,7 +382,8 @@
   uv_tcp_init (server->loop, stream);
   if (uv_accept (listener, (uv_stream_t *)stream) != 0
       || (server->connections_max > 0
-          && server->connection_count >= server->connections_max))
+          && server->connection_count >= server->connections_max
+          && !intake_make_room (server)))
     {
       uv_close ((uv_handle_t *)stream, free_tcp_handle);
       return;
@@ -535,13 +398,8 @@
   sock->on_close.cb = on_connection_closed;
   sock->on_close.data = conn;
   server->connection_count++;
-  conn->accepted_ms = uv_now (server->loop);
   h2o_accept (&server->accept_ctx, sock);
-  if (server->accept_ctx.ssl_ctx == NULL)
-    {
-      conn->h2o_read = sock->_cb.read;
-      sock->_cb.read = on_first_read;
-    }
+  intake_add_connection (conn);
 }
 
 static void
@@ -550,7 +408,9 @@
   h2o_config_init (&server->config);
   server->config.server_name = h2o_iovec_init (H2O_STRLIT ("vanillahook"));
   server->config.max_request_entity_size
-      = options->body_limit + H2O_BODY_LIMIT_MARGIN_BYTES;
+      = options->tls_certificate != NULL
+            ? options->body_limit + H2O_BODY_LIMIT_MARGIN_BYTES
+            : h2o_body_limit_none;
   server->config.http1.req_timeout = options->read_timeout_ms > 0
                                          ? options->read_timeout_ms
                                          : DEFAULT_READ_TIMEOUT_MS;
@@ -577,7 +437,6 @@
   server->loop = loop;
   server->handler = handler;
   server->arg = arg;
-  server->body_limit = options->body_limit;
   server->connections_max = options->connections_max;
   list_init (&server->connections);
   list_init (&server->requests);
@@ -602,9 +461,10 @@
   uv_timer_init (loop, &server->check_timer);
   server->listener.data = server;
   server->check_timer.data = server;
-  server->open_handles = 2;
+  intake_init (server, options);
+  server->open_handles = 3;
   uv_timer_start (&server->check_timer, on_check_timer,
-                  DISCONNECT_CHECK_INTERVAL_MS, DISCONNECT_CHECK_INTERVAL_MS);
+                  HTTPD_CHECK_INTERVAL_MS, HTTPD_CHECK_INTERVAL_MS);
   uv_unref ((uv_handle_t *)&server->check_timer);
   if (!addr_listen (&server->listener, address, LISTEN_BACKLOG, on_accept,
                     &server->port))
@@ -617,6 +477,21 @@
   return VH_OK;
 }
 
+uint32_t
+httpd_connection_limit (uint32_t max, uint32_t descriptors)
+{
+  struct rlimit limit = { RLIM_INFINITY, RLIM_INFINITY };
+  uint32_t available = UINT32_MAX;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < UINT32_MAX)
+    available = (uint32_t)limit.rlim_cur;
+  if (descriptors > 0 && descriptors < available)
+    available = descriptors;
+  available = available > 2 * OTHER_DESCRIPTORS ? available - OTHER_DESCRIPTORS
+                                                : available / 2;
+  return max > 0 && max < available ? max : available;
+}
+
 void
 httpd_drain (httpd_t *server)
 {
@@ -646,6 +521,8 @@
     uv_close ((uv_handle_t *)&server->listener, on_handle_closed);
   server->listening = false;
   uv_close ((uv_handle_t *)&server->check_timer, on_handle_closed);
+  uv_close ((uv_handle_t *)&server->prepare, on_handle_closed);
+  intake_free (server);
   /* h2o keeps an idle connection open until its client or a timeout closes it.
      Shutting the socket down makes h2o close the connection on the next turn
      of the loop.  */
@@ -689,20 +566,25 @@
 str_t
 httpd_method (const httpd_req_t *req)
 {
-  return vec_to_str (req->h2o->input.method);
+  return req->head != NULL ? req->head->method
+                           : vec_to_str (req->h2o->input.method);
 }
 
 str_t
 httpd_authority (const httpd_req_t *req)
 {
-  return vec_to_str (req->h2o->input.authority);
+  return req->head != NULL ? httpd_header (req, STR ("host"))
+                           : vec_to_str (req->h2o->input.authority);
 }
 
 str_t
 httpd_path (const httpd_req_t *req)
 {
-  str_t path = vec_to_str (req->h2o->input.path);
+  str_t query;
 
+  if (req->head != NULL)
+    return str_cut (req->head->target, '?', &query);
+  str_t path = vec_to_str (req->h2o->input.path);
   if (req->h2o->input.query_at != SIZE_MAX)
     path.len = req->h2o->input.query_at;
   return path;
@@ -711,8 +593,14 @@
 str_t
 httpd_query (const httpd_req_t *req)
 {
-  size_t at = req->h2o->input.query_at;
+  str_t query;
 
+  if (req->head != NULL)
+    {
+      (void)str_cut (req->head->target, '?', &query);
+      return query;
+    }
+  size_t at = req->h2o->input.query_at;
   if (at == SIZE_MAX)
     return STR_NULL;
   h2o_iovec_t path = req->h2o->input.path;
@@ -738,17 +626,26 @@
 str_t
 httpd_header (const httpd_req_t *req, str_t name)
 {
-  const h2o_headers_t *headers = &req->h2o->headers;
+  httpc_header_t header;
 
-  for (size_t i = 0; i < headers->size; i++)
-    if (str_eq_nocase (vec_to_str (*headers->entries[i].name), name))
-      return vec_to_str (headers->entries[i].value);
+  for (size_t i = 0; httpd_header_at (req, i, &header); i++)
+    if (str_eq_nocase (header.name, name))
+      return header.value;
   return STR_NULL;
 }
 
 bool
 httpd_header_at (const httpd_req_t *req, size_t index, httpc_header_t *header)
 {
+  if (req->head != NULL)
+    {
+      if (index >= req->head->header_count)
+        return false;
+      const struct phr_header *parsed = &req->head->headers[index];
+      header->name = str_make (parsed->name, parsed->name_len);
+      header->value = str_make (parsed->value, parsed->value_len);
+      return true;
+    }
   if (index >= req->h2o->headers.size)
     return false;
   header->name = vec_to_str (*req->h2o->headers.entries[index].name);
@@ -759,7 +656,7 @@
 str_t
 httpd_body (const httpd_req_t *req)
 {
-  return vec_to_str (req->h2o->entity);
+  return req->head != NULL ? STR ("") : vec_to_str (req->h2o->entity);
 }
 
 bool
@@ -823,6 +720,7 @@
 httpd_send (httpd_req_t *req, str_t bytes, bool is_last)
 {
   buf_append_str (&req->pending, bytes);
+  intake_count_response (req);
   req->is_last = req->is_last || is_last;
   send_pending (req);
 }
--- a/packages/wire/httpd.h
+++ b/packages/wire/httpd.h
@@ -2,12 +2,18 @@
    all paths and sends a complete response or streams one with back-pressure.
    The server reports when a client disconnects before its response is
    complete.  Used for callers, the operators' port and the servers that tests
-   use in place of real ones.  */
+   use in place of real ones.
+
+   Clients are held to limits of size and time while they send, and give way to
+   others when memory or connections run out; docs/LOAD.md says in which order
+   and with which response.  */
 
 #ifndef WIRE_HTTPD_H
 #define WIRE_HTTPD_H
 
 #include "base/code.h"
+#include "base/memory_budget.h"
+#include "base/metric.h"
 #include "base/str.h"
 #include "wire/httpc.h"
 
@@ -22,15 +28,60 @@
    called, whichever comes first.  */
 typedef void (*httpd_handler_t) (void *arg, httpd_req_t *req);
 
+/* Why a client was refused, or its connection closed.  */
+#define HTTPD_REFUSALS(X)                                                     \
+  X (HTTPD_REFUSED_MEMORY, "memory") /* No memory for the request.  */        \
+  X (HTTPD_REFUSED_UNREAD, "unread") /* No memory for the response. */        \
+  X (HTTPD_REFUSED_CONNECTIONS, "connections") /* Too many connections.  */   \
+  X (HTTPD_REFUSED_TIME, "time")               /* A limit of time.  */        \
+  X (HTTPD_REFUSED_HEAD, "head")               /* The head is too large.  */  \
+  X (HTTPD_REFUSED_BODY, "body")               /* The body is too large.  */  \
+  X (HTTPD_REFUSED_REQUEST, "request")         /* By httpd_head_cb_t.  */
+
+typedef enum
+{
+#define X(symbol, name) symbol,
+  HTTPD_REFUSALS (X)
+#undef X
+      HTTPD_REFUSAL_COUNT
+} httpd_refusal_t;
+
+/* Limits on what a client sends.  */
+typedef struct
+{
+  size_t body_bytes; /* A larger body gets a 413 response.  */
+  size_t head_bytes; /* A larger head gets a 431 response; 0: 64 KiB.  It is
+                        not applied to a head that arrives in one read.  */
+  uint64_t head_ms;  /* Time from the first byte to the end of the head, after
+                        which the client gets a 408 response; 0: that of
+                        httpd_options_t.read_timeout_ms.  */
+} httpd_limits_t;
+
+/* What is decided on a request whose body has not arrived.  */
+typedef struct
+{
+  vh_code_t code;          /* VH_OK, or why the request is refused.  */
+  uint64_t retry_after_ms; /* Retry-After of the refusal; 0: none.  */
+  uint64_t body_ms; /* Time in which the body has to arrive, after which the
+                       client gets a 408 response; 0: no limit.  */
+} httpd_decision_t;
+
+/* Called when the head of a request is complete and its body is not, for
+   requests of HTTP/1.  REQ has no body, and is valid until the function
+   returns; only functions that read the request may be called for it.  */
+typedef httpd_decision_t (*httpd_head_cb_t) (void *arg,
+                                             const httpd_req_t *req);
+
 typedef struct
 {
-  size_t body_limit; /* In bytes; a larger body gets a 413 response.  */
-  /* Longest time that a client may take to send a request's head, in ms;
-     0: 10 s.  */
+  size_t body_limit; /* As httpd_limits_t.body_bytes.  */
+  /* Longest time that a client may take to send a request, in ms; 0: 10 s.  */
   uint64_t read_timeout_ms;
-  /* Largest number of open connections; further ones are closed on accept.
-     0: no limit.  */
+  /* Largest number of open connections.  To accept a further one, that of a
+     client that is not being served is closed.  0: no limit.  */
   uint32_t connections_max;
+  memory_budget_t *memory; /* Borrowed; NULL: memory is not limited.  */
+  httpd_head_cb_t on_head; /* NULL: all heads are accepted.  */
   /* Paths of the PEM files; NULL: no TLS.  */
   const char *tls_certificate;
   const char *tls_key;
@@ -42,6 +93,20 @@
 vh_code_t httpd_create (uv_loop_t *loop, str_t address,
                         const httpd_options_t *options,
                         httpd_handler_t handler, void *arg, httpd_t **out);
+/* Set the limits for requests from now on.  Those of before are in the options
+   of httpd_create.  */
+void httpd_set_limits (httpd_t *server, const httpd_limits_t *limits);
+/* Return the number of connections that a process may accept of which MAX are
+   wanted, so that it keeps descriptors for other uses.  DESCRIPTORS is the
+   limit of the process's descriptors, 0: that of the system.  */
+uint32_t httpd_connection_limit (uint32_t max, uint32_t descriptors);
+/* Let clients give way until the memory budget is not exceeded, or none is
+   left that may.  */
+void httpd_release_memory (httpd_t *server);
+/* Set the counters SERIES of METRICS, which have the label `reason', to the
+   numbers of clients that SERVER refused.  SERIES must outlive METRICS.  */
+void httpd_export_refusals (const httpd_t *server, metrics_t *metrics,
+                            const char *series);
 /* From now on close each HTTP/1 connection after its current response, so that
    keep-alive clients reconnect to another process.  */
 void httpd_drain (httpd_t *server);
--- a/packages/wire/picohttp.h
+++ b/packages/wire/picohttp.h
@@ -32,6 +32,13 @@
                         struct phr_header *headers, size_t *num_headers,
                         size_t last_len);
 
+/* Parse the head of an HTTP request at the start of BUF, of which LAST_LEN
+   bytes were found to be no complete head.  Return as phr_parse_response.  */
+int phr_parse_request (const char *buf, size_t len, const char **method,
+                       size_t *method_len, const char **path, size_t *path_len,
+                       int *minor_version, struct phr_header *headers,
+                       size_t *num_headers, size_t last_len);
+
 /* Decode chunked data in BUF in place and set *LEN to the number of decoded
    bytes.  Return -2 when the last chunk has not been received, -1 when BUF is
    not valid chunked data, otherwise the number of bytes after the last
--- a/tests/gateway_processes.c
+++ b/tests/gateway_processes.c
@@ -157,7 +157,8 @@
       "\"resumable\":true,\"gapAimMs\":1000}],"
       "\"services\":[{\"name\":\"app\",\"healthPath\":\"/health\"},"
       "{\"name\":\"engine\",\"healthPath\":\"/health\"}],"
-      "\"limits\":{\"idleTimeoutMs\":15000},\"tenants\":[]}";
+      "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+      "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":[]}";
 
 /* Instances.  */
 
@@ -560,6 +561,24 @@
   return proc_is_running (p->gateways[index].proc);
 }
 
+pid_t
+gateway_processes_pid (const gateway_processes_t *p, size_t index)
+{
+  return proc_pid (p->gateways[index].proc);
+}
+
+const char *
+gateway_processes_host (const gateway_processes_t *p)
+{
+  return harness_host (p->harness);
+}
+
+uint16_t
+gateway_processes_port (const gateway_processes_t *p, size_t index)
+{
+  return p->gateways[index].ports[PORT_CALLERS];
+}
+
 void
 gateway_processes_restart (gateway_processes_t *p, size_t index)
 {
--- a/tests/gateway_processes.h
+++ b/tests/gateway_processes.h
@@ -73,6 +73,13 @@
 void gateway_processes_restart (gateway_processes_t *processes, size_t index);
 bool gateway_processes_is_running (gateway_processes_t *processes,
                                    size_t index);
+/* Return the process of gateway INDEX, and the host and the port that callers
+   connect to.  */
+pid_t gateway_processes_pid (const gateway_processes_t *processes,
+                             size_t index);
+const char *gateway_processes_host (const gateway_processes_t *processes);
+uint16_t gateway_processes_port (const gateway_processes_t *processes,
+                                 size_t index);
 
 /* Return the value of METRIC, a series of gateway INDEX with its labels, or -1
    if the gateway does not export it.  */
--- /dev/null
+++ b/tests/test_client_crowds.c
@@ -0,0 +1,576 @@
+/* Processes before clients that keep to no limit.  Failure: such clients end a
+   process, which runs out of memory or of descriptors, or keep it from serving
+   others.
+
+   The bounds are those of the smallest machine that is announced: 88 MB and
+   3,075 descriptors.  The sanitizers need several times the memory of a
+   process, so its bound is checked without them.  */
+
+#include "client_crowd.h"
+#include "gateway_processes.h"
+#include "rawhttp.h"
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+
+enum
+{
+  MEMORY_MAX = 88 * 1000 * 1000,
+  DESCRIPTORS_MAX = 3075,
+  CONNECTIONS = 60,
+  MANY_CONNECTIONS = 3600,
+  /* Of at most 4,194,304, the limit of the configuration.  */
+  BODY_BYTES = 4000000,
+  SMALL_BODY_BYTES = 300,
+  LARGE_CHUNK_BYTES = 65536,
+  SMALL_CHUNK_BYTES = 16,
+  HEAD_BYTES = 16384,
+  CROWD_MS = 6000,
+  MANY_CROWD_MS = 9000,
+  /* Time after which the ordinary requests that are answered beside the crowd
+     count.  */
+  SETTLE_MS = 2000,
+  PAUSE_MS = 1000,
+  STEP_MS = 50,
+  ANSWER_WAIT_MS = 20000,
+  ORDINARY_PER_S = 10
+};
+
+static const gateway_processes_options_t options
+    = { .gateways = 1,
+        .instances = { [SERVICE_APP] = 3, [SERVICE_ENGINE] = 1 },
+        .requests_per_s = { [SERVICE_APP] = ORDINARY_PER_S },
+        .budget = { .ratio = 0.9, .slack = 58, .window_ms = 10000 } };
+
+#ifdef __SANITIZE_ADDRESS__
+static const bool checks_memory = false;
+#else
+static const bool checks_memory = true;
+#endif
+
+/* Path of a route, and one that no route has.  */
+static const char *path = "/read/1";
+static const char *no_route_path = "/none/1";
+
+/* Bytes that crowds send; allocated once.  */
+static buf_t bodies[8];
+static size_t body_count;
+
+/* Return a request for PATH with a body of ANNOUNCED bytes of which SENT bytes
+   follow.  */
+static str_t
+announced_body (const char *request_path, size_t announced, size_t sent)
+{
+  buf_t *out = &bodies[body_count++];
+  char framing[48];
+
+  snprintf (framing, sizeof framing, "Content-Length: %zu", announced);
+  client_crowd_add_head (out, request_path, framing);
+  buf_reserve (out, sent);
+  memset (out->ptr + out->len, 'x', sent);
+  out->len += sent;
+  return buf_str (out);
+}
+
+/* Return a request with a body of LEN bytes in chunks of CHUNK_LEN, and set
+ *HEAD_LEN to the length of its head.  */
+static str_t
+chunked_body (size_t len, size_t chunk_len, size_t *head_len)
+{
+  buf_t *out = &bodies[body_count++];
+
+  client_crowd_add_head (out, path, "Transfer-Encoding: chunked");
+  *head_len = out->len;
+  client_crowd_add_chunks (out, len, chunk_len);
+  return buf_str (out);
+}
+
+/* Return the begin of a head of HEAD_BYTES without its last line.  */
+static str_t
+incomplete_head (void)
+{
+  buf_t *out = &bodies[body_count++];
+  char line[1025];
+
+  memset (line, 'a', sizeof line);
+  line[sizeof line - 1] = '\0';
+  buf_append_str (out, STR ("GET /read/1 HTTP/1.1\r\nHost: desk.example\r\n"));
+  for (int i = 0; out->len + sizeof line + 16 < HEAD_BYTES; i++)
+    buf_printf (out, "x-%d: %s\r\n", i, line);
+  return buf_str (out);
+}
+
+static void
+free_bodies (void)
+{
+  while (body_count > 0)
+    buf_free (&bodies[--body_count]);
+}
+
+/* The crowds.  */
+
+static crowd_part_t
+announced_crowd (void)
+{
+  return (crowd_part_t){
+    .connections = CONNECTIONS,
+    .bytes = announced_body (path, BODY_BYTES, BODY_BYTES - 1),
+    .is_returning = true,
+  };
+}
+
+static crowd_part_t
+no_route_crowd (void)
+{
+  return (crowd_part_t){
+    .connections = CONNECTIONS,
+    .bytes = announced_body (no_route_path, BODY_BYTES, BODY_BYTES - 1),
+    .is_returning = true,
+  };
+}
+
+static crowd_part_t
+chunked_crowd (size_t chunk_len)
+{
+  size_t head_len;
+
+  return (crowd_part_t){
+    .connections = CONNECTIONS,
+    .bytes = chunked_body (BODY_BYTES, chunk_len, &head_len),
+    .is_returning = true,
+  };
+}
+
+static crowd_part_t
+endless_chunks_crowd (void)
+{
+  crowd_part_t part
+      = { .connections = CONNECTIONS, .repeats = true, .is_returning = true };
+
+  part.bytes
+      = chunked_body (LARGE_CHUNK_BYTES, LARGE_CHUNK_BYTES, &part.repeat_from);
+  return part;
+}
+
+static crowd_part_t
+too_long_crowd (void)
+{
+  crowd_part_t part = {
+    .connections = CONNECTIONS,
+    .bytes = announced_body (path, 400000000, LARGE_CHUNK_BYTES),
+    .repeats = true,
+    .is_returning = true,
+  };
+
+  part.repeat_from = part.bytes.len - LARGE_CHUNK_BYTES;
+  return part;
+}
+
+static crowd_part_t
+unread_responses_crowd (void)
+{
+  return (crowd_part_t){
+    .connections = CONNECTIONS,
+    .bytes = announced_body (path, BODY_BYTES, BODY_BYTES),
+    .repeats = true,
+    .is_silent = true,
+    .is_returning = true,
+  };
+}
+
+static crowd_part_t
+trickling_crowd (void)
+{
+  return (crowd_part_t){
+    .connections = CONNECTIONS,
+    .bytes = announced_body (path, BODY_BYTES, BODY_BYTES / 4),
+    .trickle_ms = 20,
+    .is_returning = true,
+  };
+}
+
+static crowd_part_t
+ending_at_once_crowd (void)
+{
+  return (crowd_part_t){
+    .connections = CONNECTIONS,
+    .bytes = announced_body (path, BODY_BYTES, BODY_BYTES - 1),
+    .last = STR ("x"),
+    .hold_ms = CROWD_MS / 2,
+    .is_returning = true,
+  };
+}
+
+static crowd_part_t
+many_bodies_crowd (void)
+{
+  return (crowd_part_t){
+    .connections = MANY_CONNECTIONS,
+    .bytes = announced_body (path, SMALL_BODY_BYTES, SMALL_BODY_BYTES - 1),
+    .is_returning = true,
+  };
+}
+
+static crowd_part_t
+many_heads_crowd (void)
+{
+  return (crowd_part_t){
+    .connections = MANY_CONNECTIONS,
+    .bytes = incomplete_head (),
+    .is_returning = true,
+  };
+}
+
+/* Checks.  */
+
+static void
+check_process (pid_t pid)
+{
+  size_t descriptors = process_descriptors (pid);
+  size_t memory = process_peak_memory (pid);
+
+  ck_assert_uint_le (descriptors, DESCRIPTORS_MAX);
+  if (checks_memory)
+    ck_assert_msg (memory <= MEMORY_MAX, "peak of %zu bytes of memory",
+                   memory);
+}
+
+/* Let PARTS come to GATEWAYS for MS beside ordinary callers, and go.  */
+static void
+run_gateway_crowd (gateway_processes_t *gateways, const crowd_part_t *parts,
+                   size_t part_count, uint64_t ms)
+{
+  pid_t pid = gateway_processes_pid (gateways, 0);
+  pid_t crowd = client_crowd_start (gateway_processes_host (gateways),
+                                    gateway_processes_port (gateways, 0),
+                                    parts, part_count, ms);
+
+  gateway_processes_run (gateways, SETTLE_MS);
+  size_t answered = gateway_processes_answered (gateways, SERVICE_APP);
+  while (client_crowd_is_present (crowd))
+    {
+      gateway_processes_run (gateways, STEP_MS);
+      ck_assert (gateway_processes_is_running (gateways, 0));
+      ck_assert_uint_le (process_descriptors (pid), DESCRIPTORS_MAX);
+    }
+  printf ("peak %zu kB, %zu ordinary requests answered beside the crowd\n",
+          process_peak_memory (pid) / 1000,
+          gateway_processes_answered (gateways, SERVICE_APP) - answered);
+  check_process (pid);
+  ck_assert_uint_gt (gateway_processes_answered (gateways, SERVICE_APP),
+                     answered);
+  answered = gateway_processes_answered (gateways, SERVICE_APP);
+  for (int left_ms = ANSWER_WAIT_MS;
+       left_ms > 0
+       && gateway_processes_answered (gateways, SERVICE_APP) == answered;
+       left_ms -= STEP_MS)
+    gateway_processes_run (gateways, STEP_MS);
+  ck_assert_uint_gt (gateway_processes_answered (gateways, SERVICE_APP),
+                     answered);
+}
+
+/* Lower the limit of descriptors for processes that are started.  Return that
+   of before.  */
+static struct rlimit
+lower_descriptor_limit (void)
+{
+  struct rlimit before;
+  struct rlimit lowered;
+
+  getrlimit (RLIMIT_NOFILE, &before);
+  lowered = before;
+  lowered.rlim_cur = DESCRIPTORS_MAX;
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &lowered), 0);
+  return before;
+}
+
+static gateway_processes_t *
+start_gateway (void)
+{
+  struct rlimit before = lower_descriptor_limit ();
+  gateway_processes_t *gateways = gateway_processes_create (&options);
+  setrlimit (RLIMIT_NOFILE, &before);
+  gateway_processes_run (gateways, PAUSE_MS);
+  return gateways;
+}
+
+/* Run one crowd of PARTS against a gateway.  */
+static void
+check_gateway (const crowd_part_t *parts, size_t part_count, uint64_t ms)
+{
+  gateway_processes_t *gateways = start_gateway ();
+
+  run_gateway_crowd (gateways, parts, part_count, ms);
+  gateway_processes_destroy (gateways, false);
+  free_bodies ();
+}
+
+START_TEST (gateway_holds_announced_bodies)
+{
+  crowd_part_t part = announced_crowd ();
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_bodies_without_route)
+{
+  crowd_part_t part = no_route_crowd ();
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_large_chunks)
+{
+  crowd_part_t part = chunked_crowd (LARGE_CHUNK_BYTES);
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_small_chunks)
+{
+  crowd_part_t part = chunked_crowd (SMALL_CHUNK_BYTES);
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_endless_chunks)
+{
+  crowd_part_t part = endless_chunks_crowd ();
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_bodies_over_the_limit)
+{
+  crowd_part_t part = too_long_crowd ();
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_unread_responses)
+{
+  crowd_part_t part = unread_responses_crowd ();
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_trickling_bodies)
+{
+  crowd_part_t part = trickling_crowd ();
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_bodies_that_end_at_once)
+{
+  crowd_part_t part = ending_at_once_crowd ();
+
+  check_gateway (&part, 1, CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_many_bodies)
+{
+  crowd_part_t part = many_bodies_crowd ();
+
+  check_gateway (&part, 1, MANY_CROWD_MS);
+}
+END_TEST
+
+START_TEST (gateway_holds_many_heads)
+{
+  crowd_part_t part = many_heads_crowd ();
+
+  check_gateway (&part, 1, MANY_CROWD_MS);
+}
+END_TEST
+
+/* Memory that one crowd leaves behind must not add to that of the next, which
+   sends other sizes.  */
+START_TEST (gateway_holds_second_crowd)
+{
+  gateway_processes_t *gateways = start_gateway ();
+  crowd_part_t first = announced_crowd ();
+  crowd_part_t second[] = {
+    many_heads_crowd (),
+    chunked_crowd (LARGE_CHUNK_BYTES),
+    trickling_crowd (),
+    unread_responses_crowd (),
+  };
+
+  second[0].connections = MANY_CONNECTIONS / 2;
+  run_gateway_crowd (gateways, &first, 1, CROWD_MS);
+  gateway_processes_run (gateways, PAUSE_MS);
+  run_gateway_crowd (gateways, second, sizeof second / sizeof second[0],
+                     MANY_CROWD_MS);
+  gateway_processes_destroy (gateways, false);
+  free_bodies ();
+}
+END_TEST
+
+/* A standalone process.  */
+
+typedef struct
+{
+  harness_t *harness;
+  proc_t *proc;
+  uint16_t port;
+} standalone_t;
+
+static bool
+is_models_list_answered (const standalone_t *standalone)
+{
+  json_t *models = rawhttp_json (harness_host (standalone->harness),
+                                 standalone->port, "/v1/models", NULL);
+  bool is_answered = models != NULL;
+
+  json_decref (models);
+  return is_answered;
+}
+
+/* Return whether one ordinary request is answered within ANSWER_WAIT_MS.  */
+static bool
+is_serving (const standalone_t *standalone)
+{
+  bool is_answered;
+
+  WAIT_UNTIL (is_models_list_answered (standalone), ANSWER_WAIT_MS,
+              &is_answered);
+  return is_answered;
+}
+
+static standalone_t
+start_standalone (void)
+{
+  standalone_t standalone = { .harness = harness_create () };
+  const char *host = harness_host (standalone.harness);
+  uint16_t admin = harness_find_free_port (standalone.harness);
+  buf_t text = BUF_NULL;
+
+  standalone.port = harness_find_free_port (standalone.harness);
+  buf_printf (&text,
+              "[process]\nname = standalone-1\nrole = standalone\n"
+              "availability-zone = a\nadmin = %s:%u\n[entry]\n"
+              "listen = %s:%u\n"
+              "[upstream r]\nupstream = %s:1\nserves = m@1\n",
+              host, admin, host, standalone.port, host);
+  const char *settings = harness_write_file (
+      standalone.harness, "standalone.ini", buf_str (&text));
+  buf_free (&text);
+  standalone.proc
+      = harness_start (standalone.harness, "standalone", "bin/vanillahookd",
+                       "--settings", settings, NULL);
+  ck_assert (is_serving (&standalone));
+  return standalone;
+}
+
+/* Run one crowd of PART against a standalone process.  */
+static void
+check_standalone (crowd_part_t part, uint64_t ms)
+{
+  struct rlimit before = lower_descriptor_limit ();
+  standalone_t standalone = start_standalone ();
+  pid_t pid = proc_pid (standalone.proc);
+
+  setrlimit (RLIMIT_NOFILE, &before);
+  pid_t crowd = client_crowd_start (harness_host (standalone.harness),
+                                    standalone.port, &part, 1, ms);
+  harness_sleep_ms (SETTLE_MS);
+  ck_assert (is_serving (&standalone));
+  while (client_crowd_is_present (crowd))
+    {
+      harness_sleep_ms (STEP_MS);
+      ck_assert (proc_is_running (standalone.proc));
+      ck_assert_uint_le (process_descriptors (pid), DESCRIPTORS_MAX);
+    }
+  printf ("peak %zu kB\n", process_peak_memory (pid) / 1000);
+  check_process (pid);
+  ck_assert (is_serving (&standalone));
+  harness_destroy (standalone.harness, false);
+  free_bodies ();
+}
+
+START_TEST (standalone_holds_announced_bodies)
+{
+  path = "/v1/chat/completions";
+  check_standalone (announced_crowd (), CROWD_MS);
+}
+END_TEST
+
+START_TEST (standalone_holds_large_chunks)
+{
+  path = "/v1/chat/completions";
+  check_standalone (chunked_crowd (LARGE_CHUNK_BYTES), CROWD_MS);
+}
+END_TEST
+
+START_TEST (standalone_holds_endless_chunks)
+{
+  path = "/v1/chat/completions";
+  check_standalone (endless_chunks_crowd (), CROWD_MS);
+}
+END_TEST
+
+START_TEST (standalone_holds_unread_responses)
+{
+  path = "/v1/chat/completions";
+  check_standalone (unread_responses_crowd (), CROWD_MS);
+}
+END_TEST
+
+START_TEST (standalone_holds_many_bodies)
+{
+  path = "/v1/chat/completions";
+  check_standalone (many_bodies_crowd (), MANY_CROWD_MS);
+}
+END_TEST
+
+static void
+add_case (Suite *suite, const char *name, const TTest *test)
+{
+  TCase *tcase = tcase_create (name);
+
+  tcase_set_timeout (tcase, 120);
+  tcase_add_test (tcase, test);
+  suite_add_tcase (suite, tcase);
+}
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("client crowds");
+
+  add_case (suite, "gateway, announced", gateway_holds_announced_bodies);
+  add_case (suite, "gateway, no route", gateway_holds_bodies_without_route);
+  add_case (suite, "gateway, large chunks", gateway_holds_large_chunks);
+  add_case (suite, "gateway, small chunks", gateway_holds_small_chunks);
+  add_case (suite, "gateway, endless chunks", gateway_holds_endless_chunks);
+  add_case (suite, "gateway, over the limit",
+            gateway_holds_bodies_over_the_limit);
+  add_case (suite, "gateway, unread responses",
+            gateway_holds_unread_responses);
+  add_case (suite, "gateway, trickle", gateway_holds_trickling_bodies);
+  add_case (suite, "gateway, end at once",
+            gateway_holds_bodies_that_end_at_once);
+  add_case (suite, "gateway, many bodies", gateway_holds_many_bodies);
+  add_case (suite, "gateway, many heads", gateway_holds_many_heads);
+  add_case (suite, "gateway, second crowd", gateway_holds_second_crowd);
+  add_case (suite, "standalone, announced", standalone_holds_announced_bodies);
+  add_case (suite, "standalone, large chunks", standalone_holds_large_chunks);
+  add_case (suite, "standalone, endless chunks",
+            standalone_holds_endless_chunks);
+  add_case (suite, "standalone, unread responses",
+            standalone_holds_unread_responses);
+  add_case (suite, "standalone, many bodies", standalone_holds_many_bodies);
+  return suite_run (suite);
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -71,6 +71,7 @@
            "region = r\nadmin = 127.0.0.1:1\nrpc = [::1]:2\n"
            "log-level = debug\ndrain-grace-ms = 3\ndrain-bound-ms = 4\n"
            "seed = 5\nrpc-keys = 0123456789abcdef , fedcba9876543210\n"
+           "memory-mb = 110.5\ndescriptors-max = 4100\n"
            "operator-key-sha256 = "
            "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\n"
            "[sidecar]\n"
@@ -96,6 +97,8 @@
   ck_assert_uint_eq (settings->drain_grace_ms, 3);
   ck_assert_uint_eq (settings->drain_timeout_ms, 4);
   ck_assert_uint_eq (settings->seed, 5);
+  ck_assert_double_eq (settings->memory_mb, 110.5);
+  ck_assert_uint_eq (settings->descriptors_max, 4100);
   ck_assert_uint_eq (settings->rpc_keys_count, 2);
   ck_assert (str_eq (settings->rpc_keys[1], STR ("fedcba9876543210")));
   ck_assert_uint_eq (settings->operator_key_sha256.len, 64);
