intake: small requests that stall give way before large ones that do not

Of a budget of 45 MB, 3,500 connections with small requests that never end take 42 MB, and a sound request over 16 KiB beside them was refused, since only large requests gave way to it. Now small requests and unused connections without progress for a second go first, and the longest idle connections while idle ones take more than half of the budget.

stalled_small_request_gives_way_to_large failed before: a large request got the 503.

--- a/packages/wire/httpdint.h
+++ b/packages/wire/httpdint.h
@@ -134,6 +134,7 @@
   memory_budget_t own_memory; /* Without a limit.  */
   uint64_t request_ms; /* Time for a request and the idle time before it.  */
   list_t stages[STAGE_COUNT];
+  size_t stage_counts[STAGE_COUNT];
   list_t unhooked; /* Connections whose read callback may have changed.  */
   uv_prepare_t prepare;
   connection_t *reading; /* Connection whose read callback runs; NULL if none,
--- a/packages/wire/intake.c
+++ b/packages/wire/intake.c
@@ -8,11 +8,12 @@
    are polled next.
 
    Memory is given back in this order: the incomplete request that has made no
-   progress for longest, the response that its client does not read, the
-   incomplete request that began last.  So those that came first are served,
-   however many come after them.  Requests that are with the handler stay.
-   Requests up to SMALL_BYTES may take more memory than large ones, and give
-   way only when that is used up.  */
+   progress for longest, the response that its client does not read, small
+   requests and unused connections without progress, idle connections if they
+   are most, the large request that began last.  So those that came first are
+   served, however many come after them.  Requests that are with the handler
+   stay.  Requests up to SMALL_BYTES that make progress may take more memory
+   than large ones, and give way only when that is used up.  */
 
 #include "wire/httpdint.h"
 
@@ -79,11 +80,21 @@
 /* Stages.  */
 
 static void
-set_stage (connection_t *conn, connection_stage_t stage)
+leave_stage (connection_t *conn)
 {
+  if (list_is_empty (&conn->stage_link))
+    return;
   list_remove (&conn->stage_link);
+  conn->server->stage_counts[conn->stage]--;
+}
+
+static void
+set_stage (connection_t *conn, connection_stage_t stage)
+{
+  leave_stage (conn);
   conn->stage = stage;
   list_append (&conn->server->stages[stage], &conn->stage_link);
+  conn->server->stage_counts[stage]++;
 }
 
 static bool
@@ -162,7 +173,7 @@
 
   conn->is_closing = true;
   memory_budget_count (conn->server->memory, &conn->memory, 0);
-  list_remove (&conn->stage_link);
+  leave_stage (conn);
   if (sock->_cb.read == on_read && (conn->busy_count == 0 || conn->is_http2))
     conn->h2o_read (sock, h2o_socket_error_closed);
   else
@@ -309,45 +320,63 @@
   return true;
 }
 
-/* Let one of those who take much memory give way.  Return false if there is
-   none.  */
+/* Return the connection of STAGE that has made no progress for longest, or
+   NULL if none has stalled.  */
+static connection_t *
+stalled_in_stage (const httpd_t *server, connection_stage_t stage)
+{
+  connection_t *conn = first_in_stage (server, stage);
+
+  return conn != NULL && has_stalled (conn) ? conn : NULL;
+}
+
+/* Return whether idle connections take most of the budget.  */
+static bool
+are_idle_most (const httpd_t *server)
+{
+  return server->stage_counts[STAGE_IDLE]
+             * (size_t)(CONNECTION_BYTES + INPUT_BYTES_MIN)
+         > server->memory->limit / 2;
+}
+
+/* Let one of those give way that make no progress, else one that takes much
+   memory.  Return false if there is none.  */
 static bool
 release_large (httpd_t *server)
 {
-  connection_t *conn = first_in_stage (server, STAGE_RECEIVING_LARGE);
+  connection_t *conn = stalled_in_stage (server, STAGE_RECEIVING_LARGE);
 
-  if (conn == NULL || !has_stalled (conn))
-    {
-      if (cut_unread_response (server, CONNECTION_BYTES + SMALL_BYTES))
-        return true;
-      conn = newest_in_stage (server, STAGE_RECEIVING_LARGE);
-    }
+  if (conn == NULL
+      && cut_unread_response (server, CONNECTION_BYTES + SMALL_BYTES))
+    return true;
+  if (conn == NULL)
+    conn = stalled_in_stage (server, STAGE_RECEIVING);
+  if (conn == NULL)
+    conn = stalled_in_stage (server, STAGE_UNUSED);
+  if (conn == NULL && are_idle_most (server))
+    conn = first_in_stage (server, STAGE_IDLE);
+  if (conn == NULL)
+    conn = newest_in_stage (server, STAGE_RECEIVING_LARGE);
   if (conn == NULL)
     return false;
   refuse_for_memory (conn);
   return true;
 }
 
-/* The same for those who take little memory.  */
+/* Let one of those give way that take little memory.  Return false if there is
+   none.  */
 static bool
 release_small (httpd_t *server)
 {
-  connection_t *conn = first_in_stage (server, STAGE_RECEIVING);
+  connection_t *conn = newest_in_stage (server, STAGE_RECEIVING);
 
-  if (conn != NULL && has_stalled (conn))
-    {
-      refuse_for_memory (conn);
-      return true;
-    }
   if (conn == NULL)
     conn = first_in_stage (server, STAGE_UNUSED);
   if (conn == NULL)
     conn = first_in_stage (server, STAGE_IDLE);
   if (conn == NULL)
     return false;
-  refuse_for_memory (conn->stage == STAGE_RECEIVING
-                         ? newest_in_stage (server, STAGE_RECEIVING)
-                         : conn);
+  refuse_for_memory (conn);
   return true;
 }
 
@@ -745,7 +774,7 @@
 {
   httpd_t *server = conn->server;
 
-  list_remove (&conn->stage_link);
+  leave_stage (conn);
   list_remove (&conn->unhooked_link);
   memory_budget_count (server->memory, &conn->memory, 0);
   if (conn->busy_count > 0)
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -22,6 +22,9 @@
   /* Three bodies that are nearly complete, with their connections.  */
   MEMORY_MAX = 330000,
   NEARLY_BYTES = 90000,
+  /* Three such bodies exceed the memory together with a small request, and do
+     not without it.  */
+  LARGEST_BESIDE_SMALL = 99500,
   CONNECTIONS_MAX = 4,
   /* Longer than a client may make no progress and not be the first to give
      way.  */
@@ -342,6 +345,25 @@
 }
 END_TEST
 
+/* Failure: small requests that were left incomplete, in large numbers, keep
+   large ones from being served.  */
+START_TEST (stalled_small_request_gives_way_to_large)
+{
+  rawhttp_t stalled = start_body ("/", 300, 299);
+  rawhttp_t http[3];
+
+  uv_sleep (STALL_MS);
+  for (int i = 0; i < 3; i++)
+    http[i] = start_body ("/", BODY_MAX, LARGEST_BESIDE_SMALL);
+  check_refused (&stalled, 503);
+  for (int i = 0; i < 3; i++)
+    {
+      send_bytes (&http[i], BODY_MAX - LARGEST_BESIDE_SMALL);
+      rawhttp_close (&http[i]);
+    }
+}
+END_TEST
+
 /* Failure: connections whose requests never end keep others from being
    accepted.  */
 START_TEST (stalled_connection_makes_room)
@@ -401,6 +423,7 @@
   tcase_add_test (tcase, request_is_refused_before_its_body);
   tcase_add_test (tcase, newest_large_request_gives_way);
   tcase_add_test (tcase, stalled_request_gives_way_first);
+  tcase_add_test (tcase, stalled_small_request_gives_way_to_large);
   tcase_add_test (tcase, stalled_connection_makes_room);
   tcase_add_test (tcase, idle_connection_makes_room);
   suite_add_tcase (suite, tcase);
