intake: a connection of HTTP/2 that receives makes progress

A connection whose first request is being uploaded over HTTP/2 counted as unused, since h2o does not show incomplete requests there, and would have been closed first when connections run out. Found by reading; no test: the clients of the tests speak HTTP/1.

--- a/packages/wire/intake.c
+++ b/packages/wire/intake.c
@@ -562,12 +562,18 @@
              : 0;
 }
 
-/* Note that RECEIVED_BYTES have arrived over HTTP/2.  */
+/* Note that RECEIVED_BYTES have arrived over HTTP/2 on CONN.  CONN may be
+   released on return.  */
 static void
-limit_http2_memory (httpd_t *server, size_t received_bytes)
+update_http2 (connection_t *conn, size_t received_bytes)
 {
+  httpd_t *server = conn->server;
   connection_t *largest = NULL;
 
+  if (conn->is_closing)
+    return;
+  conn->progress_ms = uv_now (server->loop);
+  set_stage (conn, conn->stage);
   server->http2_bytes += received_bytes;
   if (server->memory->limit == 0 || server->http2_bytes < HTTP2_CHECK_BYTES)
     return;
@@ -577,11 +583,11 @@
     return;
   LIST_EACH (at, &server->connections)
     {
-      connection_t *conn = CONTAINER_OF (at, connection_t, link);
-      if (conn->is_http2 && !conn->is_closing
+      connection_t *other = CONTAINER_OF (at, connection_t, link);
+      if (other->is_http2 && !other->is_closing
           && (largest == NULL
-              || unreleased_bytes (conn) > unreleased_bytes (largest)))
-        largest = conn;
+              || unreleased_bytes (other) > unreleased_bytes (largest)))
+        largest = other;
     }
   if (largest != NULL)
     refuse (largest, HTTPD_REFUSED_MEMORY, VH_E_OVERLOADED, 0);
@@ -676,7 +682,7 @@
   conn->unprocessed_bytes = sock->input->size;
   conn->received_bytes += received;
   if (conn->is_http2)
-    limit_http2_memory (server, received);
+    update_http2 (conn, received);
   else
     update (conn);
 }
