memory_budget: the budget stays within an announced machine

With a maxBodyBytes of 64 MB the budget was 256 MB on a machine of 88 MB, as it holds four of the largest bodies. Where the machine's memory is announced it is now at most what is left beside the program. memory_budget_fits_the_machine failed before (256 for 60 MB).

--- a/packages/base/memory_budget.c
+++ b/packages/base/memory_budget.c
@@ -19,10 +19,13 @@
 memory_budget_limit (uint32_t machine_mb, size_t request_bytes_max)
 {
   size_t mb = machine_mb > 0 ? machine_mb : MEMORY_BUDGET_MACHINE_MB;
-  size_t limit = (mb > 2 * OWN_MB ? mb - OWN_MB : mb / 2)
-                 * (size_t)BYTES_PER_MB / 4 * 3;
+  size_t available
+      = (mb > 2 * OWN_MB ? mb - OWN_MB : mb / 2) * (size_t)BYTES_PER_MB;
+  size_t limit = available / 4 * 3;
   size_t least = LARGE_REQUESTS_MIN * request_bytes_max;
 
+  if (machine_mb > 0 && least > available)
+    least = available;
   return limit > least ? limit : least;
 }
 
--- a/packages/base/memory_budget.h
+++ b/packages/base/memory_budget.h
@@ -27,7 +27,8 @@
 
 /* Return the limit for a machine with MACHINE_MB of memory, 0 for
    MEMORY_BUDGET_MACHINE_MB.  The limit leaves room for some requests of
-   REQUEST_BYTES_MAX, in bytes.  */
+   REQUEST_BYTES_MAX, in bytes, if the machine's memory does or is not
+   known.  */
 size_t memory_budget_limit (uint32_t machine_mb, size_t request_bytes_max);
 
 /* Count that a holder uses NOW bytes instead of *COUNTED, and set *COUNTED to
--- a/packages/gateway/catalog.h
+++ b/packages/gateway/catalog.h
@@ -95,15 +95,14 @@
   bool has_priority; /* Whether PRIORITY overrides that of the route.  */
 } team_t;
 
-/* Limits on the requests of clients, as configured.  The gateway does not
-   enforce them.  */
+/* Limits on the requests of clients, as configured; 0: none is.  */
 typedef struct
 {
   uint64_t header_bytes_max;
   uint64_t body_bytes_max;
   /* Time limit for the arrival of a request's headers.  */
   uint64_t header_timeout_ms;
-  /* Time after which an idle connection is closed.  */
+  /* Time after which an idle connection is closed.  Not enforced.  */
   uint64_t idle_timeout_ms;
 } client_limits_t;
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -4,6 +4,7 @@
 #include "base/code.h"
 #include "base/map.h"
 #include "base/mem.h"
+#include "base/memory_budget.h"
 #include "base/metric.h"
 #include "base/rng.h"
 #include "base/task.h"
@@ -174,6 +175,21 @@
 }
 END_TEST
 
+/* Failure: a budget for large requests is more than the machine has.  */
+START_TEST (memory_budget_fits_the_machine)
+{
+  const size_t mb = 1000 * 1000;
+
+  ck_assert_uint_eq (memory_budget_limit (88, 4 * mb), 45 * mb);
+  ck_assert_uint_eq (memory_budget_limit (0, 4 * mb), 45 * mb);
+  ck_assert_uint_eq (memory_budget_limit (512, 4 * mb), 363 * mb);
+  ck_assert_uint_eq (memory_budget_limit (88, 13 * mb), 52 * mb);
+  ck_assert_uint_eq (memory_budget_limit (88, 64 * mb), 60 * mb);
+  ck_assert_uint_eq (memory_budget_limit (0, 64 * mb), 256 * mb);
+  ck_assert_uint_le (memory_budget_limit (16, 64 * mb), 8 * mb);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -185,6 +201,7 @@
   tcase_add_test (tcase, map_matches_reference_array);
   tcase_add_test (tcase, histogram_quantiles_are_within_bucket_error);
   tcase_add_test (tcase, codes_are_unique);
+  tcase_add_test (tcase, memory_budget_fits_the_machine);
   tcase_add_test (tcase, mailbox_delivers_later_and_in_order);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
