httpd: a server that is destroyed limits nothing any more

A server that is destroyed closes its connections in later iterations of the loop, while the owner of its memory budget may be released, and the list of connections that linger already was. Bytes that arrived before the close could still lead to a refusal. Found by reading; server_ends_beside_incomplete_requests plays it, and passed before as well, as the order of the events is not in its hands.

--- a/packages/wire/httpdint.h
+++ b/packages/wire/httpdint.h
@@ -176,7 +176,8 @@
 };
 
 void intake_init (httpd_t *server, const httpd_options_t *options);
-/* Release what intake_init acquired.  */
+/* Release what intake_init acquired.  Connections that are still open are not
+   limited any more.  */
 void intake_free (httpd_t *server);
 /* To be called for a connection that was accepted, when its first request goes
    to the handler, when h2o has released a request, and when it is closed.  */
--- a/packages/wire/intake.c
+++ b/packages/wire/intake.c
@@ -570,7 +570,7 @@
   httpd_t *server = conn->server;
   connection_t *largest = NULL;
 
-  if (conn->is_closing)
+  if (conn->is_closing || server->destroyed)
     return;
   conn->progress_ms = uv_now (server->loop);
   set_stage (conn, conn->stage);
@@ -601,7 +601,7 @@
   httpd_t *server = conn->server;
   size_t bytes;
 
-  if (conn->is_closing)
+  if (conn->is_closing || server->destroyed)
     return;
   memory_budget_count (server->memory, &conn->memory,
                        CONNECTION_BYTES + measure (conn, &bytes));
@@ -846,6 +846,14 @@
 void
 intake_free (httpd_t *server)
 {
+  /* The budget's owner may be released before the last connection.  */
+  LIST_EACH (at, &server->connections)
+    memory_budget_count (server->memory,
+                         &CONTAINER_OF (at, connection_t, link)->memory, 0);
+  LIST_EACH (at, &server->requests)
+    memory_budget_count (server->memory,
+                         &CONTAINER_OF (at, httpd_req_t, link)->memory, 0);
+  server->memory = &server->own_memory;
   linger_destroy (server->linger);
   server->linger = NULL;
 }
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -10,6 +10,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -364,6 +365,30 @@
 }
 END_TEST
 
+/* Failure: a server that ends beside incomplete requests uses what it has
+   released.  */
+START_TEST (server_ends_beside_incomplete_requests)
+{
+  rawhttp_t body = start_body ("/", BODY_MAX, NEARLY_BYTES);
+  rawhttp_t head = start ("GET / HTTP/1.1\r\nHost: a\r\n");
+  rawhttp_t refused = start_body ("/", 3 * BODY_MAX, NEARLY_BYTES);
+
+  kill (server, SIGTERM);
+  for (int i = 0; i < 50; i++)
+    {
+      /* The connection may be closed.  */
+      ssize_t sent = send (body.fd, "xxxxxxxx", 8, MSG_NOSIGNAL);
+      (void)sent;
+      sent = send (head.fd, "x: y\r\n", 6, MSG_NOSIGNAL);
+      (void)sent;
+    }
+  uv_sleep (SENT_MS);
+  rawhttp_close (&body);
+  rawhttp_close (&head);
+  rawhttp_close (&refused);
+}
+END_TEST
+
 /* Failure: connections whose requests never end keep others from being
    accepted.  */
 START_TEST (stalled_connection_makes_room)
@@ -424,6 +449,7 @@
   tcase_add_test (tcase, newest_large_request_gives_way);
   tcase_add_test (tcase, stalled_request_gives_way_first);
   tcase_add_test (tcase, stalled_small_request_gives_way_to_large);
+  tcase_add_test (tcase, server_ends_beside_incomplete_requests);
   tcase_add_test (tcase, stalled_connection_makes_room);
   tcase_add_test (tcase, idle_connection_makes_room);
   suite_add_tcase (suite, tcase);
