tests: largest bodies in calm, a stop beside crowds, paths of crowds

Two cases of test_client_crowds: a gateway answers the largest body that the configuration allows, announced and in chunks, and a planned stop ends beside three crowds. The path of a crowd is a parameter instead of a variable that the cases changed, and each case says which failure it guards against. Crowds and bounds are as before.

--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -1,6 +1,6 @@
-/* Clients that keep to no limit, as a process of their own: many connections
-   that send the same bytes as fast as the server reads them, and do not behave
-   well from then on.  */
+/* Misbehaving clients, as a process of their own: many connections that send
+   the same bytes as fast as the server reads them, and then stay open, send a
+   byte now and then, or do not read.  */
 
 #ifndef TESTS_CLIENT_CROWD_H
 #define TESTS_CLIENT_CROWD_H
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -99,7 +99,7 @@
 set_tests_properties (gateway_chaos_versions PROPERTIES TIMEOUT 120
   ENVIRONMENT "CK_FORK=no")
 endif ()
-# Clients that keep to no limit, one crowd at a time.
+# Misbehaving clients, one crowd at a time.
 vh_test (test_client_crowds DEPENDS vh_gateway_processes)
 target_sources (test_client_crowds PRIVATE client_crowd.c)
 add_dependencies (test_client_crowds vanillahookd)
--- a/tests/test_client_crowds.c
+++ b/tests/test_client_crowds.c
@@ -1,6 +1,5 @@
-/* Processes before clients that keep to no limit.  Failure: such clients end a
-   process, which runs out of memory or of descriptors, or keep it from serving
-   others.
+/* Processes before misbehaving clients.  Failure: such clients end a process,
+   which runs out of memory or of descriptors, or keep it from serving others.
 
    The bounds are those of the smallest machine that is announced: 88 MB and
    3,075 descriptors.  The sanitizers need several times the memory of a
@@ -14,6 +13,8 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 enum
 {
@@ -21,14 +22,16 @@
   DESCRIPTORS_MAX = 3075,
   CONNECTIONS = 60,
   MANY_CONNECTIONS = 3600,
-  /* Of at most 4,194,304, the limit of the configuration.  */
+  /* Below the limit of the configuration, which is the second.  */
   BODY_BYTES = 4000000,
+  LARGEST_BODY_BYTES = 4194304,
   SMALL_BODY_BYTES = 300,
   LARGE_CHUNK_BYTES = 65536,
   SMALL_CHUNK_BYTES = 16,
   HEAD_BYTES = 16384,
   CROWD_MS = 6000,
   MANY_CROWD_MS = 9000,
+  STOP_CROWD_MS = 8000,
   /* Time after which the ordinary requests that are answered beside the crowd
      count.  */
   SETTLE_MS = 2000,
@@ -50,9 +53,11 @@
 static const bool checks_memory = true;
 #endif
 
-/* Path of a route, and one that no route has.  */
-static const char *path = "/read/1";
-static const char *no_route_path = "/none/1";
+/* Path of a route of the gateway, one that no route has, and one of a
+   standalone process.  */
+#define ROUTE_PATH "/read/1"
+#define NO_ROUTE_PATH "/none/1"
+#define STANDALONE_PATH "/v1/chat/completions"
 
 /* Bytes that crowds send; allocated once.  */
 static buf_t bodies[8];
@@ -61,23 +66,23 @@
 /* Return a request for PATH with a body of ANNOUNCED bytes of which SENT bytes
    follow.  */
 static str_t
-announced_body (const char *request_path, size_t announced, size_t sent)
+announced_body (const char *path, size_t announced, size_t sent)
 {
   buf_t *out = &bodies[body_count++];
   char framing[48];
 
   snprintf (framing, sizeof framing, "Content-Length: %zu", announced);
-  client_crowd_add_head (out, request_path, framing);
+  client_crowd_add_head (out, path, framing);
   buf_reserve (out, sent);
   memset (out->ptr + out->len, 'x', sent);
   out->len += sent;
   return buf_str (out);
 }
 
-/* Return a request with a body of LEN bytes in chunks of CHUNK_LEN, and set
- *HEAD_LEN to the length of its head.  */
+/* Return a request for PATH with a body of LEN bytes in chunks of CHUNK_LEN.
+   HEAD_LEN is set to the length of its head.  */
 static str_t
-chunked_body (size_t len, size_t chunk_len, size_t *head_len)
+chunked_body (const char *path, size_t len, size_t chunk_len, size_t *head_len)
 {
   buf_t *out = &bodies[body_count++];
 
@@ -112,7 +117,7 @@
 /* The crowds.  */
 
 static crowd_part_t
-announced_crowd (void)
+announced_crowd (const char *path)
 {
   return (crowd_part_t){
     .connections = CONNECTIONS,
@@ -122,40 +127,30 @@
 }
 
 static crowd_part_t
-no_route_crowd (void)
-{
-  return (crowd_part_t){
-    .connections = CONNECTIONS,
-    .bytes = announced_body (no_route_path, BODY_BYTES, BODY_BYTES - 1),
-    .is_returning = true,
-  };
-}
-
-static crowd_part_t
-chunked_crowd (size_t chunk_len)
+chunked_crowd (const char *path, size_t chunk_len)
 {
   size_t head_len;
 
   return (crowd_part_t){
     .connections = CONNECTIONS,
-    .bytes = chunked_body (BODY_BYTES, chunk_len, &head_len),
+    .bytes = chunked_body (path, BODY_BYTES, chunk_len, &head_len),
     .is_returning = true,
   };
 }
 
 static crowd_part_t
-endless_chunks_crowd (void)
+endless_chunks_crowd (const char *path)
 {
   crowd_part_t part
       = { .connections = CONNECTIONS, .repeats = true, .is_returning = true };
 
-  part.bytes
-      = chunked_body (LARGE_CHUNK_BYTES, LARGE_CHUNK_BYTES, &part.repeat_from);
+  part.bytes = chunked_body (path, LARGE_CHUNK_BYTES, LARGE_CHUNK_BYTES,
+                             &part.repeat_from);
   return part;
 }
 
 static crowd_part_t
-too_long_crowd (void)
+too_long_crowd (const char *path)
 {
   crowd_part_t part = {
     .connections = CONNECTIONS,
@@ -169,7 +164,7 @@
 }
 
 static crowd_part_t
-unread_responses_crowd (void)
+unread_responses_crowd (const char *path)
 {
   return (crowd_part_t){
     .connections = CONNECTIONS,
@@ -181,7 +176,7 @@
 }
 
 static crowd_part_t
-trickling_crowd (void)
+trickling_crowd (const char *path)
 {
   return (crowd_part_t){
     .connections = CONNECTIONS,
@@ -192,7 +187,7 @@
 }
 
 static crowd_part_t
-ending_at_once_crowd (void)
+ending_at_once_crowd (const char *path)
 {
   return (crowd_part_t){
     .connections = CONNECTIONS,
@@ -204,7 +199,7 @@
 }
 
 static crowd_part_t
-many_bodies_crowd (void)
+many_bodies_crowd (const char *path)
 {
   return (crowd_part_t){
     .connections = MANY_CONNECTIONS,
@@ -307,86 +302,98 @@
   free_bodies ();
 }
 
+/* Failure: bodies that stop short of their end are kept in any number.  */
 START_TEST (gateway_holds_announced_bodies)
 {
-  crowd_part_t part = announced_crowd ();
+  crowd_part_t part = announced_crowd (ROUTE_PATH);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: the bodies of requests that no route takes are kept.  */
 START_TEST (gateway_holds_bodies_without_route)
 {
-  crowd_part_t part = no_route_crowd ();
+  crowd_part_t part = announced_crowd (NO_ROUTE_PATH);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: chunked bodies that stop short of their end are kept in any
+   number.  */
 START_TEST (gateway_holds_large_chunks)
 {
-  crowd_part_t part = chunked_crowd (LARGE_CHUNK_BYTES);
+  crowd_part_t part = chunked_crowd (ROUTE_PATH, LARGE_CHUNK_BYTES);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: the framing of small chunks takes memory beside the bodies.  */
 START_TEST (gateway_holds_small_chunks)
 {
-  crowd_part_t part = chunked_crowd (SMALL_CHUNK_BYTES);
+  crowd_part_t part = chunked_crowd (ROUTE_PATH, SMALL_CHUNK_BYTES);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: chunked bodies grow without end.  */
 START_TEST (gateway_holds_endless_chunks)
 {
-  crowd_part_t part = endless_chunks_crowd ();
+  crowd_part_t part = endless_chunks_crowd (ROUTE_PATH);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: a body that is announced as too large is received.  */
 START_TEST (gateway_holds_bodies_over_the_limit)
 {
-  crowd_part_t part = too_long_crowd ();
+  crowd_part_t part = too_long_crowd (ROUTE_PATH);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: requests are kept while their clients read no response.  */
 START_TEST (gateway_holds_unread_responses)
 {
-  crowd_part_t part = unread_responses_crowd ();
+  crowd_part_t part = unread_responses_crowd (ROUTE_PATH);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: a body that grows by a byte now and then is kept.  */
 START_TEST (gateway_holds_trickling_bodies)
 {
-  crowd_part_t part = trickling_crowd ();
+  crowd_part_t part = trickling_crowd (ROUTE_PATH);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: bodies that are complete are copied when they are sent.  */
 START_TEST (gateway_holds_bodies_that_end_at_once)
 {
-  crowd_part_t part = ending_at_once_crowd ();
+  crowd_part_t part = ending_at_once_crowd (ROUTE_PATH);
 
   check_gateway (&part, 1, CROWD_MS);
 }
 END_TEST
 
+/* Failure: small requests that never end take all connections.  */
 START_TEST (gateway_holds_many_bodies)
 {
-  crowd_part_t part = many_bodies_crowd ();
+  crowd_part_t part = many_bodies_crowd (ROUTE_PATH);
 
   check_gateway (&part, 1, MANY_CROWD_MS);
 }
 END_TEST
 
+/* Failure: heads that never end take all connections and much memory.  */
 START_TEST (gateway_holds_many_heads)
 {
   crowd_part_t part = many_heads_crowd ();
@@ -395,17 +402,17 @@
 }
 END_TEST
 
-/* Memory that one crowd leaves behind must not add to that of the next, which
+/* Failure: memory that one crowd leaves behind adds to that of the next, which
    sends other sizes.  */
 START_TEST (gateway_holds_second_crowd)
 {
   gateway_processes_t *gateways = start_gateway ();
-  crowd_part_t first = announced_crowd ();
+  crowd_part_t first = announced_crowd (ROUTE_PATH);
   crowd_part_t second[] = {
     many_heads_crowd (),
-    chunked_crowd (LARGE_CHUNK_BYTES),
-    trickling_crowd (),
-    unread_responses_crowd (),
+    chunked_crowd (ROUTE_PATH, LARGE_CHUNK_BYTES),
+    trickling_crowd (ROUTE_PATH),
+    unread_responses_crowd (ROUTE_PATH),
   };
 
   second[0].connections = MANY_CONNECTIONS / 2;
@@ -418,6 +425,90 @@
 }
 END_TEST
 
+/* Run WORK, which gets the address of the gateway, in a process of its own
+   while GATEWAYS run.  Return its exit status.  */
+static int
+run_beside (gateway_processes_t *gateways,
+            int (*work) (const char *host, uint16_t port))
+{
+  pid_t pid = fork ();
+  int status;
+
+  ck_assert_int_ge (pid, 0);
+  if (pid == 0)
+    _exit (work (gateway_processes_host (gateways),
+                 gateway_processes_port (gateways, 0)));
+  while (waitpid (pid, &status, WNOHANG) == 0)
+    gateway_processes_run (gateways, STEP_MS);
+  ck_assert (WIFEXITED (status));
+  return WEXITSTATUS (status);
+}
+
+static bool
+is_answered (const char *host, uint16_t port, str_t request)
+{
+  rawhttp_t http = rawhttp_connect (host, port);
+
+  rawhttp_send (&http, request);
+  return rawhttp_read_all (&http, ANSWER_WAIT_MS) && http.status == 200;
+}
+
+/* Send the largest body of the configuration, with its length and in chunks.
+   Return the number of requests that are not answered with 200.  */
+static int
+send_largest_bodies (const char *host, uint16_t port)
+{
+  size_t head_len;
+  str_t announced
+      = announced_body (ROUTE_PATH, LARGEST_BODY_BYTES, LARGEST_BODY_BYTES);
+  buf_t chunked = BUF_NULL;
+
+  buf_append_str (&chunked, chunked_body (ROUTE_PATH, LARGEST_BODY_BYTES,
+                                          LARGE_CHUNK_BYTES, &head_len));
+  buf_append_str (&chunked, STR ("0\r\n\r\n"));
+  return !is_answered (host, port, announced)
+         + !is_answered (host, port, buf_str (&chunked));
+}
+
+/* Failure: the largest body that the configuration allows is refused in
+   calm.  */
+START_TEST (gateway_serves_largest_bodies_in_calm)
+{
+  gateway_processes_t *gateways = start_gateway ();
+
+  ck_assert_int_eq (run_beside (gateways, send_largest_bodies), 0);
+  check_process (gateway_processes_pid (gateways, 0));
+  gateway_processes_destroy (gateways, false);
+}
+END_TEST
+
+/* Failure: a planned stop does not end while clients send, or do not read.  */
+START_TEST (gateway_stops_beside_crowds)
+{
+  gateway_processes_t *gateways = start_gateway ();
+  const crowd_part_t parts[] = {
+    announced_crowd (ROUTE_PATH),
+    endless_chunks_crowd (ROUTE_PATH),
+    unread_responses_crowd (ROUTE_PATH),
+  };
+  pid_t crowd = client_crowd_start (
+      gateway_processes_host (gateways), gateway_processes_port (gateways, 0),
+      parts, sizeof parts / sizeof parts[0], STOP_CROWD_MS);
+
+  gateway_processes_run (gateways, SETTLE_MS);
+  gateway_processes_signal (gateways, 0, SIGTERM);
+  for (int left_ms = ANSWER_WAIT_MS;
+       left_ms > 0 && gateway_processes_is_running (gateways, 0);
+       left_ms -= STEP_MS)
+    gateway_processes_run (gateways, STEP_MS);
+  ck_assert (!gateway_processes_is_running (gateways, 0));
+  while (client_crowd_is_present (crowd))
+    gateway_processes_run (gateways, STEP_MS);
+  gateway_processes_destroy (gateways, false);
+  free_bodies ();
+}
+END_TEST
+
 /* A standalone process.  */
 
 typedef struct
@@ -500,38 +591,40 @@
   free_bodies ();
 }
 
+/* Failure: bodies that stop short of their end are kept in any number.  */
 START_TEST (standalone_holds_announced_bodies)
 {
-  path = "/v1/chat/completions";
-  check_standalone (announced_crowd (), CROWD_MS);
+  check_standalone (announced_crowd (STANDALONE_PATH), CROWD_MS);
 }
 END_TEST
 
+/* Failure: chunked bodies that stop short of their end are kept in any
+   number.  */
 START_TEST (standalone_holds_large_chunks)
 {
-  path = "/v1/chat/completions";
-  check_standalone (chunked_crowd (LARGE_CHUNK_BYTES), CROWD_MS);
+  check_standalone (chunked_crowd (STANDALONE_PATH, LARGE_CHUNK_BYTES),
+                    CROWD_MS);
 }
 END_TEST
 
+/* Failure: chunked bodies grow without end.  */
 START_TEST (standalone_holds_endless_chunks)
 {
-  path = "/v1/chat/completions";
-  check_standalone (endless_chunks_crowd (), CROWD_MS);
+  check_standalone (endless_chunks_crowd (STANDALONE_PATH), CROWD_MS);
 }
 END_TEST
 
+/* Failure: requests are kept while their clients read no response.  */
 START_TEST (standalone_holds_unread_responses)
 {
-  path = "/v1/chat/completions";
-  check_standalone (unread_responses_crowd (), CROWD_MS);
+  check_standalone (unread_responses_crowd (STANDALONE_PATH), CROWD_MS);
 }
 END_TEST
 
+/* Failure: small requests that never end take all connections.  */
 START_TEST (standalone_holds_many_bodies)
 {
-  path = "/v1/chat/completions";
-  check_standalone (many_bodies_crowd (), MANY_CROWD_MS);
+  check_standalone (many_bodies_crowd (STANDALONE_PATH), MANY_CROWD_MS);
 }
 END_TEST
 
@@ -565,6 +658,9 @@
   add_case (suite, "gateway, many bodies", gateway_holds_many_bodies);
   add_case (suite, "gateway, many heads", gateway_holds_many_heads);
   add_case (suite, "gateway, second crowd", gateway_holds_second_crowd);
+  add_case (suite, "gateway, largest bodies",
+            gateway_serves_largest_bodies_in_calm);
+  add_case (suite, "gateway, stop", gateway_stops_beside_crowds);
   add_case (suite, "standalone, announced", standalone_holds_announced_bodies);
   add_case (suite, "standalone, large chunks", standalone_holds_large_chunks);
   add_case (suite, "standalone, endless chunks",
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -1,5 +1,6 @@
 /* Requests that do not arrive whole, or not within the limits: what their
-   clients receive, and who gives way when memory or connections run out.  The
+   clients receive, and the order of eviction when memory or connections run
+   out.  The
    server is a process of its own, its clients block.  */
 
 #include "rawhttp.h"
