intake: memory that is about to be released is not given to others

A connection whose unread response is cut is closed in the next iteration of the loop; its memory was no longer counted at once, and others could receive as much in the meantime. With 400 connections that read no answers a gateway peaked at 69 MB. While more than the limit and an eighth is counted or about to be released, the large request that began last is evicted, which releases its memory at once.

--- a/packages/base/memory_budget.c
+++ b/packages/base/memory_budget.c
@@ -7,7 +7,8 @@
   /* Memory of the program and its tables, in MB.  */
   OWN_MB = 28,
   BYTES_PER_MB = 1000000,
-  LARGE_REQUESTS_MIN = 4,
+  /* Room for a request, its copies, and others beside it.  */
+  LARGE_REQUESTS_MIN = 8,
   SMALL_REQUESTS_DIVISOR = 8,
   /* Size from which a block is returned to the system when it is freed, and
      free memory at the end of the heap above which that is returned.  */
@@ -55,6 +56,12 @@
   budget->kept = 0;
 }
 
+bool
+memory_budget_fits (const memory_budget_t *budget, size_t bytes)
+{
+  return budget->limit == 0 || budget->used + bytes <= budget->limit;
+}
+
 bool
 memory_budget_is_exceeded (const memory_budget_t *budget)
 {
@@ -62,10 +69,10 @@
 }
 
 bool
-memory_budget_is_exhausted (const memory_budget_t *budget)
+memory_budget_is_exhausted (const memory_budget_t *budget, size_t uncounted)
 {
   return budget->limit > 0
-         && budget->used
+         && budget->used + uncounted
                 > budget->limit + budget->limit / SMALL_REQUESTS_DIVISOR;
 }
 
--- a/packages/base/memory_budget.h
+++ b/packages/base/memory_budget.h
@@ -16,7 +16,9 @@
 enum
 {
   /* Memory of the smallest machine that a process is meant for, in MB.  */
-  MEMORY_BUDGET_MACHINE_MB = 88
+  MEMORY_BUDGET_MACHINE_MB = 88,
+  /* Size up to which a request is small, in bytes.  */
+  MEMORY_BUDGET_SMALL_BYTES = 16384
 };
 
 typedef struct
@@ -31,20 +33,24 @@
 } memory_budget_t;
 
 /* Return the limit for a machine with MACHINE_MB of memory, 0 for
-   MEMORY_BUDGET_MACHINE_MB.  The limit leaves room for some requests of
-   REQUEST_BYTES_MAX, in bytes, if the machine's memory does or is not
-   known.  */
+   MEMORY_BUDGET_MACHINE_MB.  The limit leaves room for a request of
+   REQUEST_BYTES_MAX, in bytes, and its copies, if the machine's memory does or
+   is not known.  */
 size_t memory_budget_limit (uint32_t machine_mb, size_t request_bytes_max);
 
 /* Count that a holder uses NOW bytes instead of *COUNTED, and set *COUNTED to
    NOW.  */
 void memory_budget_count (memory_budget_t *budget, size_t *counted,
                           size_t now);
+/* Return whether BYTES more do not exceed the limit.  */
+bool memory_budget_fits (const memory_budget_t *budget, size_t bytes);
 /* Return whether large requests are to be evicted.  */
 bool memory_budget_is_exceeded (const memory_budget_t *budget);
-/* Return whether small requests, which may exceed the limit by an eighth, are
-   to be evicted too.  */
-bool memory_budget_is_exhausted (const memory_budget_t *budget);
+/* Return whether the limit is exceeded by more than an eighth, by which small
+   requests may exceed it.  UNCOUNTED bytes are in use beside those that are
+   counted.  */
+bool memory_budget_is_exhausted (const memory_budget_t *budget,
+                                 size_t uncounted);
 
 /* Let large blocks be returned to the system when they are freed.  Otherwise
    the allocator keeps the memory of blocks of one size, and blocks of other
--- a/packages/wire/httpdint.h
+++ b/packages/wire/httpdint.h
@@ -57,6 +57,7 @@
   bool is_closing;      /* No longer counted, and about to be closed.  */
   size_t busy_count;    /* Requests that h2o has not released.  */
   size_t memory;        /* Part of memory_budget_t.used.  */
+  size_t closing_bytes; /* Part of httpd.closing_bytes.  */
   size_t unprocessed_bytes; /* Bytes that h2o left in the input buffer.  */
   size_t received_bytes;
   size_t released_bytes; /* Bytes of bodies of released requests.  */
@@ -132,6 +133,8 @@
   memory_budget_t *memory;    /* Shared with other holders, or OWN_MEMORY.  */
   memory_budget_t own_memory; /* Without a limit.  */
   uint64_t request_ms; /* Time for a request and the idle time before it.  */
+  /* Memory of connections that are evicted and that h2o has not released.  */
+  size_t closing_bytes;
   list_t stages[STAGE_COUNT];
   size_t stage_counts[STAGE_COUNT];
   list_t unwrapped; /* Connections whose read callback may have changed.  */
--- a/packages/wire/intake.c
+++ b/packages/wire/intake.c
@@ -32,8 +32,6 @@
   /* Memory of a connection beside its input buffer.  */
   CONNECTION_BYTES = 8192,
   INPUT_BYTES_MIN = 4096,
-  /* Memory up to which a request, or a response, is small.  */
-  SMALL_BYTES = 16384,
   /* Bytes that count as progress, and the time without progress after which a
      connection is among the first that are evicted.  */
   PROGRESS_BYTES = 16384,
@@ -167,6 +165,13 @@
 
 /* Refusals.  */
 
+static void
+add_closing_bytes (connection_t *conn, size_t bytes)
+{
+  conn->closing_bytes += bytes;
+  conn->server->closing_bytes += bytes;
+}
+
 /* Close CONN.  The memory is no longer counted, though h2o may release it
    later.  CONN may be released on return.  */
 static void
@@ -175,6 +180,7 @@
   h2o_socket_t *sock = conn->sock;
 
   conn->is_closing = true;
+  add_closing_bytes (conn, conn->memory);
   memory_budget_count (conn->server->memory, &conn->memory, 0);
   leave_stage (conn);
   if (sock->_cb.read == on_read && (conn->busy_count == 0 || conn->is_http2))
@@ -317,6 +323,7 @@
     }
   if (oldest == NULL)
     return false;
+  add_closing_bytes (oldest->connection, oldest->memory);
   memory_budget_count (server->memory, &oldest->memory, 0);
   refuse (oldest->connection, HTTPD_REFUSED_UNREAD, VH_E_OVERLOADED, 0);
   return true;
@@ -349,7 +356,8 @@
   connection_t *conn = stalled_in_stage (server, STAGE_RECEIVING_LARGE);
 
   if (conn == NULL
-      && cut_unread_response (server, CONNECTION_BYTES + SMALL_BYTES))
+      && cut_unread_response (server,
+                              CONNECTION_BYTES + MEMORY_BUDGET_SMALL_BYTES))
     return true;
   if (conn == NULL)
     conn = stalled_in_stage (server, STAGE_RECEIVING);
@@ -385,9 +393,17 @@
 void
 httpd_release_memory (httpd_t *server)
 {
+  connection_t *newest;
+
   while (memory_budget_is_exceeded (server->memory) && evict_large (server))
     ;
-  while (memory_budget_is_exhausted (server->memory) && evict_small (server))
+  /* What others receive meanwhile must not come on top of memory that is about
+     to be released.  */
+  while (memory_budget_is_exhausted (server->memory, server->closing_bytes)
+         && (newest = newest_in_stage (server, STAGE_RECEIVING_LARGE)) != NULL)
+    evict_for_memory (newest);
+  while (memory_budget_is_exhausted (server->memory, 0)
+         && evict_small (server))
     ;
 }
 
@@ -512,7 +528,7 @@
 {
   httpd_t *server = conn->server;
   uint64_t now_ms = uv_now (server->loop);
-  bool is_large = conn->memory > CONNECTION_BYTES + SMALL_BYTES;
+  bool is_large = conn->memory > CONNECTION_BYTES + MEMORY_BUDGET_SMALL_BYTES;
   connection_stage_t stage
       = is_large ? STAGE_RECEIVING_LARGE : STAGE_RECEIVING;
 
@@ -785,6 +801,7 @@
   httpd_t *server = conn->server;
 
   leave_stage (conn);
+  server->closing_bytes -= conn->closing_bytes;
   list_remove (&conn->unwrapped_link);
   memory_budget_count (server->memory, &conn->memory, 0);
   if (conn->busy_count > 0)
