entry: the copies of a body are counted

What callers saw: 60 clients that send whole bodies of 4,000,000 bytes to a standalone process whose engine takes its time took it to 1,025 MB, and bodies of the same length with 2,000,000 JSON values to 1,117 MB, after which it answered nobody for seconds.

Cause: an entry keeps a body as JSON and as text beside h2o's, and encodes it for the sidecar; the sidecar keeps it for its attempt, also when the caller has left, and for the upstream. None of these was bounded, and a JSON value takes many times its text.

Fix: the copies, and the number of values that the text can have, are counted in the process's account before the body is parsed. A large request without memory for them gets 503 with Retry-After, one that never fits 413; a sidecar refuses an attempt as if its queue were full. With the default budget and bodies of 4 MB one request at a time passes a standalone; memory-mb of the settings raises that.

--- a/packages/daemon/process.c
+++ b/packages/daemon/process.c
@@ -339,6 +339,7 @@
               .metrics = process->metrics,
               .settings = settings,
               .upstream = &settings->upstreams[i],
+              .memory = &process->memory,
               .seed = process->seed + i + 1,
               .callbacks = &process_sidecar_callbacks,
               .arg = process };
--- a/packages/daemon/processint.h
+++ b/packages/daemon/processint.h
@@ -29,7 +29,7 @@
   size_t sidecar_count;
   httpd_t *admin; /* Server of the operators' port.  */
   memory_budget_t admin_memory;
-  memory_budget_t memory; /* Of the server of callers.  */
+  memory_budget_t memory; /* Of requests and responses of callers.  */
   uv_timer_t tick_timer;
   loop_watch_t *loop_watch;
   uint64_t started_ms; /* Start of the process on the monotonic clock.  */
--- a/packages/entry/entry.c
+++ b/packages/entry/entry.c
@@ -51,6 +51,7 @@
   dispatch_clear_attempt (request);
   json_decref (request->body_json);
   buf_free (&request->raw_body);
+  memory_budget_count (request->entry->options.memory, &request->memory, 0);
   buf_free (&request->transcript);
   buf_free (&request->partial_event);
   free (request->method);
--- a/packages/entry/entryint.h
+++ b/packages/entry/entryint.h
@@ -156,6 +156,7 @@
   uint32_t estimated_tokens;
   json_t *body_json;
   buf_t raw_body;
+  size_t memory; /* Part of memory_budget_t.used, for copies of the body.  */
   char *target_name; /* Model, version, task class or service, as sent.  */
   const service_t *service; /* NULL for a chat request.  */
   /* Session.  */
--- a/packages/entry/filter.c
+++ b/packages/entry/filter.c
@@ -14,7 +14,13 @@
   OUTPUT_TOKENS_DEFAULT = 256,
   ESTIMATED_TOKENS_MAX = 1000000,
   BYTES_PER_TOKEN = 4,
-  AFFINITY_PREFIX_BYTES = 1024
+  AFFINITY_PREFIX_BYTES = 1024,
+  /* Copies of a body: as JSON, as text, encoded for the sidecar and in the
+     output of the connection.  */
+  BODY_COPIES = 4,
+  /* Memory of a JSON value beside its text.  */
+  JSON_VALUE_BYTES = 64,
+  LARGE_COPIES_BYTES = 4 * MEMORY_BUDGET_SMALL_BYTES
 };
 
 /* Set KIND, method and path of REQUEST; the query is appended to PATH.  */
@@ -72,6 +78,38 @@
   return limit == 0 || total <= limit;
 }
 
+/* Return the largest number of values that BODY can have as JSON.  */
+static size_t
+count_json_values (str_t body)
+{
+  size_t count = 1;
+
+  for (size_t i = 0; i < body.len; i++)
+    count += body.ptr[i] == ',' || body.ptr[i] == ':' || body.ptr[i] == '['
+             || body.ptr[i] == '{';
+  return count;
+}
+
+/* Count the memory of the copies of the body, in the request and as JSON.
+   Return VH_OK, or the reason for refusing the request: there is not enough
+   memory for them and for those of the sidecar, which may be in this process,
+   or there never is.  */
+static vh_code_t
+count_body_copies (request_t *request)
+{
+  memory_budget_t *memory = request->entry->options.memory;
+  str_t body = httpd_body (request->http);
+  size_t bytes
+      = body.len * BODY_COPIES + count_json_values (body) * JSON_VALUE_BYTES;
+  size_t all_bytes = bytes + body.len * WIRE_SUBMIT_BODY_COPIES;
+
+  if (all_bytes > LARGE_COPIES_BYTES
+      && !memory_budget_fits (memory, all_bytes))
+    return all_bytes < memory->limit ? VH_E_OVERLOADED : VH_E_TOO_LARGE;
+  memory_budget_count (memory, &request->memory, bytes);
+  return VH_OK;
+}
+
 static filter_result_t
 filter_decode (request_t *request)
 {
@@ -81,12 +119,15 @@
 
   if (!are_headers_within_limit (request))
     return answer_refuse (request, VH_E_BAD_HEADER);
+  vh_code_t code = count_body_copies (request);
+  if (code != VH_OK)
+    return answer_refuse (request, code);
   if (str_eq (path, STR ("/v1/chat/completions")))
     {
       if (!str_eq (method, STR ("POST")))
         return answer_refuse (request, VH_E_BAD_METHOD);
       set_route (request, REQUEST_KIND_CHAT, path);
-      vh_code_t code = parse_chat_body (request);
+      code = parse_chat_body (request);
       return code == VH_OK ? FILTER_CONTINUE : answer_refuse (request, code);
     }
   if (str_starts_with (path, STR (services_path)))
--- a/packages/sidecar/attempt.c
+++ b/packages/sidecar/attempt.c
@@ -22,6 +22,7 @@
   uint64_t keep_ms;
   uint64_t bytes_max;
   uint64_t bytes; /* Memory of the ended attempts, in bytes.  */
+  memory_budget_t *memory;
   map_t *by_id;
   map_t *by_request;
   list_t active;
@@ -30,13 +31,15 @@
 };
 
 attempts_t *
-attempts_create (clock_iface_t *clock, uint64_t keep_ms, uint64_t bytes)
+attempts_create (clock_iface_t *clock, uint64_t keep_ms, uint64_t bytes,
+                 memory_budget_t *memory)
 {
   attempts_t *attempts = mem_zalloc (sizeof *attempts);
 
   attempts->clock = clock;
   attempts->keep_ms = keep_ms;
   attempts->bytes_max = bytes;
+  attempts->memory = memory;
   attempts->by_id = map_create ();
   attempts->by_request = map_create ();
   list_init (&attempts->active);
@@ -45,6 +48,22 @@
   return attempts;
 }
 
+bool
+attempts_fit (const attempts_t *attempts, size_t len)
+{
+  return len <= MEMORY_BUDGET_SMALL_BYTES
+         || memory_budget_fits (attempts->memory,
+                                len * WIRE_SUBMIT_BODY_COPIES);
+}
+
+static void
+free_body (attempt_t *attempt)
+{
+  buf_free (&attempt->body);
+  if (attempt->memory_budget != NULL)
+    memory_budget_count (attempt->memory_budget, &attempt->memory, 0);
+}
+
 static void
 free_headers (attempt_header_t *headers, size_t count)
 {
@@ -62,7 +81,7 @@
   list_remove (&attempt->link);
   free_headers (attempt->headers, attempt->header_count);
   free_headers (attempt->request_headers, attempt->request_header_count);
-  buf_free (&attempt->body);
+  free_body (attempt);
   buf_free (&attempt->answer);
   if (attempt->digest != NULL)
     XXH3_freeState (attempt->digest);
@@ -178,6 +197,9 @@
   attempt->digest = XXH3_createState ();
   XXH3_64bits_reset (attempt->digest);
   copy_request (attempt, args);
+  attempt->memory_budget = attempts->memory;
+  memory_budget_count (attempts->memory, &attempt->memory,
+                       attempt->body.len * WIRE_SUBMIT_BODY_COPIES);
   list_append (&attempts->active, &attempt->link);
   map_put (attempts->by_request, str_from (attempt->request_key), attempt);
   return attempt;
@@ -213,7 +235,7 @@
                                         : &attempts->ended,
                &attempt->link);
   attempts->bytes += attempt->answer.len + ATTEMPT_OVERHEAD_BYTES;
-  buf_free (&attempt->body);
+  free_body (attempt);
 }
 
 /* Remove the ended ATTEMPT from the store.  Its aliases, which exist only if
--- a/packages/sidecar/attempt.h
+++ b/packages/sidecar/attempt.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "base/map.h"
 #include "base/mem.h"
+#include "base/memory_budget.h"
 #include "policy/queue.h"
 #include "wire/httpc.h"
 #include "wire/rpc.h"
@@ -82,6 +83,8 @@
   char *method;
   char *path;
   buf_t body;
+  memory_budget_t *memory_budget;
+  size_t memory; /* Part of memory_budget_t.used, for copies of BODY.  */
   attempt_header_t *request_headers;
   size_t request_header_count;
   wire_priority_t priority;
@@ -106,9 +109,12 @@
 typedef struct attempts attempts_t;
 
 /* Create a store that keeps ended answers for KEEP_MS and at most BYTES of
-   them in total.  */
+   them in total.  The bodies of active attempts are counted in MEMORY, which
+   is borrowed.  */
 attempts_t *attempts_create (clock_iface_t *clock, uint64_t keep_ms,
-                             uint64_t bytes);
+                             uint64_t bytes, memory_budget_t *memory);
+/* Return whether there is memory for an attempt with a body of LEN bytes.  */
+bool attempts_fit (const attempts_t *attempts, size_t len);
 void attempts_destroy (attempts_t *attempts);
 
 /* Return the attempt with id or alias ID, or NULL.  */
--- a/packages/sidecar/serve.c
+++ b/packages/sidecar/serve.c
@@ -285,6 +285,8 @@
     }
   vh_code_t code = sidecar_check_admission (sidecar, str_from (args->team),
                                             str_from (args->target));
+  if (code == VH_OK && !attempts_fit (sidecar->attempts, args->body.body_len))
+    code = VH_E_FULL;
   if (code != VH_OK)
     {
       counter_add (sidecar->counters.not_admitted, 1);
--- a/packages/sidecar/sidecar.c
+++ b/packages/sidecar/sidecar.c
@@ -136,11 +136,11 @@
       free (sidecar);
       return VH_E_IO;
     }
-  sidecar->attempts = attempts_create (options->clock,
-                                       upstream->response_retention_ms > 0
-                                           ? upstream->response_retention_ms
-                                           : (uint64_t)ANSWER_KEEP_DEFAULT_MS,
-                                       upstream->retained_bytes_max);
+  sidecar->attempts = attempts_create (
+      options->clock,
+      upstream->response_retention_ms > 0 ? upstream->response_retention_ms
+                                          : (uint64_t)ANSWER_KEEP_DEFAULT_MS,
+      upstream->retained_bytes_max, options->memory);
   sidecar->limit = limit_create (&limit, options->clock);
   sidecar->queue = queue_create (&queue, options->clock);
   sidecar->bill_backup = bill_backup_create (options->clock);
--- a/packages/sidecar/sidecar.h
+++ b/packages/sidecar/sidecar.h
@@ -10,6 +10,7 @@
 #define SIDECAR_SIDECAR_H
 
 #include "base/clock.h"
+#include "base/memory_budget.h"
 #include "base/metric.h"
 #include "conf/settings.h"
 #include "conf/snapshot.h"
@@ -37,6 +38,7 @@
   metrics_t *metrics;
   const settings_t *settings;
   const upstream_settings_t *upstream;
+  memory_budget_t *memory; /* Of requests.  */
   uint64_t seed;
   const sidecar_callbacks_t *callbacks;
   void *arg; /* First argument of the functions in CALLBACKS.  */
--- a/packages/wire/rpc.h
+++ b/packages/wire/rpc.h
@@ -126,6 +126,13 @@
 void rpc_drop (rpc_request_t *request);
 
 /* State of a remote process, inferred from the latest connections to it.  */
+enum
+{
+  /* Copies of the body of a WIRE_SUBMIT that a sidecar holds until the attempt
+     ends.  */
+  WIRE_SUBMIT_BODY_COPIES = 2
+};
+
 typedef enum
 {
   RPC_DOWN, /* Not connected yet, connecting failed, or connection lost.  */
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -102,6 +102,6 @@
 # Misbehaving clients, one crowd at a time.
 vh_test (test_client_crowds DEPENDS vh_gateway_processes)
 target_sources (test_client_crowds PRIVATE client_crowd.c)
-add_dependencies (test_client_crowds vanillahookd)
+add_dependencies (test_client_crowds vanillahookd standins)
 set_tests_properties (test_client_crowds PROPERTIES TIMEOUT 300
   RUN_SERIAL ON)
--- a/tests/test_client_crowds.c
+++ b/tests/test_client_crowds.c
@@ -643,6 +643,114 @@
 }
 END_TEST
 
+/* A standalone process with an engine, and the team key of its lists.  */
+
+#define CHAT_KEY "coast-office-demo-key"
+#define CHAT_BEGIN                                                            \
+  "{\"model\":\"draft-small\",\"max_tokens\":2,\"messages\":[{\"role\":"      \
+  "\"user\",\"content\":\""
+
+/* Return a chat request whose body has LEN bytes: FILL again and again between
+   BEGIN and END.  */
+static str_t
+chat_request (const char *begin, const char *fill, const char *end, size_t len)
+{
+  buf_t *out = &bodies[body_count++];
+  size_t fill_len = strlen (fill);
+  size_t count = (len - strlen (begin) - strlen (end)) / fill_len;
+
+  buf_printf (out,
+              "POST " STANDALONE_PATH " HTTP/1.1\r\nHost: a\r\n"
+              "Authorization: Bearer " CHAT_KEY "\r\nContent-Length: %zu\r\n"
+              "\r\n%s",
+              strlen (begin) + count * fill_len + strlen (end), begin);
+  for (size_t i = 0; i < count; i++)
+    buf_append (out, fill, fill_len);
+  buf_append_str (out, str_from (end));
+  return buf_str (out);
+}
+
+/* Return whether a small chat request gets its answer within
+   ANSWER_WAIT_MS.  */
+static bool
+is_chat_served (const standalone_t *standalone)
+{
+  str_t request = chat_request (CHAT_BEGIN, "x", "\"}]}", 100);
+  bool is_served;
+
+  WAIT_UNTIL (is_answered (harness_host (standalone->harness),
+                           standalone->port, request),
+              ANSWER_WAIT_MS, &is_served);
+  return is_served;
+}
+
+/* Run a crowd that sends REQUEST against a standalone process with an engine
+   that takes its time.  */
+static void
+check_standalone_with_engine (str_t request)
+{
+  standalone_t standalone = { .harness = harness_create () };
+  const char *host = harness_host (standalone.harness);
+  uint16_t admin = harness_find_free_port (standalone.harness);
+  uint16_t engine = harness_find_free_port (standalone.harness);
+  char *lists = realpath ("examples/lists.ini", NULL);
+  char engine_listen[64];
+  buf_t text = BUF_NULL;
+  const crowd_part_t part
+      = { .connections = CONNECTIONS, .bytes = request, .is_returning = true };
+
+  ck_assert_ptr_nonnull (lists);
+  standalone.port = harness_find_free_port (standalone.harness);
+  snprintf (engine_listen, sizeof engine_listen, "--listen=%s:%u", host,
+            engine);
+  harness_start (standalone.harness, "engine", "tests/standin_engine",
+                 engine_listen, "--version=draft-small@3:0.83",
+                 "--token-ms=200", "--slots=64", NULL);
+  buf_printf (&text,
+              "[process]\nname = standalone-1\nrole = standalone\n"
+              "availability-zone = nairobi-a\nadmin = %s:%u\n"
+              "[entry]\nlisten = %s:%u\n[configuration]\nfile = %s\n"
+              "[upstream r]\nupstream = %s:%u\n"
+              "serves = draft-small@3, draft-large@7\n",
+              host, admin, host, standalone.port, lists, host, engine);
+  standalone.proc = harness_start (
+      standalone.harness, "standalone", "bin/vanillahookd", "--settings",
+      harness_write_file (standalone.harness, "standalone.ini",
+                          buf_str (&text)),
+      NULL);
+  buf_free (&text);
+  free (lists);
+  ck_assert (is_chat_served (&standalone));
+  pid_t pid = proc_pid (standalone.proc);
+  pid_t crowd = client_crowd_start (host, standalone.port, &part, 1, CROWD_MS);
+  while (client_crowd_is_present (crowd))
+    {
+      harness_sleep_ms (STEP_MS);
+      ck_assert (proc_is_running (standalone.proc));
+    }
+  printf ("peak %zu kB\n", process_peak_memory (pid) / 1000);
+  check_process (pid);
+  ck_assert (is_chat_served (&standalone));
+  harness_destroy (standalone.harness, false);
+  free_bodies ();
+}
+
+/* Failure: each body is there several times on its way to the engine.  */
+START_TEST (standalone_holds_whole_bodies)
+{
+  check_standalone_with_engine (
+      chat_request (CHAT_BEGIN, "x", "\"}]}", BODY_BYTES));
+}
+END_TEST
+
+/* Failure: a body of many JSON values takes many times its length.  */
+START_TEST (standalone_holds_many_values)
+{
+  check_standalone_with_engine (
+      chat_request (CHAT_BEGIN "x\"}],\"stop\":[0", ",0", "]}", BODY_BYTES));
+}
+END_TEST
+
 static void
 add_case (Suite *suite, const char *name, const TTest *test)
 {
@@ -685,5 +793,7 @@
   add_case (suite, "standalone, unread responses",
             standalone_holds_unread_responses);
   add_case (suite, "standalone, many bodies", standalone_holds_many_bodies);
+  add_case (suite, "standalone, whole bodies", standalone_holds_whole_bodies);
+  add_case (suite, "standalone, many values", standalone_holds_many_values);
   return suite_run (suite);
 }
