--- a/tests/test_client_crowds.c
+++ b/tests/test_client_crowds.c
@@ -463,9 +463,12 @@
 is_answered (const char *host, uint16_t port, str_t request)
 {
   rawhttp_t http = rawhttp_connect (host, port);
+  bool is_served;
 
   rawhttp_send (&http, request);
-  return rawhttp_read_all (&http, ANSWER_WAIT_MS) && http.status == 200;
+  is_served = rawhttp_read_all (&http, ANSWER_WAIT_MS) && http.status == 200;
+  rawhttp_close (&http);
+  return is_served;
 }
 
 /* Send the largest body of the configuration, with its length and in chunks.
@@ -474,6 +477,7 @@
 send_largest_bodies (const char *host, uint16_t port)
 {
   size_t head_len;
+  int failed;
   str_t announced
       = announced_body (ROUTE_PATH, LARGEST_BODY_BYTES, LARGEST_BODY_BYTES);
   buf_t chunked = BUF_NULL;
@@ -481,8 +485,10 @@
   buf_append_str (&chunked, chunked_body (ROUTE_PATH, LARGEST_BODY_BYTES,
                                           LARGE_CHUNK_BYTES, &head_len));
   buf_append_str (&chunked, STR ("0\r\n\r\n"));
-  return !is_answered (host, port, announced)
-         + !is_answered (host, port, buf_str (&chunked));
+  failed = !is_answered (host, port, announced)
+           + !is_answered (host, port, buf_str (&chunked));
+  buf_free (&chunked);
+  return failed;
 }
 
 /* Failure: the largest body that the configuration allows is refused in
