entry: commas in strings and in bodies of services count as no JSON values

Cause: the memory of the JSON values was estimated from each comma, colon and bracket of the body. Those within a string are no values, and bodies of services are not parsed at all. 2,000,000 commas counted as 128 MB.

Why this works: the scan follows the strings and their escapes as the parser does up to the first error, and only chat requests are scanned.

--- a/packages/entry/filter.c
+++ b/packages/entry/filter.c
@@ -83,25 +83,32 @@
 count_json_values (str_t body)
 {
   size_t count = 1;
+  bool is_in_string = false;
 
   for (size_t i = 0; i < body.len; i++)
-    count += body.ptr[i] == ',' || body.ptr[i] == ':' || body.ptr[i] == '['
-             || body.ptr[i] == '{';
+    {
+      char c = body.ptr[i];
+      if (c == '"')
+        is_in_string = !is_in_string;
+      else if (is_in_string && c == '\\')
+        i++;
+      else if (!is_in_string && (c == ',' || c == ':' || c == '[' || c == '{'))
+        count++;
+    }
   return count;
 }
 
-/* Count the memory of the copies of the body, in the request and as JSON.
-   Return VH_OK, or the reason for refusing the request: there is not enough
-   memory for them and for those of the sidecar, which may be in this process,
-   or there never is.  */
+/* Count the memory of the copies of the body, and of JSON_BYTES beside them,
+   in the request.  Return VH_OK, or the reason for refusing the request: there
+   is not enough memory for them and for the copies of the sidecar, which may
+   be in this process, or there never is.  */
 static vh_code_t
-count_body_copies (request_t *request)
+count_body_copies (request_t *request, size_t json_bytes)
 {
   memory_budget_t *memory = request->entry->options.memory;
-  str_t body = httpd_body (request->http);
-  size_t bytes
-      = body.len * BODY_COPIES + count_json_values (body) * JSON_VALUE_BYTES;
-  size_t all_bytes = bytes + body.len * WIRE_SUBMIT_BODY_COPIES;
+  size_t len = httpd_body (request->http).len;
+  size_t bytes = len * BODY_COPIES + json_bytes;
+  size_t all_bytes = bytes + len * WIRE_SUBMIT_BODY_COPIES;
 
   if (all_bytes > LARGE_COPIES_BYTES
       && !memory_budget_fits (memory, all_bytes))
@@ -116,18 +123,20 @@
   static const char services_path[] = "/services/";
   str_t path = httpd_path (request->http);
   str_t method = httpd_method (request->http);
+  vh_code_t code;
 
   if (!are_headers_within_limit (request))
     return answer_refuse (request, VH_E_BAD_HEADER);
-  vh_code_t code = count_body_copies (request);
-  if (code != VH_OK)
-    return answer_refuse (request, code);
   if (str_eq (path, STR ("/v1/chat/completions")))
     {
       if (!str_eq (method, STR ("POST")))
         return answer_refuse (request, VH_E_BAD_METHOD);
       set_route (request, REQUEST_KIND_CHAT, path);
-      code = parse_chat_body (request);
+      code = count_body_copies (request,
+                                count_json_values (httpd_body (request->http))
+                                    * JSON_VALUE_BYTES);
+      if (code == VH_OK)
+        code = parse_chat_body (request);
       return code == VH_OK ? FILTER_CONTINUE : answer_refuse (request, code);
     }
   if (str_starts_with (path, STR (services_path)))
@@ -144,7 +153,8 @@
                 : STR ("/");
       set_route (request, REQUEST_KIND_SERVICE, upstream_path);
       request->target_name = str_dup (name);
-      return FILTER_CONTINUE;
+      code = count_body_copies (request, 0);
+      return code == VH_OK ? FILTER_CONTINUE : answer_refuse (request, code);
     }
   return answer_refuse (request, VH_E_NO_ROUTE);
 }
