wire: the body of a call to a sidecar may name the version beside 4 MiB

Cause: the call takes 4 MiB, but "model" in the body becomes the version's name, so draft-small@3 needs two bytes more. The call could not be encoded, which the entry takes for a call without a reply.

Why this works: the bound of that field is 1 KiB larger; names have 256 bytes at most. Only the check of the length differs, not the encoding.

Test: "standalone, largest bodies" failed before, passes. Bodies over 4 MiB, which body-limit can allow, still get 504.

--- a/packages/wire/proto/wire.x
+++ b/packages/wire/proto/wire.x
@@ -10,6 +10,8 @@
 const WIRE_ID_MAX = 512;
 const WIRE_HEADER_MAX = 8192;
 const WIRE_BODY_MAX = 4194304;
+/* A request's body of 4 MiB, and the name of the version in it.  */
+const WIRE_SUBMIT_BODY_MAX = 4195328;
 const WIRE_TEXT_MAX = 4194304;
 const WIRE_SERVES_MAX = 256;
 const WIRE_HEADERS_MAX = 64;
@@ -110,7 +112,7 @@
   string method<32>;
   string path<WIRE_HEADER_MAX>;
   wire_header_t headers<WIRE_HEADERS_MAX>;
-  opaque body<WIRE_BODY_MAX>;
+  opaque body<WIRE_SUBMIT_BODY_MAX>;
   /* WIRE_SUBMIT includes the first WIRE_FETCH, with these arguments.  */
   unsigned int wait_ms;
   unsigned int max_bytes;
--- a/packages/wire/proto/wire_xdr.c
+++ b/packages/wire/proto/wire_xdr.c
@@ -260,7 +260,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, WIRE_HEADERS_MAX,
 			sizeof (wire_header_t), (xdrproc_t) xdr_wire_header_t))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, WIRE_BODY_MAX))
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, WIRE_SUBMIT_BODY_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->wait_ms))
 			 return FALSE;
@@ -320,7 +320,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, WIRE_HEADERS_MAX,
 			sizeof (wire_header_t), (xdrproc_t) xdr_wire_header_t))
 			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, WIRE_BODY_MAX))
+		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, WIRE_SUBMIT_BODY_MAX))
 			 return FALSE;
 		 if (!xdr_u_int (xdrs, &objp->wait_ms))
 			 return FALSE;
@@ -364,7 +364,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, WIRE_HEADERS_MAX,
 		sizeof (wire_header_t), (xdrproc_t) xdr_wire_header_t))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, WIRE_BODY_MAX))
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, WIRE_SUBMIT_BODY_MAX))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
