tests, wire: comments and a name after reading the change again

Two public comments say again that requests are HTTP/1.1, and that the exchange takes a complete head. A crowd is a process that runs or has ended, and the usual terms replace three turns of phrase.

--- a/packages/daemon/admin.c
+++ b/packages/daemon/admin.c
@@ -13,7 +13,7 @@
   BODY_BYTES_MAX = 8 << 20,
   CONNECTIONS_MAX = 64,
   /* Two bodies of the largest size.  Not part of the process's budget, so that
-     a flood of requests does not keep operators away.  */
+     many requests of callers do not block the operators' port.  */
   MEMORY_MAX = 2 * BODY_BYTES_MAX,
   SHA256_BYTES = 32
 };
--- a/packages/gateway/forward.h
+++ b/packages/gateway/forward.h
@@ -27,8 +27,8 @@
   uint64_t last_event_id;
 } forward_params_t;
 
-/* Append the head of REQ as an HTTP/1.1 request to OUT.  Its body follows
-   unchanged.  */
+/* Append the head of REQ to OUT, as that of an HTTP/1.1 request with the same
+   body.  */
 void forward_write_head (const forward_params_t *params,
                          const httpd_req_t *req, buf_t *out);
 /* Return whether NAME is a hop-by-hop header, or one that each hop generates
--- a/packages/wire/http_exchange.h
+++ b/packages/wire/http_exchange.h
@@ -49,9 +49,9 @@
   void (*end) (void *arg, vh_code_t code);
 } http_exchange_events_t;
 
-/* Send a request to ADDRESS (HOST:PORT, numeric): HEAD, whose buffer is taken
-   over, and BODY, which is borrowed until the exchange ends or is
-   cancelled.  The exchange ends with VH_E_CONNECT when the
+/* Send an HTTP/1.1 request to ADDRESS (HOST:PORT, numeric): HEAD, a complete
+   head whose buffer is taken over, and BODY, which is borrowed until the
+   exchange ends or is cancelled.  The exchange ends with VH_E_CONNECT when the
    connection is not established within CONNECT_MS.  NO_BODY states that the
    response has no body (HEAD).  No event is delivered before this function
    returns.  Return NULL and release HEAD when ADDRESS is not valid.  */
--- a/tests/client_crowd.c
+++ b/tests/client_crowd.c
@@ -227,7 +227,7 @@
 }
 
 bool
-client_crowd_is_present (pid_t crowd)
+client_crowd_is_running (pid_t crowd)
 {
   int status;
   pid_t ended = waitpid (crowd, &status, WNOHANG);
--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -32,8 +32,8 @@
 pid_t client_crowd_start (const char *host, uint16_t port,
                           const crowd_part_t *parts, size_t part_count,
                           uint64_t duration_ms);
-/* Return whether the crowd is there still.  Reaps it when it has left.  */
-bool client_crowd_is_present (pid_t crowd);
+/* Return whether the process of CROWD still runs, and reap it otherwise.  */
+bool client_crowd_is_running (pid_t crowd);
 
 /* Append the head of a request for PATH.  FRAMING is the line of the body's
    length or coding, without its end.  */
--- a/tests/test_client_crowds.c
+++ b/tests/test_client_crowds.c
@@ -232,7 +232,8 @@
                    memory);
 }
 
-/* Let PARTS come to GATEWAYS for MS beside ordinary callers, and go.  */
+/* Run PARTS against GATEWAYS for MS beside ordinary callers, and check that
+   one ordinary request is answered afterwards.  */
 static void
 run_gateway_crowd (gateway_processes_t *gateways, const crowd_part_t *parts,
                    size_t part_count, uint64_t ms)
@@ -244,7 +245,7 @@
 
   gateway_processes_run (gateways, SETTLE_MS);
   size_t answered = gateway_processes_answered (gateways, SERVICE_APP);
-  while (client_crowd_is_present (crowd))
+  while (client_crowd_is_running (crowd))
     {
       gateway_processes_run (gateways, STEP_MS);
       ck_assert (gateway_processes_is_running (gateways, 0));
@@ -523,7 +524,7 @@
        left_ms -= STEP_MS)
     gateway_processes_run (gateways, STEP_MS);
   ck_assert (!gateway_processes_is_running (gateways, 0));
-  while (client_crowd_is_present (crowd))
+  while (client_crowd_is_running (crowd))
     gateway_processes_run (gateways, STEP_MS);
   gateway_processes_destroy (gateways, false);
   free_bodies ();
@@ -599,7 +600,7 @@
                                     standalone.port, &part, 1, ms);
   harness_sleep_ms (SETTLE_MS);
   ck_assert (is_serving (&standalone));
-  while (client_crowd_is_present (crowd))
+  while (client_crowd_is_running (crowd))
     {
       harness_sleep_ms (STEP_MS);
       ck_assert (proc_is_running (standalone.proc));
@@ -759,7 +760,7 @@
   pid_t crowd = client_crowd_start (harness_host (standalone.harness),
                                     standalone.port, &part, 1, CROWD_MS);
 
-  while (client_crowd_is_present (crowd))
+  while (client_crowd_is_running (crowd))
     {
       harness_sleep_ms (STEP_MS);
       ck_assert (proc_is_running (standalone.proc));
--- a/tests/test_intake.c
+++ b/tests/test_intake.c
@@ -1,7 +1,6 @@
 /* Requests that do not arrive whole, or not within the limits: what their
    clients receive, and the order of eviction when memory or connections run
-   out.  The
-   server is a process of its own, its clients block.  */
+   out.  The server is a process of its own, its clients block.  */
 
 #include "rawhttp.h"
 #include "suite.h"
@@ -28,8 +27,8 @@
      not without it.  */
   LARGEST_BESIDE_SMALL = 99500,
   CONNECTIONS_MAX = 4,
-  /* Longer than a client may make no progress and not be the first to give
-     way.  */
+  /* Longer than a client may make no progress and not be among the first that
+     are evicted.  */
   STALL_MS = 1300,
   WAIT_MS = 5000,
   SENT_MS = 50
