review/7: streams go to a runner that drains, and are lost

Cause: in select_best, where time factors are known, choose_affinity compares the infinite load of instances that were left out with an infinite limit if no instance may get the request, and so takes one that drains, stands in a zone that was taken out, or runs a version that is not allowed.

--- a/review/lab-2/lab2.c
+++ b/review/lab-2/lab2.c
@@ -642,6 +642,10 @@
   atomic_int running;
   atomic_bool is_gone;
   long sequence; /* Of its entry in the store.  */
+  int slots;
+  atomic_bool is_draining;
+  bool streams; /* It answers with a stream of events.  */
+  void (*on_run) (const char *id, const char *tenant, const char *key);
   /* Part of the requests that run and whose answer is lost, in percent.  */
   atomic_int lost_percent;
 } runner_t;
@@ -658,6 +662,44 @@
 /* Called with the id and the tenant of each run.  */
 static void (*on_run) (const char *id, const char *tenant, const char *key);
 
+enum
+{
+  STREAM_EVENTS = 20,
+  STREAM_GAP_MS = 100
+};
+
+/* Answer ID with a stream of events.  Return false if it breaks off, because
+   the caller or RUNNER leaves.  */
+static bool
+send_stream (runner_t *runner, int fd, const char *id)
+{
+  char out[512], event[128];
+  /* The fourth figure: work takes as long as usual.  */
+  int n = snprintf (out, sizeof out,
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: "
+                    "seal.%s.%s\r\nInstance-Load: %d,0,%d,100\r\n"
+                    "Content-Type: text/event-stream\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n",
+                    id, runner->id, id, atomic_load (&runner->running),
+                    runner->slots);
+  if (!send_all (fd, out, (size_t)n))
+    return false;
+  for (int i = 1; i <= STREAM_EVENTS; i++)
+    {
+      sleep_ms (STREAM_GAP_MS);
+      int len = snprintf (event, sizeof event, "id: %d\ndata: %s\n\n", i, id);
+      n = snprintf (out, sizeof out, "%x\r\n%s\r\n", (unsigned)len, event);
+      if (atomic_load (&runner->is_gone) || !send_all (fd, out, (size_t)n))
+        {
+          note ("stream of %s breaks off at %s after %d events%s", id,
+                runner->id, i - 1,
+                atomic_load (&runner->is_gone) ? ": the runner has left" : "");
+          return false;
+        }
+    }
+  return send_all (fd, "0\r\n\r\n", 5);
+}
+
 static void *
 serve_runner_channel (void *arg)
 {
@@ -675,7 +717,8 @@
       header (m, "Authorization", key, sizeof key);
       int status = id[0] == '\0'                               ? 400
                    : strcmp (expected, runner->id) != 0        ? 421
-                   : atomic_fetch_add (&runner->running, 1) < 6 ? 200
+                   : atomic_fetch_add (&runner->running, 1) < runner->slots
+                       ? 200
                                                                : 503;
       if (status != 200)
         {
@@ -696,6 +739,19 @@
             strtok (m->head, "\r"));
       if (on_run != NULL)
         on_run (id, tenant, key);
+      if (runner->on_run != NULL)
+        runner->on_run (id, tenant, key);
+      if (runner->streams)
+        {
+          free (m->body);
+          bool is_whole = send_stream (runner, call.fd, id);
+          atomic_fetch_sub (&runner->running, 1);
+          if (is_whole)
+            continue;
+          reset_close (call.fd);
+          free (m);
+          return NULL;
+        }
       sleep_ms (20 + (long)(random_part () * 20));
       int running = atomic_fetch_sub (&runner->running, 1);
       free (m->body);
@@ -750,9 +806,11 @@
   char text[512];
   snprintf (text, sizeof text,
             "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
-            "\"version\":\"%s\",\"slotCount\":6,\"state\":\"ready\","
+            "\"version\":\"%s\",\"slotCount\":%d,\"state\":\"%s\","
             "\"coldLeftMs\":0,\"born\":%ld,\"sequence\":%ld}",
             runner->service, runner->port, runner->zone, runner->version,
+            runner->slots,
+            atomic_load (&runner->is_draining) ? "draining" : "ready",
             runner->born, ++runner->sequence);
   if (runner->sequence == 1)
     platform_put ("servers", runner->id, text);
@@ -785,6 +843,7 @@
   snprintf (runner->id, sizeof runner->id, "i-%s-%zu", version, runner_count);
   runner->service = service;
   runner->version = version;
+  runner->slots = 6;
   runner->zone = zones[runner_count % 3];
   runner->born = 1700000000000 + now_ms ();
   runner->listener = listen_on (&runner->port);
@@ -1336,6 +1395,165 @@
   return atomic_load (&runs_inner) > 0 ? 1 : 0;
 }
 
+/* A runner drains while the others are full.  DRAIN.  */
+
+static atomic_long drain_acked_ms;
+static atomic_int late_arrivals, streams_sent, streams_whole, streams_refused;
+
+enum
+{
+  DRAIN_MS = 3000,
+  DRAIN_STAYS_MS = 7000 /* "continues serving for `drainMs` [...] and a little
+                           longer (at times many seconds)".  */
+};
+
+static void
+count_late_arrival (const char *id, const char *tenant, const char *key)
+{
+  (void)tenant;
+  (void)key;
+  long acked = atomic_load (&drain_acked_ms);
+  if (acked != 0 && now_ms () > acked + DRAIN_MS)
+    {
+      atomic_fetch_add (&late_arrivals, 1);
+      note ("LATE: %s reaches the leaving runner %ld ms after the ack", id,
+            now_ms () - acked);
+    }
+}
+
+static void *
+ask_stream (void *arg)
+{
+  long number = (long)arg;
+  gateway_t *g = &gateways[(size_t)number % gateway_count];
+  char request[1024], answer[8192];
+  size_t got = 0;
+  int status = 0;
+  int fd = connect_to (g->front);
+  int len = snprintf (request, sizeof request,
+                      "POST /draft/%ld HTTP/1.1\r\nHost: ficu95.example\r\n"
+                      "Attempt-Id: s%05ld\r\nAuthorization: Bearer k1\r\n"
+                      "Model: daka510000\r\nToken-Counts: 900,120\r\n"
+                      "Prompt-Prefix: %08lx:800,%08lx:100\r\n"
+                      "Deadline-Ms: 15000\r\nContent-Length: 0\r\n"
+                      "Connection: close\r\n\r\n",
+                      number, number, 0x5c1e0000 + number, 0x91000000 + number);
+  atomic_fetch_add (&streams_sent, 1);
+  if (fd >= 0 && send_all (fd, request, (size_t)len))
+    while (got + 1 < sizeof answer)
+      {
+        struct pollfd p = { .fd = fd, .events = POLLIN };
+        ssize_t n = poll (&p, 1, 15000) > 0
+                        ? recv (fd, answer + got, sizeof answer - 1 - got, 0)
+                        : -1;
+        if (n <= 0)
+          break;
+        got += (size_t)n;
+      }
+  answer[got] = '\0';
+  if (got > 12)
+    status = atoi (answer + 9);
+  bool is_whole = got > 5 && strcmp (answer + got - 5, "0\r\n\r\n") == 0;
+  if (status == 200 && is_whole)
+    atomic_fetch_add (&streams_whole, 1);
+  if (status == 503)
+    atomic_fetch_add (&streams_refused, 1);
+  note ("request s%05ld to %s: %d%s", number, g->name, status,
+        status == 200 && !is_whole ? ", broken off" : "");
+  if (fd >= 0)
+    close (fd);
+  atomic_fetch_sub (&in_flight, 1);
+  return NULL;
+}
+
+static void *
+send_streams (void *arg)
+{
+  long start = now_ms ();
+  long per_s = (long)arg;
+  for (long n = 0; !atomic_load (&traffic_ends); n++)
+    {
+      long wait = start + n * 1000 / per_s - now_ms ();
+      if (wait > 0)
+        sleep_ms (wait);
+      atomic_fetch_add (&in_flight, 1);
+      start_thread (ask_stream, (void *)n);
+    }
+  return NULL;
+}
+
+static int
+scenario_draining (void)
+{
+  enum
+  {
+    RUNNERS = 4, /* One of them leaves: share 0.25 (`scale_in').  */
+    SLOTS = 8,
+    PER_S = 14 /* 28 streams at once on 32 places, 24 while one leaves.  */
+  };
+  platform_put (
+      "op", "config",
+      "{\"version\":3,\"routes\":[{\"name\":\"r-draft\","
+      "\"hostname\":\"ficu95.example\",\"prefix\":\"/draft/\","
+      "\"kind\":\"stream\",\"timeoutMs\":15000,"
+      "\"targetLatencyMs\":2000,\"priority\":1,\"service\":\"eng\","
+      "\"maxAttempts\":3,\"public\":false,\"sticky\":true,"
+      "\"resumable\":false,\"gapAimMs\":1500}],"
+      "\"services\":[{\"name\":\"eng\",\"healthPath\":\"/health\","
+      "\"maxConns\":460,\"protocol\":\"h1\",\"tls\":false,"
+      "\"coldS\":0.0,\"coldPerS\":0.0,\"engine\":{\"slotCount\":8,"
+      "\"kvCapacity\":388080,\"models\":[{\"name\":\"daka510000\","
+      "\"cost\":0.014}]}}],"
+      "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+      "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+      "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\"]}]}");
+  for (int i = 0; i < RUNNERS; i++)
+    {
+      runner_t *runner = start_runner ("eng", "v1");
+      pthread_mutex_lock (&entries_lock);
+      runner->slots = SLOTS;
+      runner->streams = true;
+      check_in (runner);
+      pthread_mutex_unlock (&entries_lock);
+    }
+  create_gateways (1);
+  await_ready ();
+  start_thread (send_streams, (void *)(long)PER_S);
+  sleep_ms (8000);
+  runner_t *leaving = &runners[0];
+  if (has_trouble)
+    {
+      pthread_mutex_lock (&entries_lock);
+      atomic_store (&leaving->is_draining, true);
+      leaving->on_run = count_late_arrival;
+      check_in (leaving);
+      atomic_store (&drain_acked_ms, now_ms ());
+      pthread_mutex_unlock (&entries_lock);
+      note ("%s drains: the store has acknowledged it", leaving->id);
+    }
+  sleep_ms (DRAIN_STAYS_MS);
+  if (has_trouble)
+    {
+      note ("%s leaves", leaving->id);
+      stop_runner (leaving);
+    }
+  sleep_ms (4000);
+  end_traffic ();
+  char text[256];
+  snprintf (text, sizeof text,
+            "%d requests reached the leaving runner later than %d ms after "
+            "the ack; of %d streams %d whole, %d refused, %d lost",
+            atomic_load (&late_arrivals), DRAIN_MS, atomic_load (&streams_sent),
+            atomic_load (&streams_whole), atomic_load (&streams_refused),
+            atomic_load (&streams_sent) - atomic_load (&streams_whole)
+                - atomic_load (&streams_refused));
+  printf ("%s\n", text);
+  note ("%s", text);
+  if (atomic_load (&streams_whole) < 50)
+    return 2;
+  return atomic_load (&late_arrivals) > 0 ? 1 : 0;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -1345,7 +1563,8 @@
     int (*run) (void);
   } scenarios[] = { { "withdrawn", scenario_withdrawn },
                     { "tenants", scenario_tenants },
-                    { "smuggled", scenario_smuggled } };
+                    { "smuggled", scenario_smuggled },
+                    { "draining", scenario_draining } };
   const char *trouble = getenv ("TROUBLE");
   int status = 2;
 
