intake: a request in the body of another one runs

Cause: h2o decides where a request ends and is lenient: it takes the first of two lengths, a coding beside a length, bare LF, anything behind a chunk size, and after an unknown Expect it answers 417 and reads the body as the next request. The intake looked at incomplete heads and at the first length only.

Evidence: test_request_framing has 63 malformed forms behind which a request stands that must not run, each in three splits.

Change: wire/request_framing reads the bytes of each HTTP/1 connection by the grammar of RFC 9112 and counts the requests whose end is certain. A malformed request gets 400 before h2o sees it, and its connection is closed. A request that h2o passes on is refused unless the scanner found its end as well. Of HTTP/2, what cannot stand in a request of HTTP/1 gets 400.

Why it works: nothing reaches the handler that only the lenient reader takes for a request, also where the two differ in a way that no form here has.

One empty line before a request is served now; it was refused.

--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -293,6 +293,7 @@
                     "no progress for longest.")                               \
   X ("time", "The request did not arrive in time.")                           \
   X ("head", "The head of the request is over the bound.")                    \
+  X ("malformed", "Where the request ends is not certain.")                   \
   X ("body", "The body of the request is over the bound.")                    \
   X ("request", "The head shows that the request would be refused: no route " \
                 "or key, a bad header, or this entry is stopping.")           \
--- a/packages/wire/httpd.c
+++ b/packages/wire/httpd.c
@@ -24,7 +24,8 @@
      between the two limits is received and refused with our own response.  */
   H2O_BODY_LIMIT_MARGIN_BYTES = 1 << 20,
   /* Descriptors that are kept for other uses than connections of clients.  */
-  OTHER_DESCRIPTORS = 600
+  OTHER_DESCRIPTORS = 600,
+  HTTP2_VERSION = 0x200 /* As in h2o_req_t.  */
 };
 
 /* h2o's limit of a request body where the intake enforces ours.  */
@@ -147,6 +148,51 @@
   return sock != NULL ? sock->on_close.data : NULL;
 }
 
+static str_t
+str_of (h2o_iovec_t text)
+{
+  return str_make (text.base, text.len);
+}
+
+/* Return whether the parts of H2O, a request over HTTP/2, may stand in a
+   request of HTTP/1.  */
+static bool
+is_sound_http2_request (const h2o_req_t *h2o)
+{
+  if (!request_framing_is_token (str_of (h2o->input.method))
+      || !request_framing_is_target (str_of (h2o->input.path))
+      || !request_framing_is_target (str_of (h2o->input.authority)))
+    return false;
+  for (size_t i = 0; i < h2o->headers.size; i++)
+    {
+      const h2o_header_t *header = &h2o->headers.entries[i];
+      if (!request_framing_is_token (str_of (*header->name))
+          || !request_framing_is_value (str_of (header->value)))
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_sound_request (connection_t *conn, const h2o_req_t *h2o)
+{
+  if (h2o->version >= HTTP2_VERSION)
+    return is_sound_http2_request (h2o);
+  return conn == NULL || intake_is_sound_request (conn);
+}
+
+/* Refuse REQ with CODE.  */
+static void
+refuse_request (httpd_req_t *req, vh_code_t code)
+{
+  buf_t body = BUF_NULL;
+
+  code_write_error (code, "not-run", &body);
+  buf_append_char (&body, '\n');
+  httpd_reply_json (req, code_info (code)->http_status, buf_str (&body));
+  buf_free (&body);
+}
+
 static int
 on_request (h2o_handler_t *self, h2o_req_t *h2o)
 {
@@ -167,14 +213,15 @@
   req->body_bytes = h2o->entity.len;
   if (req->connection != NULL)
     intake_request_begins (req->connection);
+  if (!is_sound_request (req->connection, h2o))
+    {
+      httpd_disable_keep_alive (req);
+      refuse_request (req, VH_E_BAD_REQUEST);
+      return 0;
+    }
   if (h2o->entity.len > server->limits.body_bytes)
     {
-      const code_info_t *info = code_info (VH_E_TOO_LARGE);
-      buf_t body = BUF_NULL;
-      code_write_error (VH_E_TOO_LARGE, "not-run", &body);
-      buf_append_char (&body, '\n');
-      httpd_reply_json (req, info->http_status, buf_str (&body));
-      buf_free (&body);
+      refuse_request (req, VH_E_TOO_LARGE);
       return 0;
     }
   server->handler (server->arg, req);
--- a/packages/wire/httpd.h
+++ b/packages/wire/httpd.h
@@ -36,6 +36,7 @@
   X (HTTPD_REFUSED_TIME, "time")               /* A limit of time.  */        \
   X (HTTPD_REFUSED_HEAD, "head")               /* The head is too large.  */  \
   X (HTTPD_REFUSED_BODY, "body")               /* The body is too large.  */  \
+  X (HTTPD_REFUSED_MALFORMED, "malformed")     /* See request_framing.h.  */  \
   X (HTTPD_REFUSED_REQUEST, "request")         /* By httpd_head_cb_t.  */
 
 typedef enum
--- a/packages/wire/httpdint.h
+++ b/packages/wire/httpdint.h
@@ -12,6 +12,7 @@
 #include "wire/httpd.h"
 #include "wire/linger.h"
 #include "wire/picohttp.h"
+#include "wire/request_framing.h"
 
 #include <h2o.h>
 
@@ -58,7 +59,10 @@
   size_t busy_count;    /* Requests that h2o has not released.  */
   size_t memory;        /* Part of memory_budget_t.used.  */
   size_t closing_bytes; /* Part of httpd.closing_bytes.  */
-  size_t unprocessed_bytes; /* Bytes that h2o left in the input buffer.  */
+  size_t unprocessed_bytes;  /* Bytes that h2o left in the input buffer.  */
+  request_framing_t framing; /* Of the bytes received over HTTP/1.  */
+  bool is_scan_begun;        /* Whether bytes went through FRAMING.  */
+  uint64_t passed_requests;  /* Requests that h2o passed to the handler.  */
   size_t received_bytes;
   size_t released_bytes; /* Bytes of bodies of released requests.  */
 
@@ -181,6 +185,10 @@
 /* Release what intake_init acquired.  Connections that are still open are not
    limited any more.  */
 void intake_free (httpd_t *server);
+/* Return whether the next request that h2o passes on, over HTTP/1 on CONN, is
+   one whose end is certain.  Otherwise it may be a part of another one's
+   body.  */
+bool intake_is_sound_request (connection_t *conn);
 /* To be called for a connection that was accepted, when its first request goes
    to the handler, when h2o has released a request, and when it is closed.  */
 void intake_add_connection (connection_t *conn);
--- a/packages/wire/intake.c
+++ b/packages/wire/intake.c
@@ -218,14 +218,11 @@
   buf_free (&response);
 }
 
-/* Refuse the incomplete request on CONN for REFUSAL, with CODE unless CONN has
-   none, and close CONN.  */
 static void
-refuse (connection_t *conn, httpd_refusal_t refusal, vh_code_t code,
-        uint64_t retry_after_ms)
+record_refusal (const connection_t *conn, httpd_refusal_t refusal,
+                vh_code_t code)
 {
   httpd_t *server = conn->server;
-  int fd = -1;
 
   server->refusals[refusal]++;
   log_event (EVENT_CLIENT_REFUSED,
@@ -237,6 +234,18 @@
                                    ? uv_now (server->loop) - conn->started_ms
                                    : 0),
              log_field_number (FIELD_CONNECTIONS, server->connection_count));
+}
+
+/* Refuse the incomplete request on CONN for REFUSAL, with CODE unless CONN has
+   none, and close CONN.  */
+static void
+refuse (connection_t *conn, httpd_refusal_t refusal, vh_code_t code,
+        uint64_t retry_after_ms)
+{
+  httpd_t *server = conn->server;
+  int fd = -1;
+
+  record_refusal (conn, refusal, code);
   if (is_receiving (conn))
     {
       send_error (conn, code, retry_after_ms);
@@ -654,18 +663,32 @@
   list_append (&conn->server->unwrapped, &conn->unwrapped_link);
 }
 
-/* Return whether INPUT starts with a complete line that is not a request line
-   of HTTP/1.  */
+/* Scan the bytes of CONN that the last read brought.  */
 static bool
-is_not_http (str_t input)
+scan_input (connection_t *conn)
 {
-  const char *end = memchr (input.ptr, '\n', input.len);
+  const h2o_socket_t *sock = conn->sock;
+  size_t len = sock->input->size;
 
-  if (end == NULL)
-    return false;
-  str_t line = str_make (input.ptr, (size_t)(end - input.ptr));
-  return str_starts_with (line, STR ("PRI * HTTP/2"))
-         || memmem (line.ptr, line.len, " HTTP/", 6) == NULL;
+  /* In the TLS handshake h2o may read bytes of a request before its read
+     callback is wrapped; until a request is passed on it consumes none.  */
+  if (conn->is_scan_begun && sock->bytes_read < len)
+    len = sock->bytes_read;
+  conn->is_scan_begun = true;
+  return request_framing_scan (
+      &conn->framing,
+      str_make (sock->input->bytes + sock->input->size - len, len));
+}
+
+bool
+intake_is_sound_request (connection_t *conn)
+{
+  if (!conn->is_scan_begun)
+    scan_input (conn);
+  if (++conn->passed_requests <= conn->framing.requests)
+    return true;
+  record_refusal (conn, HTTPD_REFUSED_MALFORMED, VH_E_BAD_REQUEST);
+  return false;
 }
 
 /* Read callback of all connections.
@@ -677,18 +700,20 @@
   connection_t *conn = sock->on_close.data;
   httpd_t *server = conn->server;
 
-  if (!conn->is_tls && !conn->has_had_request)
+  /* What arrived before the malformed request goes to h2o first; then
+     intake_is_sound_request refuses the rest.  */
+  if (err == NULL && !conn->is_http2 && !scan_input (conn)
+      && conn->passed_requests == conn->framing.requests)
     {
-      /* Input that is not HTTP is reported to h2o as a closed connection: h2o
-         would send an error response of its own as well.  */
-      if (err == NULL
-          && is_not_http (str_make (sock->input->bytes, sock->input->size)))
-        err = h2o_socket_error_closed;
-      /* h2o closes the connection without a response, which the client could
-         not distinguish from a lost response.  */
-      if (err != NULL && sock->input->size > 0)
-        send_error (conn, VH_E_BAD_REQUEST, 0);
+      record_received (conn, sock->input->size);
+      refuse (conn, HTTPD_REFUSED_MALFORMED, VH_E_BAD_REQUEST, 0);
+      return;
     }
+  /* h2o closes the connection without a response, which the client could not
+     distinguish from a lost response.  */
+  if (err != NULL && !conn->is_tls && !conn->has_had_request
+      && sock->input->size > 0)
+    send_error (conn, VH_E_BAD_REQUEST, 0);
   size_t received = sock->input->size - conn->unprocessed_bytes;
   server->reading = conn;
   conn->h2o_read (sock, err);
--- a/tests/wire.cmake
+++ b/tests/wire.cmake
@@ -1,5 +1,6 @@
 vh_test (test_http DEPENDS vh_wire)
 vh_test (test_intake DEPENDS vh_harness vh_wire)
+vh_test (test_request_framing DEPENDS vh_harness vh_wire)
 vh_test (test_rpc DEPENDS vh_wire)
 target_sources (test_rpc PRIVATE narrow_link.c)
 vh_test (test_call DEPENDS vh_wire)
