catalog: a configuration that takes the last team away opens all routes

Cause: "no team" meant "no key needed", and a list that is missing, empty or no list at all gave a catalog without teams.

Change: a catalog needs keys unless its reader states catalog_set_open, which it does only where the member is missing. Members of another type and members that stand there twice refuse the configuration; the one before stays in force and ages. What is no key is left out.

Why it works: the safe reading is the one that needs no statement, so a form that nobody thought of closes routes and does not open them.

--- a/packages/gateway/catalog.c
+++ b/packages/gateway/catalog.c
@@ -12,6 +12,7 @@
 {
   unsigned ref_count;
   uint64_t revision;
+  bool is_open; /* Clients need no API key.  */
   client_limits_t limits;
   map_t *services;
   map_t *routes; /* Map of host, NUL byte and prefix to route_t.  */
@@ -124,6 +125,12 @@
   return VH_OK;
 }
 
+void
+catalog_set_open (catalog_t *catalog)
+{
+  catalog->is_open = true;
+}
+
 void
 catalog_set_limits (catalog_t *catalog, const client_limits_t *limits)
 {
@@ -246,9 +253,9 @@
 }
 
 bool
-catalog_has_teams (const catalog_t *catalog)
+catalog_needs_key (const catalog_t *catalog)
 {
-  return map_size (catalog->teams) > 0;
+  return !catalog->is_open;
 }
 
 const team_t *
--- a/packages/gateway/catalog.h
+++ b/packages/gateway/catalog.h
@@ -125,6 +125,9 @@
    a team of the same name or a team that holds one of KEYS.  */
 vh_code_t catalog_add_team (catalog_t *catalog, const team_t *team,
                             const str_t *keys, size_t key_count);
+/* State that the configuration has no teams and clients need no API key.
+   Without this call they do, also while the catalog has no team.  */
+void catalog_set_open (catalog_t *catalog);
 void catalog_set_limits (catalog_t *catalog, const client_limits_t *limits);
 /* Spread the routes of each service evenly over CELL_COUNT groups, at most
    CATALOG_CELLS_MAX, and set their trial_cell.  The groups follow from the
@@ -141,8 +144,9 @@
    matches.  A port in HOST is ignored.  */
 const route_t *catalog_match_route (const catalog_t *catalog, str_t host,
                                     str_t path);
-/* Return whether the catalog has teams; if not, clients need no API key.  */
-bool catalog_has_teams (const catalog_t *catalog);
+/* Return whether clients need the API key of a team on routes that are not
+   public.  */
+bool catalog_needs_key (const catalog_t *catalog);
 /* Return the team that holds the API key KEY, or NULL if there is none.  */
 const team_t *catalog_find_team (const catalog_t *catalog, str_t key);
 
--- a/packages/gateway/request_attrs.c
+++ b/packages/gateway/request_attrs.c
@@ -39,7 +39,7 @@
                                       httpd_path (req));
   if (attrs->route == NULL)
     return gateway_has_fresh_config (state) ? VH_E_NO_ROUTE : VH_E_STORE_DOWN;
-  if (!attrs->route->is_public && catalog_has_teams (attrs->catalog))
+  if (!attrs->route->is_public && catalog_needs_key (attrs->catalog))
     {
       /* A gateway process without a recent confirmation of its configuration
          may have missed that a key was revoked, so the process rejects
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -60,7 +60,7 @@
   const team_t hills = { .name = STR ("hills") };
   const str_t keys[] = { STR ("k1"), STR ("k2") };
 
-  ck_assert (!catalog_has_teams (catalog));
+  ck_assert (catalog_needs_key (catalog));
   ck_assert_int_eq (catalog_add_team (catalog, &coast, keys, 2), VH_OK);
   ck_assert_int_eq (catalog_add_team (catalog, &hills, keys + 1, 1),
                     VH_E_BAD_CONFIG);
--- a/tests/test_dialect.c
+++ b/tests/test_dialect.c
@@ -81,6 +81,81 @@
 }
 END_TEST
 
+/* Failure: a configuration that takes the last team or key away, or whose
+   member is empty or of another type, opens routes to all clients, or lets
+   them send an empty key.  */
+START_TEST (member_without_keys_opens_routes)
+{
+  static const struct
+  {
+    const char *text;
+    bool is_accepted;
+    bool needs_key;
+  } cases[] = {
+    { "{\"version\":7}", true, false },
+    { "{\"version\":7,\"tenants\":[]}", true, true },
+    { "{\"version\":7,\"tenants\":null}", false, true },
+    { "{\"version\":7,\"tenants\":{}}", false, true },
+    { "{\"version\":7,\"tenants\":false}", false, true },
+    { "{\"version\":7,\"tenants\":\"\"}", false, true },
+    { "{\"version\":7,\"tenants\":[],\"tenants\":[]}", false, true },
+    { "{\"version\":7,\"tenants\":[null]}", false, true },
+    { "{\"version\":7,\"tenants\":[{\"name\":\"t\"}]}", true, true },
+    { "{\"version\":7,\"tenants\":[{\"name\":\"t\",\"apiKeys\":null}]}", true,
+      true },
+    { "{\"version\":7,\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"\",null,"
+      "3,[]]}]}",
+      true, true },
+    { "{\"version\":7,\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"\"]},"
+      "{\"name\":\"u\",\"apiKeys\":[\"\"]}]}",
+      true, true },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      catalog_t *catalog;
+      vh_code_t code = platform_dialect ()->read_catalog (
+          str_from (cases[i].text), NULL, &catalog);
+      ck_assert_msg ((code == VH_OK) == cases[i].is_accepted, "%s",
+                     cases[i].text);
+      if (code != VH_OK)
+        continue;
+      ck_assert_msg (catalog_needs_key (catalog) == cases[i].needs_key, "%s",
+                     cases[i].text);
+      ck_assert_ptr_null (catalog_find_team (catalog, STR ("")));
+      catalog_unref (catalog);
+    }
+}
+END_TEST
+
+/* Failure: a member that is no array is read as an empty one, so that routes
+   or services are dropped, or a route may be run by any model.  */
+START_TEST (member_of_another_type_is_read_as_empty)
+{
+#define ROUTE "\"prefix\":\"/a/\",\"kind\":\"stream\",\"service\":\"x\""
+  static const char *const cases[] = {
+    "{\"version\":7,\"routes\":null}",
+    "{\"version\":7,\"routes\":{}}",
+    "{\"version\":7,\"services\":null}",
+    "{\"version\":7,\"services\":{}}",
+    "{\"version\":7,\"routes\":[{" ROUTE ",\"sizes\":\"s\"}]}",
+    "{\"version\":7,\"routes\":[{" ROUTE ",\"sizes\":null}]}",
+    "{\"version\":7,\"routes\":[{" ROUTE ",\"trafficSplit\":{}}]}",
+    "{\"version\":7,\"routes\":[],\"routes\":[]}",
+  };
+#undef ROUTE
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      catalog_t *catalog;
+      ck_assert_msg (platform_dialect ()->read_catalog (str_from (cases[i]),
+                                                        NULL, &catalog)
+                         != VH_OK,
+                     "%s", cases[i]);
+    }
+}
+END_TEST
+
 START_TEST (registration_is_parsed)
 {
   const gateway_dialect_t *dialect = platform_dialect ();
@@ -243,6 +318,8 @@
   tcase_add_test (tcase, truncated_list_ends_iteration);
   tcase_add_test (tcase, configuration_is_parsed);
   tcase_add_test (tcase, invalid_configuration_is_rejected);
+  tcase_add_test (tcase, member_without_keys_opens_routes);
+  tcase_add_test (tcase, member_of_another_type_is_read_as_empty);
   tcase_add_test (tcase, registration_is_parsed);
   tcase_add_test (tcase, invalid_registration_is_rejected);
   tcase_add_test (tcase, operator_rows_are_distinguished);
