relay: the last headers of a response are dropped

Cause: the exchange accepts 100 headers, the relay had room for 64.

Evidence: headers_of_a_response_are_dropped (test_gateway, 90 headers before the MAC) fails with the limit of 64 and passes now.

Why it works: there is one limit, and a response beyond it is refused as a whole. The relay's own check of the status is gone, as the exchange has it.

--- a/packages/gateway/relay_response.c
+++ b/packages/gateway/relay_response.c
@@ -25,8 +25,6 @@
   /* Number of events after the first of a send over which the mean gap between
      events is measured.  A mean is needed because events arrive in bursts.  */
   MEAN_GAP_EVENT_COUNT = 8,
-  /* Response headers beyond this number are not forwarded.  */
-  RESPONSE_HEADERS_MAX = 64,
   /* Interval at which an interrupted stream looks for an upstream that can
      resume it.  Allows a few attempts within route_t.event_gap_max_ms.  */
   RESUME_POLL_MS = 150,
@@ -327,8 +325,8 @@
     }
 }
 
-/* Fill LIST, which has room for RESPONSE_HEADERS_MAX, with the stored headers.
-   Return their number.  */
+/* Fill LIST, which has room for HTTP_EXCHANGE_HEADERS_MAX, with the stored
+   headers. Return their number.  */
 static size_t
 stored_headers (const relay_t *relay, httpc_header_t *list)
 {
@@ -336,7 +334,7 @@
   const char *end = relay->response_headers.ptr + relay->response_headers.len;
   size_t count = 0;
 
-  while (next < end && count < RESPONSE_HEADERS_MAX)
+  while (next < end && count < HTTP_EXCHANGE_HEADERS_MAX)
     {
       list[count].name = str_from (next);
       next += list[count].name.len + 1;
@@ -350,7 +348,7 @@
 static void
 start_streaming (relay_t *relay)
 {
-  httpc_header_t headers[RESPONSE_HEADERS_MAX];
+  httpc_header_t headers[HTTP_EXCHANGE_HEADERS_MAX];
   size_t count = stored_headers (relay, headers);
 
   relay->has_response_started = true;
@@ -363,7 +361,7 @@
 static void
 send_buffered_response (relay_t *relay)
 {
-  httpc_header_t headers[RESPONSE_HEADERS_MAX];
+  httpc_header_t headers[HTTP_EXCHANGE_HEADERS_MAX];
   size_t count = stored_headers (relay, headers);
 
   counter_add (relay->state->counters.answered, 1);
@@ -387,8 +385,6 @@
   if (echoed_attempt_id.ptr != NULL
       && !str_eq (echoed_attempt_id, str_from (relay->attempt_id)))
     return false;
-  if (head->status < 200 || head->status > 599)
-    return false;
   /* Callers accept no content encoding, so a response with an encoded body was
      not produced for this request.  A successful response must have a message
      authentication code.  */
--- a/tests/fake_upstream.c
+++ b/tests/fake_upstream.c
@@ -411,6 +411,13 @@
       buf_printf (&out, "Content-Length: %zu\r\n\r\nby %s",
                   3 + strlen (upstream->id), upstream->id);
       break;
+    case ACT_MANY_HEADERS:
+      buf_append_str (&out, STR ("HTTP/1.1 200 OK\r\n"));
+      for (int i = 0; i < MANY_HEADERS; i++)
+        buf_printf (&out, "x-%d: y\r\n", i);
+      buf_printf (&out, "%.*s: mac-of-%s\r\nContent-Length: 4\r\n\r\nmany",
+                  STR_ARG (upstream->names->answer_mac), upstream->id);
+      break;
     case ACT_ERROR:
       append_head (conn, "500 Oops", &out);
       buf_append_str (&out, STR ("Content-Length: 4\r\n\r\noops"));
--- a/tests/fake_upstream.h
+++ b/tests/fake_upstream.h
@@ -13,6 +13,7 @@
 {
   BIG_EVENT_BYTES = 900000,
   STREAM_PAUSE_MS = 900, /* Pause of ACT_STREAM_PAUSE.  */
+  MANY_HEADERS = 90,     /* Fewer than a response may have.  */
   /* Interval at which an endless response goes on, in ms.  */
   ENDLESS_INTERVAL_MS = 10,
   STREAM_LONG_EVENTS = 20,
@@ -23,6 +24,7 @@
 typedef enum
 {
   ACT_RESPOND,             /* 200 with the upstream's ID in the body.  */
+  ACT_MANY_HEADERS,        /* 200 with MANY_HEADERS before the MAC.  */
   ACT_ERROR,               /* 500 with a response MAC.  */
   ACT_REFUSE_NOT_RUN,      /* 503 with the `not run' header field.  */
   ACT_BUSY,                /* 503 without it.  */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -109,6 +109,26 @@
 }
 END_TEST
 
+/* Failure: a response with many headers reaches the caller without the last
+   ones, such as its MAC.  */
+START_TEST (headers_of_a_response_are_dropped)
+{
+  gateway_fixture_t f;
+  caller_t caller;
+  char last[32];
+
+  gateway_fixture_setup (&f, 1);
+  script_all (&f, ACT_MANY_HEADERS);
+  gateway_fixture_request (&f, &caller, "GET", "/read/", REQUEST_HEADERS, "");
+  ck_assert_int_eq (caller_status (&caller), 200);
+  snprintf (last, sizeof last, "x-%d: y", MANY_HEADERS - 1);
+  ck_assert (caller_response_contains (&caller, last));
+  ck_assert (caller_response_contains (&caller, ": mac-of-"));
+  caller_free (&f, &caller);
+  gateway_fixture_teardown (&f);
+}
+END_TEST
+
 /* The upstream fails while it has a request that must not run twice, such as a
    payment.  The request may have run, so it must not be sent to the other
    upstream, and the caller must receive 502 with the outcome `unknown'.  */
@@ -1498,6 +1518,7 @@
   tcase_add_test (tcase,
                   response_and_request_are_forwarded_without_forged_headers);
   tcase_add_test (tcase, invalid_requests_are_rejected);
+  tcase_add_test (tcase, headers_of_a_response_are_dropped);
   tcase_add_test (tcase, non_idempotent_request_is_sent_once);
   tcase_add_test (tcase, request_not_run_is_retried_or_refused);
   tcase_add_test (tcase, full_upstream_gets_one_send_per_request);
