--- a/packages/gateway/storesync.c
+++ b/packages/gateway/storesync.c
@@ -12,6 +12,7 @@
 #include "gateway/loader.h"
 #include "gateway/rolloutsint.h"
 #include "gateway/speed_rows.h"
+#include "wire/addr.h"
 
 #include <stdlib.h>
 
@@ -284,6 +285,11 @@
   vh_code_t code
       = state->dialect->read_instance (row->key, row->value, &info, &holder);
 
+  if (code == VH_OK && !addr_is_valid (info.address))
+    {
+      state->dialect->free_holder (holder);
+      code = VH_E_BAD_FIELD;
+    }
   if (code != VH_OK)
     {
       log_event (EVENT_LISTING_BAD, log_field_text (FIELD_UPSTREAM, row->key),
--- a/packages/wire/addr.c
+++ b/packages/wire/addr.c
@@ -57,6 +57,17 @@
   return false;
 }
 
+bool
+addr_is_valid (str_t text)
+{
+  struct sockaddr_storage addr;
+  socklen_t len;
+
+  /* sin_port and sin6_port have the same offset.  */
+  return addr_parse (text, &addr, &len)
+         && ((struct sockaddr_in *)&addr)->sin_port != 0;
+}
+
 bool
 addr_listen (uv_tcp_t *listener, str_t address, int backlog,
              uv_connection_cb cb, uint16_t *port)
--- a/packages/wire/addr.h
+++ b/packages/wire/addr.h
@@ -13,6 +13,9 @@
    form.  */
 bool addr_parse (str_t text, struct sockaddr_storage *addr, socklen_t *len);
 
+/* Return whether a connection to TEXT, a numeric HOST:PORT, can be tried.  */
+bool addr_is_valid (str_t text);
+
 /* Bind LISTENER to ADDRESS, listen with CB as the connection callback and set
    *PORT to the bound port.  Return false when ADDRESS is not valid or cannot
    be bound.  */
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -4,6 +4,7 @@
 #include "base/mem.h"
 #include "loopback.h"
 #include "suite.h"
+#include "wire/addr.h"
 #include "wire/http_exchange.h"
 
 #include <signal.h>
@@ -202,6 +203,35 @@
 }
 END_TEST
 
+/* Failure: a registration with an address to which no connection can be tried
+   becomes an upstream.  */
+START_TEST (address_of_no_server_is_accepted)
+{
+  static const char *const invalid[] = { "",
+                                         ":",
+                                         "127.0.0.1",
+                                         "127.0.0.1:",
+                                         ":80",
+                                         "127.0.0.1:0",
+                                         "127.0.0.1:65536",
+                                         "127.0.0.1:-1",
+                                         "[",
+                                         "[]:80",
+                                         "[::1]",
+                                         "[::1]:65536",
+                                         "host:80",
+                                         "127.0.0:80",
+                                         "127.0.0.1:8 0",
+                                         "127.0.0.1:99999999999999999999" };
+  static const char *const valid[] = { "127.0.0.1:1", "[::1]:65535" };
+
+  for (size_t i = 0; i < sizeof invalid / sizeof invalid[0]; i++)
+    ck_assert_msg (!addr_is_valid (str_from (invalid[i])), "%s", invalid[i]);
+  for (size_t i = 0; i < sizeof valid / sizeof valid[0]; i++)
+    ck_assert_msg (addr_is_valid (str_from (valid[i])), "%s", valid[i]);
+}
+END_TEST
+
 /* No server listens on the port: the client must report that no byte of the
    request was sent.  */
 START_TEST (unreachable_server_is_reported)
@@ -443,6 +473,7 @@
   tcase_add_test (tcase, incomplete_responses_are_reported);
   tcase_add_test (tcase, reset_met_by_the_write_cuts_the_response);
   tcase_add_test (tcase, unreachable_server_is_reported);
+  tcase_add_test (tcase, address_of_no_server_is_accepted);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/test_dialect.c
+++ b/tests/test_dialect.c
@@ -197,6 +197,21 @@
     "\"state\":\"ready\"}",
     "{\"service\":\"x\",\"address\":\"a:1\",\"zone\":\"z\",\"version\":\"v\","
     "\"slotCount\":\"1\",\"state\":\"ready\"}",
+#define REGISTRATION(members)                                                 \
+  "{\"service\":\"x\",\"address\":\"a:1\",\"zone\":\"z\",\"version\":\"v\","  \
+  "\"state\":\"ready\"," members "}"
+    REGISTRATION ("\"slotCount\":1000000000000000"),
+    REGISTRATION ("\"slotCount\":4294967297"),
+    REGISTRATION ("\"slotCount\":1e400"),
+    REGISTRATION ("\"slotCount\":-1"),
+    REGISTRATION ("\"slotCount\":1,\"coldLeftMs\":-1"),
+    REGISTRATION ("\"slotCount\":1,\"coldLeftMs\":1000000000000000"),
+    REGISTRATION ("\"slotCount\":1,\"coldLeftMs\":\"0\""),
+    REGISTRATION ("\"slotCount\":1,\"born\":-1"),
+    REGISTRATION ("\"slotCount\":1,\"born\":[]"),
+    REGISTRATION ("\"slotCount\":1,\"sequence\":99999999999999999999"),
+    REGISTRATION ("\"slotCount\":1,\"slotCount\":1"),
+#undef REGISTRATION
   };
   upstream_info_t info;
   void *holder;
@@ -209,6 +224,45 @@
 }
 END_TEST
 
+/* Failure: a row that is nested very deeply ends the process that reads it. */
+START_TEST (deep_row_exhausts_the_stack)
+{
+  enum
+  {
+    DEPTH = 1000000
+  };
+  const gateway_dialect_t *dialect = platform_dialect ();
+  static const char *const starts[]
+      = { "", "{\"version\":7,\"routes\":", "{\"version\":7,\"tenants\":",
+          "{\"service\":\"x\",\"slotCount\":" };
+
+  for (size_t i = 0; i < sizeof starts / sizeof starts[0]; i++)
+    for (int is_closed = 0; is_closed < 2; is_closed++)
+      {
+        buf_t text = BUF_NULL;
+        catalog_t *catalog;
+        upstream_info_t info;
+        rollout_spec_t spec;
+        void *holder;
+        buf_append_str (&text, str_from (starts[i]));
+        for (int depth = 0; depth < DEPTH; depth++)
+          buf_append_char (&text, '[');
+        for (int depth = 0; is_closed && depth < DEPTH; depth++)
+          buf_append_char (&text, ']');
+        if (is_closed && starts[i][0] != '\0')
+          buf_append_char (&text, '}');
+        ck_assert_int_ne (
+            dialect->read_catalog (buf_str (&text), NULL, &catalog), VH_OK);
+        ck_assert_int_ne (dialect->read_instance (STR ("i"), buf_str (&text),
+                                                  &info, &holder),
+                          VH_OK);
+        ck_assert_int_ne (
+            dialect->read_rollout (buf_str (&text), &spec, &holder), VH_OK);
+        buf_free (&text);
+      }
+}
+END_TEST
+
 START_TEST (operator_rows_are_distinguished)
 {
   const gateway_dialect_t *dialect = platform_dialect ();
@@ -323,6 +377,7 @@
   tcase_add_test (tcase, registration_is_parsed);
   tcase_add_test (tcase, invalid_registration_is_rejected);
   tcase_add_test (tcase, operator_rows_are_distinguished);
+  tcase_add_test (tcase, deep_row_exhausts_the_stack);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1360,6 +1360,8 @@
   fake_rows_put (f.rows, ROWS_INSTANCES, "app-9", "garbage");
   fake_rows_put (f.rows, ROWS_INSTANCES, "app-8",
                  "app nowhere zone-a v1 ready");
+  fake_rows_put (f.rows, ROWS_INSTANCES, "app-7",
+                 "app 127.0.0.1:65536 zone-a v1 ready");
   fake_rows_put (f.rows, ROWS_OPERATOR, "catalog", "garbage");
   fake_rows_put (f.rows, ROWS_OPERATOR, "rollout/app", "garbage");
   fake_rows_put (f.rows, ROWS_OPERATOR, "unheard-of", "garbage");
