httpc: a head without an end takes the memory of a process

What callers saw: reported from another system, an upstream that sends bytes without end takes the memory of the process that called it, and all requests there end with it. Here gateways were safe; sidecars, and all calls of the platform, kept a head that never ended until the call timed out.

Cause: h2o's client parses a head when it is complete, and the bound on heads stood in http_exchange only.

Evidence: endless_head_takes_memory (test_http) got all that it sends, 64 MB, before, and now less; it failed with VH_E_TIMEOUT and ends with VH_E_TOO_LARGE.

Change: before the sockets are polled, a call that waits for a head and has more than 64 KiB of it ends. A sidecar takes that, and a status that no response has, for a cut answer, not for a refusal: the request may have run.

Why it works: one iteration reads a bounded number of bytes from a socket.

--- a/packages/sidecar/upstream.c
+++ b/packages/sidecar/upstream.c
@@ -329,7 +329,8 @@
       attempt->started = false;
       end_attempt (sidecar, attempt, VH_E_UPSTREAM_DOWN);
     }
-  else if (code == VH_E_UPSTREAM_CUT)
+  else if (code == VH_E_UPSTREAM_CUT || code == VH_E_PROTOCOL
+           || code == VH_E_TOO_LARGE)
     {
       attempt->call = NULL;
       probe_for_crash (sidecar, attempt);
--- a/packages/wire/httpc.c
+++ b/packages/wire/httpc.c
@@ -15,7 +15,9 @@
   H2O_IO_TIMEOUT_MS = 24 * 3600 * 1000,
   IDLE_CONNECTION_TIMEOUT_MS = 10000,
   FREE_DELAY_TICKS = 2,
-  HEADERS_MAX = 100
+  HEADERS_MAX = 100,
+  /* Limit of a response's head.  */
+  HEAD_BYTES_MAX = 65536
 };
 
 struct httpc
@@ -25,6 +27,8 @@
   h2o_socketpool_t pool;
   h2o_timeout_t io_timeout;
   h2o_http1client_ctx_t ctx;
+  list_t waiting;        /* Calls that wait for their heads.  */
+  uv_prepare_t prepare;  /* Checks these before the sockets are polled.  */
   uv_timer_t free_timer; /* Delays the free after httpc_destroy.  */
   unsigned free_timer_ticks;
 };
@@ -39,6 +43,7 @@
 
 struct httpc_call
 {
+  list_t waiting_link; /* In httpc.waiting, or not linked.  */
   httpc_t *client;
   h2o_http1client_t *http;
   call_state_t state;
@@ -63,6 +68,8 @@
   void (*on_cancel) (void *arg);
 };
 
+static void on_prepare (uv_prepare_t *prepare);
+
 httpc_t *
 httpc_create (uv_loop_t *loop, str_t address, size_t max_idle)
 {
@@ -80,6 +87,11 @@
   h2o_timeout_init (loop, &client->io_timeout, H2O_IO_TIMEOUT_MS);
   client->ctx.loop = loop;
   client->ctx.io_timeout = &client->io_timeout;
+  list_init (&client->waiting);
+  uv_prepare_init (loop, &client->prepare);
+  client->prepare.data = client;
+  uv_prepare_start (&client->prepare, on_prepare);
+  uv_unref ((uv_handle_t *)&client->prepare);
   return client;
 }
 
@@ -114,6 +126,7 @@
     return;
   h2o_socketpool_dispose (&client->pool);
   h2o_timeout_dispose (client->loop, &client->io_timeout);
+  uv_close ((uv_handle_t *)&client->prepare, NULL);
   /* h2o closes the handles of its timers without a callback, and libuv needs
      their memory until the end of this turn of the loop at the latest.
      Freeing the memory now would corrupt the loop, so a timer frees it on a
@@ -139,6 +152,7 @@
   if (call->state == CALL_RELEASED)
     return;
   call->state = CALL_RELEASED;
+  list_remove (&call->waiting_link);
   uv_close ((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
@@ -175,6 +189,26 @@
   finish (call, code);
 }
 
+/* End a call whose response has a head over the limit.  h2o would receive it
+   until the call times out.  The callbacks of a call may end others, so the
+   rest is checked in the next iteration.  */
+static void
+on_prepare (uv_prepare_t *prepare)
+{
+  httpc_t *client = prepare->data;
+
+  LIST_EACH (at, &client->waiting)
+    {
+      httpc_call_t *call = CONTAINER_OF (at, httpc_call_t, waiting_link);
+      if (call->http == NULL || call->http->sock == NULL
+          || call->http->sock->input->size <= HEAD_BYTES_MAX)
+        continue;
+      h2o_http1client_cancel (call->http);
+      finish (call, VH_E_TOO_LARGE);
+      return;
+    }
+}
+
 static void
 restart_timer (httpc_call_t *call)
 {
@@ -307,6 +341,7 @@
       finish_later (call, VH_E_UPSTREAM_CUT);
       return NULL;
     }
+  list_remove (&call->waiting_link);
   /* h2o takes any three digits for a status.  */
   if (status < 200 || status > 599)
     {
@@ -342,6 +377,7 @@
       return NULL;
     }
   call->state = CALL_WAITING_HEAD;
+  list_append (&call->client->waiting, &call->waiting_link);
   call->request_vec
       = h2o_iovec_init (call->request_bytes.ptr, call->request_bytes.len);
   *reqbufs = &call->request_vec;
@@ -374,6 +410,7 @@
   httpc_call_t *call = mem_zalloc (sizeof *call);
 
   call->client = client;
+  list_init (&call->waiting_link);
   call->events = events;
   call->arg = arg;
   call->is_head_request = str_eq (request->method, STR ("HEAD"));
--- a/packages/wire/httpc.h
+++ b/packages/wire/httpc.h
@@ -32,8 +32,10 @@
 /* Events of one call, in this order: at most one HEAD, any number of CHUNK,
    one DONE.  The call is released after DONE.  HEADERS are valid until the
    callback returns.  DONE receives VH_OK for a complete body, VH_E_CONNECT
-   when no byte of the request left this process, and VH_E_UPSTREAM_CUT or
-   VH_E_TIMEOUT when the server may have executed the request.  */
+   when no byte of the request left this process.  The server may have executed
+   the request where it receives VH_E_UPSTREAM_CUT, VH_E_TIMEOUT,
+   VH_E_PROTOCOL for a status that no response has, or VH_E_TOO_LARGE for a
+   head of more than 64 KiB.  */
 typedef struct
 {
   void (*head) (void *arg, int status, const httpc_header_t *headers,
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -521,6 +521,13 @@
 }
 END_TEST
 
+enum
+{
+  /* More than a client may keep of a head.  */
+  ENDLESS_BYTES = 64 << 20,
+  ENDLESS_PIECE_BYTES = 60000
+};
+
 /* A raw peer of the client or the server under test.  */
 typedef struct
 {
@@ -532,16 +539,31 @@
   uv_timer_t timer;
   const char *text; /* Sent once connected, or in response to a request.  */
   bool resets;
-  ssize_t end; /* Status of the last read.  */
+  bool repeats;    /* TEXT is sent again and again, up to ENDLESS_BYTES.  */
+  size_t repeated; /* Bytes sent again.  */
+  ssize_t end;     /* Status of the last read.  */
   bool is_ended;
 } raw_peer_t;
 
+static void raw_write (raw_peer_t *raw);
+
+static void
+raw_on_written (uv_write_t *write, int status)
+{
+  raw_peer_t *raw = CONTAINER_OF (write, raw_peer_t, write);
+
+  if (status != 0 || !raw->repeats || raw->repeated >= ENDLESS_BYTES)
+    return;
+  raw->repeated += strlen (raw->text);
+  raw_write (raw);
+}
+
 static void
 raw_write (raw_peer_t *raw)
 {
   uv_buf_t buf = uv_buf_init ((char *)raw->text, strlen (raw->text));
 
-  uv_write (&raw->write, (uv_stream_t *)&raw->conn, &buf, 1, NULL);
+  uv_write (&raw->write, (uv_stream_t *)&raw->conn, &buf, 1, raw_on_written);
 }
 
 static void
@@ -564,7 +586,8 @@
   if (read_len <= 0)
     return;
   raw_write (raw);
-  uv_timer_start (&raw->timer, raw_on_timer, 20, 0);
+  if (!raw->repeats)
+    uv_timer_start (&raw->timer, raw_on_timer, 20, 0);
 }
 
 static void
@@ -579,33 +602,66 @@
   uv_read_start ((uv_stream_t *)&raw->conn, on_client_alloc, raw_on_request);
 }
 
-/* Return the result of a request to a server that responds with RESPONSE, and
-   then closes or, with RESETS, resets the connection.  */
+/* Return the result of a request to RAW.  */
 static vh_code_t
-fetch_from_raw_server (const char *response, bool resets)
+fetch_from (raw_peer_t *raw)
 {
-  const httpc_request_t request = { .method = STR ("GET"), .path = STR ("/") };
+  const httpc_request_t request
+      = { .method = STR ("GET"), .path = STR ("/"), .timeout_ms = 2000 };
   fixture_t f;
-  raw_peer_t raw = { .f = &f, .text = response, .resets = resets };
   char address[32];
 
+  raw->f = &f;
   setup (&f);
-  uv_timer_init (&f.loop, &raw.timer);
-  raw.timer.data = &raw;
+  uv_timer_init (&f.loop, &raw->timer);
+  raw->timer.data = raw;
   snprintf (address, sizeof address, "127.0.0.1:%u",
-            loopback_listen (&f.loop, &raw.listener, &raw, raw_on_accept));
+            loopback_listen (&f.loop, &raw->listener, raw, raw_on_accept));
   httpc_t *client = httpc_create (&f.loop, str_from (address), 0);
   httpc_start (client, &request, &events, &f);
   run_until (&f, &f.done);
-  uv_close ((uv_handle_t *)&raw.listener, NULL);
-  uv_close ((uv_handle_t *)&raw.timer, NULL);
-  if (!uv_is_closing ((uv_handle_t *)&raw.conn))
-    uv_close ((uv_handle_t *)&raw.conn, NULL);
+  uv_close ((uv_handle_t *)&raw->listener, NULL);
+  uv_close ((uv_handle_t *)&raw->timer, NULL);
+  if (!uv_is_closing ((uv_handle_t *)&raw->conn))
+    uv_close ((uv_handle_t *)&raw->conn, NULL);
   httpc_destroy (client);
   teardown (&f);
   return f.code;
 }
 
+/* Return the result of a request to a server that responds with RESPONSE, and
+   then closes or, with RESETS, resets the connection.  */
+static vh_code_t
+fetch_from_raw_server (const char *response, bool resets)
+{
+  raw_peer_t raw = { .text = response, .resets = resets };
+
+  return fetch_from (&raw);
+}
+
+/* Failure: a server sends a head without an end, and the client keeps it all.
+   A status line that ends none is read as long.  */
+START_TEST (endless_head_takes_memory)
+{
+  static const char *const pieces[]
+      = { "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx",
+          "HTTP/1.1 200 OK xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx" };
+  static char text[2][ENDLESS_PIECE_BYTES];
+
+  for (size_t i = 0; i < sizeof pieces / sizeof pieces[0]; i++)
+    {
+      memset (text[i], 'x', ENDLESS_PIECE_BYTES - 1);
+      memcpy (text[i], pieces[i], strlen (pieces[i]));
+      raw_peer_t raw = { .text = text[i], .repeats = true };
+      vh_code_t code = fetch_from (&raw);
+      ck_assert_msg (code == VH_E_TOO_LARGE || code == VH_E_UPSTREAM_CUT,
+                     "piece %zu: code %d", i, code);
+      ck_assert_msg (raw.repeated < ENDLESS_BYTES, "piece %zu: %zu bytes", i,
+                     raw.repeated);
+    }
+}
+END_TEST
+
 /* h2o's client reports a reset as the end of a response without a length.  */
 START_TEST (reset_response_without_length_is_reported)
 {
@@ -730,6 +786,7 @@
   tcase_add_test (tcase, silent_server_times_out);
   tcase_add_test (tcase, refused_connection_is_reported);
   tcase_add_test (tcase, status_of_no_response_is_reported);
+  tcase_add_test (tcase, endless_head_takes_memory);
   suite_add_tcase (suite, tcase);
   SRunner *runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
