trial: a trouble of instances withdraws a good version for good

Cause: the watch asked whether most instances fail. With 0.6 of them in trouble a third of those remain after the worst 0.4 are left out. Nothing spoke for the version: not its sound instances, two or three of which shared a group with others by hash, and not the end of the trouble 2.8 s later.

Change: the failures by group are weighed as a fault of some instances beside sound ones and as one of the version, also with instances in trouble. The version goes if the second is likelier, has been for 1.5 s, and the answers of the last second fail as before. Up to 64 instances have a group each.

Why it works: a version is the same program at all its instances, and once no old instance is left nothing may be sent to prove a verdict wrong, so the time that the bound leaves is used before it.

Two cases of test_trial asked for the verdict in the first call; they ask for it after the wait now, and that it does not come before. Settings of the model have a number of instances.

--- a/packages/gateway/relay_end.c
+++ b/packages/gateway/relay_end.c
@@ -201,12 +201,12 @@
   if (trial == NULL || relay->has_connect_failed || outcome == SEND_REFUSED
       || (!relay->has_head && !relay->has_bad_answer && !has_failed))
     return;
-  trial_count_answer (trial, relay_trial_arm (relay),
-                      relay->attrs.route->trial_cell,
-                      str_hash (upstream_id (relay->upstream), 0),
-                      has_failed              ? TRIAL_FLAW_FAILED
-                      : relay->has_bad_answer ? TRIAL_FLAW_LATE
-                                              : TRIAL_FLAW_NONE);
+  trial_count_answer (
+      trial, relay_trial_arm (relay), relay->attrs.route->trial_cell,
+      pool_instance_cell (relay->upstream, TRIAL_INSTANCE_GROUPS),
+      has_failed              ? TRIAL_FLAW_FAILED
+      : relay->has_bad_answer ? TRIAL_FLAW_LATE
+                              : TRIAL_FLAW_NONE);
 }
 
 void
--- a/packages/policy/pool.c
+++ b/packages/policy/pool.c
@@ -3,6 +3,7 @@
 #include "base/map.h"
 #include "base/mem.h"
 #include "base/rng.h"
+#include "policy/instance_cells.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -72,6 +73,7 @@
                                 none.  */
   uint64_t time_factors_due_ms; /* Monotonic time at which the time factors of
                                    the instances are computed again.  */
+  uint32_t cell_count; /* Of the instances' cells; 0: to be assigned.  */
 } service_group_t;
 
 struct upstream
@@ -130,6 +132,7 @@
                                if there was none or its end was taken.  */
   bool is_unreachable;      /* Whether the last probe could not connect.  */
   poison_in_flight_t poison_in_flight; /* Requests of this gateway.  */
+  uint32_t cell;                       /* See pool_instance_cell.  */
   instance_speed_t speed;
   double noticed_time_factor; /* 0 for none.  */
   uint64_t noticed_ms;
@@ -214,6 +217,7 @@
     }
   group->upstreams[group->count++] = upstream;
   group->time_factors_due_ms = 0;
+  group->cell_count = 0;
   upstream->group = group;
 }
 
@@ -225,6 +229,7 @@
       {
         group->upstreams[i] = group->upstreams[--group->count];
         group->time_factors_due_ms = 0;
+        group->cell_count = 0;
         return;
       }
 }
@@ -509,6 +514,8 @@
   set_string (&upstream->zone, info->zone);
   upstream->rank_generation = 0;
   set_string (&upstream->version, info->version);
+  if (upstream->version_hash != str_hash (info->version, 0))
+    upstream->group->cell_count = 0;
   upstream->version_hash = str_hash (info->version, 0);
   upstream->is_own_zone = str_eq (info->zone, str_from (pool->zone));
   upstream->is_zone_disabled
@@ -1220,6 +1227,26 @@
   return count;
 }
 
+uint32_t
+pool_instance_cell (upstream_t *upstream, uint32_t cell_count)
+{
+  service_group_t *group = upstream->group;
+
+  if (group->cell_count != cell_count)
+    {
+      instance_cell_t *instances
+          = mem_alloc ((group->count + 1) * sizeof *instances);
+      for (size_t i = 0; i < group->count; i++)
+        instances[i] = (instance_cell_t){ group->upstreams[i]->version_hash,
+                                          group->upstreams[i]->id_hash,
+                                          &group->upstreams[i]->cell };
+      instance_cells_assign (instances, group->count, cell_count);
+      free (instances);
+      group->cell_count = cell_count;
+    }
+  return upstream->cell;
+}
+
 void
 pool_request_started (pool_t *pool, upstream_t *upstream,
                       uint32_t prompt_tokens)
--- a/packages/policy/pool.h
+++ b/packages/policy/pool.h
@@ -252,6 +252,10 @@
    MAX_WAIT_MS, the longest time that the caller can wait.  */
 uint64_t pool_promise_slot (pool_t *pool, const pool_criteria_t *criteria,
                             uint64_t max_wait_ms);
+/* Return the cell of UPSTREAM of CELL_COUNT, which the instances of its
+   version share evenly; see instance_cells.h.  One that was removed keeps
+   its last.  */
+uint32_t pool_instance_cell (upstream_t *upstream, uint32_t cell_count);
 /* Return the number of instances of SERVICE in ARM that may get requests, now
    or after a pause, or MAX_COUNT if there are more.  VERSION is the version on
    trial.  */
--- a/packages/policy/trialint.h
+++ b/packages/policy/trialint.h
@@ -93,6 +93,10 @@
   /* Time of the store's clock at which there were last few bad answers, or the
      version was shown to be good.  */
   uint64_t acceptable_ms;
+  /* Times of the store's clock at which the version in service last began to
+     look bad, and at which it last did; 0 if it never did.  */
+  uint64_t suspect_since_ms;
+  uint64_t last_suspect_ms;
 };
 
 /* Properties of the measured times; see TRIAL_TIMINGS.  */
@@ -148,11 +152,15 @@
 void trial_tallies_add (trial_counts_t *to, const trial_counts_t *from);
 /* Let a second pass for the tallies of the new version.  */
 void trial_tallies_decay (trial_counts_t *counts);
-/* Return whether COUNTS show that most instances of the new version give more
-   bad answers than the old version did; if so, append the reason to REASON,
-   which may be NULL.  */
-bool trial_is_bad_at_most_instances (const trial_counts_t *counts,
-                                     buf_t *reason);
+/* Return whether COUNTS show that most instances of the new version fail more
+   often than the old version did, and that this is not a fault of some of
+   them; if so, append the reason to REASON, which may be NULL.  */
+bool trial_is_failing_at_most_instances (const trial_counts_t *counts,
+                                         buf_t *reason);
+/* Return whether COUNTS show that the new version is slow at most of its
+   instances; if so, append the reason to REASON, which may be NULL.  */
+bool trial_is_late_at_most_instances (const trial_counts_t *counts,
+                                      buf_t *reason);
 /* Return whether COUNTS show that most instances of the new version fail more
    often than a good version beside an old one that fails OLD_SHARE.  */
 bool trial_exceeds_share_at_most_instances (const trial_counts_t *counts,
@@ -173,6 +181,10 @@
    may be NULL.  */
 bool trial_is_bad_in_trouble (const trial_t *trial,
                               const trial_counts_t *counts, buf_t *reason);
+/* Return whether the new version's answers of the last seconds fail about as
+   often as those before, so that its failures have not ended.  */
+bool trial_is_failing_steadily (const trial_t *trial,
+                                const trial_counts_t *counts);
 /* Return whether a step that has lasted IN_STEP_MS, with a minimum length of
    STEP_MIN_MS, may advance.  An excess of late answers of at least STDERRS
    standard errors prevents the advance.  */
--- a/tests/policy.cmake
+++ b/tests/policy.cmake
@@ -35,6 +35,7 @@
 vh_policy_cases (test_trial_masked 120 PREFIX trial_masked
   DEPENDS vh_rollout_model
   CASES "a sixth breaks off" "a quarter breaks off" "good version")
+vh_test (test_trial_instances DEPENDS vh_rollout_model)
 vh_test (test_regression DEPENDS vh_policy)
 vh_test (test_route_levels DEPENDS vh_policy)
 vh_test (test_finish_time DEPENDS vh_policy)
