--- a/packages/policy/trial.c
+++ b/packages/policy/trial.c
@@ -252,9 +252,9 @@
   return now_ms - trial->acceptable_ms >= TRIAL_BAD_ANSWERS_WAIT_MS;
 }
 
-/* Note whether the version in service IS_SUSPECT now.  Return whether it has
-   been long enough, but for gaps by chance, that a trouble of its instances
-   which passes in a moment does not explain it.  */
+/* Note whether the version in service looks bad now (IS_SUSPECT).  Return
+   whether it does and has done so for TRIAL_BAD_ANSWERS_WAIT_MS, with gaps of
+   at most TRIAL_SUSPECT_GAP_MS.  */
 static bool
 has_stayed_suspect (trial_t *trial, bool is_suspect, uint64_t now_ms)
 {
--- a/packages/wire/request_framing.h
+++ b/packages/wire/request_framing.h
@@ -52,8 +52,8 @@
   bool has_length;
   bool has_coding;
   bool is_value_too_long; /* VALUE does not hold all of it.  */
-  uint8_t name_len;       /* REQUEST_FRAMING_NAME_SIZE: longer than that.  */
-  uint8_t value_len;      /* Without white space at the end.  */
+  uint8_t name_len;       /* REQUEST_FRAMING_NAME_SIZE: that or longer.  */
+  uint8_t value_len;      /* Without white space at the begin.  */
   char name[REQUEST_FRAMING_NAME_SIZE]; /* In lower case.  */
   char value[REQUEST_FRAMING_VALUE_SIZE];
   uint64_t length;   /* Content-Length.  */
