httpd: a renewed certificate ends the process

Cause: a renewal frees the TLS context, and only OpenSSL's connections hold references to it. h2o creates the connection's SSL when the first bytes arrive; until then it keeps the bare pointer that h2o_accept was given.

Evidence: connections_outlive_renewals (test_tls) holds 40 connections at each of five stages of the handshake, each stage at a process of its own, through a renewal, a certificate without its key and a second renewal.

Change: a connection holds a reference to the context that it was accepted with until it is closed.

Why it works: h2o has the context no longer than the connection.

--- a/packages/wire/httpd.c
+++ b/packages/wire/httpd.c
@@ -399,6 +399,7 @@
 
   list_remove (&conn->link);
   intake_remove_connection (conn);
+  SSL_CTX_free (conn->tls_context);
   free (conn);
   server->connection_count--;
   if (server->destroyed && server->connection_count == 0)
@@ -445,6 +446,9 @@
   sock->on_close.cb = on_connection_closed;
   sock->on_close.data = conn;
   server->connection_count++;
+  conn->tls_context = server->accept_ctx.ssl_ctx;
+  if (conn->tls_context != NULL)
+    SSL_CTX_up_ref (conn->tls_context);
   h2o_accept (&server->accept_ctx, sock);
   intake_add_connection (conn);
 }
--- a/packages/wire/httpdint.h
+++ b/packages/wire/httpdint.h
@@ -43,6 +43,9 @@
   list_t link;
   httpd_t *server;
   h2o_socket_t *sock;
+  /* The context that h2o_accept got, a reference of this connection: h2o takes
+     one only with the first bytes of the client.  NULL: no TLS.  */
+  SSL_CTX *tls_context;
   /* h2o's read callback, which on_read of intake.c calls; NULL before it is
      known.  */
   h2o_socket_cb h2o_read;
--- a/tests/test_tls.c
+++ b/tests/test_tls.c
@@ -4,6 +4,7 @@
 #include "harness.h"
 #include "suite.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <openssl/err.h>
 #include <openssl/pem.h>
@@ -11,15 +12,52 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 enum
 {
   WAIT_MS = 15000,
   STEP_MS = 50,
   KEY_BITS = 2048,
-  DAY_S = 86400
+  DAY_S = 86400,
+  /* Longer than the interval at which the process checks the files.  */
+  CHECK_WAIT_MS = 2200,
+  HELD_COUNT = 20,
+  RECORD_BYTES_MAX = 16384
 };
 
+#define REQUEST_TEXT                                                          \
+  "GET /v1/models HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+
+/* How far a client is when its connection is held.  */
+typedef enum
+{
+  HELD_CONNECTED,       /* Nothing was sent.  */
+  HELD_IN_HELLO,        /* A part of the first record was sent.  */
+  HELD_AFTER_HELLO,     /* The server's messages are not read.  */
+  HELD_IN_FINISHED,     /* A part of the last record was sent.  */
+  HELD_AFTER_HANDSHAKE, /* No request was sent.  */
+  HELD_STAGE_COUNT
+} held_stage_t;
+
+/* A client whose records pass through memory, so that a part of them can be
+   sent.  */
+typedef struct
+{
+  int fd;
+  SSL *ssl;
+  BIO *received; /* Owned by SSL, like TO_SEND.  */
+  BIO *to_send;
+} client_t;
+
+/* A certificate and its key in PEM.  */
+typedef struct
+{
+  buf_t certificate;
+  buf_t key;
+} identity_t;
+
 static harness_t *harness;
 static bool passed;
 
@@ -38,26 +76,22 @@
   harness = NULL;
 }
 
-/* Write the contents of the memory BIO to the file NAME, release BIO and
-   return the path of the file.  */
-static const char *
-write_bio (const char *name, BIO *bio)
+/* Append the contents of the memory BIO to OUT and release BIO.  */
+static void
+append_bio (BIO *bio, buf_t *out)
 {
   char *text;
   long len = BIO_get_mem_data (bio, &text);
-  const char *path
-      = harness_write_file (harness, name, str_make (text, (size_t)len));
 
+  buf_append (out, text, (size_t)len);
   BIO_free (bio);
-  return path;
 }
 
-/* Create a self-signed certificate for NAME in cert.pem and key.pem, and set
- *CERT_PATH and *KEY_PATH.  */
-static void
-make_certificate (const char *name, const char **cert_path,
-                  const char **key_path)
+/* Return a new key with a self-signed certificate for NAME.  */
+static identity_t
+make_identity (const char *name)
 {
+  identity_t identity = { BUF_NULL, BUF_NULL };
   EVP_PKEY *key = EVP_RSA_gen (KEY_BITS);
   X509 *cert = X509_new ();
   BIO *cert_bio = BIO_new (BIO_s_mem ());
@@ -74,10 +108,31 @@
   X509_sign (cert, key, EVP_sha256 ());
   PEM_write_bio_X509 (cert_bio, cert);
   PEM_write_bio_PrivateKey (key_bio, key, NULL, NULL, 0, NULL, NULL);
-  *key_path = write_bio ("key.pem", key_bio);
-  *cert_path = write_bio ("cert.pem", cert_bio);
+  append_bio (key_bio, &identity.key);
+  append_bio (cert_bio, &identity.certificate);
   X509_free (cert);
   EVP_PKEY_free (key);
+  return identity;
+}
+
+static void
+free_identity (identity_t *identity)
+{
+  buf_free (&identity->certificate);
+  buf_free (&identity->key);
+}
+
+static const char *
+install_certificate (const identity_t *identity)
+{
+  return harness_write_file (harness, "cert.pem",
+                             buf_str (&identity->certificate));
+}
+
+static const char *
+install_key (const identity_t *identity)
+{
+  return harness_write_file (harness, "key.pem", buf_str (&identity->key));
 }
 
 /* Connect to PORT, request the list of models and write the common name of the
@@ -103,8 +158,7 @@
       X509_NAME_get_text_by_NID (X509_get_subject_name (cert), NID_commonName,
                                  name, (int)size);
       X509_free (cert);
-      BIO_puts (bio, "GET /v1/models HTTP/1.1\r\nhost: x\r\n"
-                     "connection: close\r\n\r\n");
+      BIO_puts (bio, REQUEST_TEXT);
       read_len = BIO_read (bio, response, sizeof response);
     }
   BIO_free_all (bio);
@@ -112,43 +166,230 @@
   return read_len > 0 ? read_len : 0;
 }
 
-/* Operators replace a certificate that is about to expire.  New connections
-   must get the new certificate without a restart of the process, and every
-   request must be answered while the two files are being replaced.  */
-START_TEST (renewed_certificate_is_loaded)
+/* Start the process NAME, which serves TLS with the files CERTIFICATE and KEY,
+   and wait until it answers at *PORT.  */
+static proc_t *
+start_daemon (const char *name, const char *certificate, const char *key,
+              uint16_t *port)
 {
-  uint16_t port = harness_find_free_port (harness);
   uint16_t admin = harness_find_free_port (harness);
   const char *host = harness_host (harness);
-  const char *cert, *key;
-  char name[64];
+  char common_name[64];
   buf_t text = BUF_NULL;
-  uint64_t end_ms = harness_now_ms () + WAIT_MS;
 
-  make_certificate ("one", &cert, &key);
+  *port = harness_find_free_port (harness);
   buf_printf (&text,
-              "[process]\nname = standalone-1\nrole = standalone\n"
+              "[process]\nname = %s\nrole = standalone\n"
               "availability-zone = a\nadmin = %s:%u\n[entry]\n"
               "listen = %s:%u\ntls-certificate = %s\ntls-key = %s\n"
               "[upstream r]\nupstream = %s:1\nserves = m@1\n",
-              host, admin, host, port, cert, key, host);
-  const char *settings
-      = harness_write_file (harness, "standalone.ini", buf_str (&text));
+              name, host, admin, host, *port, certificate, key, host);
+  const char *settings = harness_write_file (harness, name, buf_str (&text));
   buf_free (&text);
-  proc_t *daemon = harness_start (harness, "standalone", "bin/vanillahookd",
+  proc_t *daemon = harness_start (harness, name, "bin/vanillahookd",
                                   "--settings", settings, NULL);
-  while (request_models (port, name, sizeof name) == 0
-         && harness_now_ms () < end_ms)
-    harness_sleep_ms (STEP_MS);
-  ck_assert_str_eq (name, "one");
-  make_certificate ("two", &cert, &key);
-  while (strcmp (name, "two") != 0 && harness_now_ms () < end_ms)
+  WAIT_FOR (request_models (*port, common_name, sizeof common_name) > 0,
+            WAIT_MS);
+  return daemon;
+}
+
+/* Request the list of models at PORT until the server's certificate is for
+   NAME.  Every request must be answered.  */
+static void
+wait_for_certificate (uint16_t port, const char *name)
+{
+  uint64_t end_ms = harness_now_ms () + WAIT_MS;
+  char current[64] = "";
+
+  while (strcmp (current, name) != 0 && harness_now_ms () < end_ms)
     {
-      ck_assert_int_gt (request_models (port, name, sizeof name), 0);
+      ck_assert_int_gt (request_models (port, current, sizeof current), 0);
       harness_sleep_ms (STEP_MS);
     }
-  ck_assert_str_eq (name, "two");
+  ck_assert_str_eq (current, name);
+}
+
+/* Send up to MAX bytes of the records of CLIENT.  */
+static void
+client_send (client_t *client, size_t max)
+{
+  char bytes[RECORD_BYTES_MAX];
+  int len = BIO_read (client->to_send, bytes,
+                      max < sizeof bytes ? (int)max : (int)sizeof bytes);
+
+  ck_assert_int_eq (send (client->fd, bytes, (size_t)len, MSG_NOSIGNAL), len);
+}
+
+/* Send what is left of the records and take the server's next ones.  */
+static void
+client_exchange (client_t *client)
+{
+  char bytes[RECORD_BYTES_MAX];
+
+  if (BIO_ctrl_pending (client->to_send) > 0)
+    client_send (client, SIZE_MAX);
+  ssize_t len = recv (client->fd, bytes, sizeof bytes, 0);
+  ck_assert_msg (len > 0, "the connection was closed in the handshake");
+  ck_assert_int_eq (BIO_write (client->received, bytes, (int)len), (int)len);
+}
+
+/* Connect to PORT and go as far as STAGE.  */
+static client_t
+client_connect (SSL_CTX *context, uint16_t port, held_stage_t stage)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_port = htons (port) };
+  struct timeval timeout = { WAIT_MS / 1000, 0 };
+  client_t client = { .fd = socket (AF_INET, SOCK_STREAM, 0),
+                      .ssl = SSL_new (context),
+                      .received = BIO_new (BIO_s_mem ()),
+                      .to_send = BIO_new (BIO_s_mem ()) };
+
+  inet_pton (AF_INET, harness_host (harness), &address.sin_addr);
+  setsockopt (client.fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  ck_assert_int_eq (
+      connect (client.fd, (struct sockaddr *)&address, sizeof address), 0);
+  SSL_set_bio (client.ssl, client.received, client.to_send);
+  SSL_set_connect_state (client.ssl);
+  if (stage == HELD_CONNECTED)
+    return client;
+  SSL_do_handshake (client.ssl);
+  client_send (&client, stage == HELD_IN_HELLO
+                            ? BIO_ctrl_pending (client.to_send) / 2
+                            : SIZE_MAX);
+  if (stage <= HELD_AFTER_HELLO)
+    return client;
+  while (SSL_do_handshake (client.ssl) != 1)
+    client_exchange (&client);
+  client_send (&client, stage == HELD_IN_FINISHED
+                            ? BIO_ctrl_pending (client.to_send) / 2
+                            : SIZE_MAX);
+  return client;
+}
+
+/* Complete the handshake of CLIENT, request the list of models, which must be
+   answered, and close the connection.  */
+static void
+client_finish (client_t *client)
+{
+  char response[512];
+  int len;
+
+  while (SSL_do_handshake (client->ssl) != 1)
+    client_exchange (client);
+  SSL_write (client->ssl, REQUEST_TEXT, (int)strlen (REQUEST_TEXT));
+  while ((len = SSL_read (client->ssl, response, sizeof response)) <= 0)
+    {
+      ck_assert_int_eq (SSL_get_error (client->ssl, len), SSL_ERROR_WANT_READ);
+      client_exchange (client);
+    }
+  ck_assert_msg (
+      str_starts_with (str_make (response, (size_t)len), STR ("HTTP/1.1 ")),
+      "%.*s", len, response);
+  SSL_free (client->ssl);
+  close (client->fd);
+}
+
+/* Operators replace a certificate that is about to expire.  New connections
+   must get the new certificate without a restart of the process, and every
+   request must be answered while the two files are being replaced.  */
+START_TEST (renewed_certificate_is_loaded)
+{
+  identity_t one = make_identity ("one");
+  identity_t two = make_identity ("two");
+  const char *key = install_key (&one);
+  const char *certificate = install_certificate (&one);
+  uint16_t port;
+  proc_t *daemon = start_daemon ("standalone-1", certificate, key, &port);
+
+  wait_for_certificate (port, "one");
+  install_key (&two);
+  install_certificate (&two);
+  wait_for_certificate (port, "two");
   ck_assert (proc_is_running (daemon));
+  free_identity (&one);
+  free_identity (&two);
+  passed = true;
+}
+END_TEST
+
+/* A process all of whose held connections are at one stage: those of a later
+   stage would keep the context that the others use.  */
+typedef struct
+{
+  proc_t *daemon;
+  uint16_t port;
+  client_t once_renewed[HELD_COUNT];
+  client_t often_renewed[HELD_COUNT];
+} held_daemon_t;
+
+static void
+hold_connections (held_daemon_t *held, SSL_CTX *context, held_stage_t stage)
+{
+  for (int i = 0; i < HELD_COUNT; i++)
+    {
+      held->once_renewed[i] = client_connect (context, held->port, stage);
+      held->often_renewed[i] = client_connect (context, held->port, stage);
+    }
+}
+
+static void
+wait_for_certificates (const held_daemon_t *held, const char *name)
+{
+  for (int stage = 0; stage < HELD_STAGE_COUNT; stage++)
+    wait_for_certificate (held[stage].port, name);
+}
+
+static void
+finish_clients (client_t *clients)
+{
+  for (int i = 0; i < HELD_COUNT; i++)
+    client_finish (&clients[i]);
+}
+
+/* Guards against a renewal that frees the TLS context of connections whose
+   handshake has not begun.  */
+START_TEST (connections_outlive_renewals)
+{
+  SSL_CTX *context = SSL_CTX_new (TLS_client_method ());
+  held_daemon_t held[HELD_STAGE_COUNT];
+  identity_t one = make_identity ("one");
+  identity_t two = make_identity ("two");
+  identity_t three = make_identity ("three");
+  const char *key = install_key (&one);
+  const char *certificate = install_certificate (&one);
+  char name[32];
+
+  for (int stage = 0; stage < HELD_STAGE_COUNT; stage++)
+    {
+      snprintf (name, sizeof name, "standalone-%d", stage + 1);
+      held[stage].daemon
+          = start_daemon (name, certificate, key, &held[stage].port);
+    }
+  for (int stage = 0; stage < HELD_STAGE_COUNT; stage++)
+    hold_connections (&held[stage], context, (held_stage_t)stage);
+  install_key (&two);
+  install_certificate (&two);
+  wait_for_certificates (held, "two");
+  for (int stage = 0; stage < HELD_STAGE_COUNT; stage++)
+    finish_clients (held[stage].once_renewed);
+  /* The certificate does not match the key until that is replaced, too.  */
+  install_certificate (&three);
+  harness_sleep_ms (CHECK_WAIT_MS);
+  wait_for_certificates (held, "two");
+  install_key (&three);
+  wait_for_certificates (held, "three");
+  for (int stage = 0; stage < HELD_STAGE_COUNT; stage++)
+    {
+      finish_clients (held[stage].often_renewed);
+      proc_signal (held[stage].daemon, SIGTERM);
+    }
+  for (int stage = 0; stage < HELD_STAGE_COUNT; stage++)
+    ck_assert_int_eq (proc_wait (held[stage].daemon, WAIT_MS), 0);
+  free_identity (&one);
+  free_identity (&two);
+  free_identity (&three);
+  SSL_CTX_free (context);
   passed = true;
 }
 END_TEST
@@ -162,6 +403,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_checked_fixture (tcase, setup, teardown);
   tcase_add_test (tcase, renewed_certificate_is_loaded);
+  tcase_add_test (tcase, connections_outlive_renewals);
   suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
